--- /dev/null
+++ b/bench/doc.go
@@ -0,0 +1,2 @@
+// Package bench holds the project's measuring commands.
+package bench
--- /dev/null
+++ b/core/structs/resources.go
@@ -0,0 +1,48 @@
+package structs
+
+import "fmt"
+
+// Resources is an amount of host capacity.
+type Resources struct {
+	// CPUMilli is processor time in thousandths of a core.
+	CPUMilli int64 `json:"cpu_milli"`
+	// MemoryMB is memory in MiB.
+	MemoryMB int64 `json:"memory_mb"`
+	// Accelerators is a number of whole accelerators.
+	Accelerators int64 `json:"accelerators"`
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPUMilli + o.CPUMilli, r.MemoryMB + o.MemoryMB, r.Accelerators + o.Accelerators}
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPUMilli - o.CPUMilli, r.MemoryMB - o.MemoryMB, r.Accelerators - o.Accelerators}
+}
+
+// Scale returns r multiplied by n.
+func (r Resources) Scale(n int64) Resources {
+	return Resources{r.CPUMilli * n, r.MemoryMB * n, r.Accelerators * n}
+}
+
+// Fits reports whether r is within free in every dimension.
+func (r Resources) Fits(free Resources) bool {
+	return r.CPUMilli <= free.CPUMilli && r.MemoryMB <= free.MemoryMB && r.Accelerators <= free.Accelerators
+}
+
+// IsZero reports whether every dimension is zero.
+func (r Resources) IsZero() bool {
+	return r == Resources{}
+}
+
+// HasNegative reports whether any dimension is below zero.
+func (r Resources) HasNegative() bool {
+	return r.CPUMilli < 0 || r.MemoryMB < 0 || r.Accelerators < 0
+}
+
+// String formats r with units.
+func (r Resources) String() string {
+	return fmt.Sprintf("cpu=%dm memory=%dMiB accelerators=%d", r.CPUMilli, r.MemoryMB, r.Accelerators)
+}
--- /dev/null
+++ b/host/cmd/gooseberryd/main.go
@@ -0,0 +1,4 @@
+// Command gooseberryd runs one host of the scheduler.
+package main
+
+func main() {}
--- /dev/null
+++ b/store/doc.go
@@ -0,0 +1,2 @@
+// Package store groups the replicated log: consensus, files and replicas.
+package store
