Add strict document reader and catalogue parser

Cause: settings and catalogues need errors that name file, line, field, value and what is allowed, with unknown and duplicate fields refused. core/document does this for any struct; core/catalog uses it and lists differences between two catalogues.

Measured: table tests over ten bad documents, each reported on its line.

--- /dev/null
+++ b/core/catalog/catalog.go
@@ -0,0 +1,219 @@
+// Package catalog reads the catalogue document that operators keep under
+// version control, checks it, and shows the difference between two catalogues.
+package catalog
+
+import (
+	"encoding/hex"
+	"fmt"
+	"regexp"
+	"sort"
+	"time"
+
+	"gooseberrypond/core/document"
+	"gooseberrypond/core/structs"
+)
+
+// MaxDocumentBytes is the largest catalogue document.
+const MaxDocumentBytes = 8 << 20
+
+// Bounds of catalogue fields.
+const (
+	maxPriority = 100
+	maxWeight   = 1000
+	maxCount    = 1_000_000
+	maxAttempts = 1000
+	maxRuntime  = 30 * 24 * time.Hour
+)
+
+// nameAllowed describes validName for messages.
+const nameAllowed = "1 to 63 letters, digits, '-', '_' or '.', starting with a letter or digit"
+
+var validName = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+
+// file is the form of the document.
+type file struct {
+	Owners  map[string]ownerDoc `json:"owners"`
+	Entries map[string]entryDoc `json:"entries"`
+}
+
+type resourcesDoc struct {
+	CPU          document.Cores `json:"cpu"`
+	Memory       document.Bytes `json:"memory"`
+	Accelerators int64          `json:"accelerators"`
+}
+
+type ownerDoc struct {
+	TokenSHA256    []string     `json:"token_sha256"`
+	Quota          resourcesDoc `json:"quota"`
+	Weight         int          `json:"weight"`
+	RequestRate    int          `json:"request_rate"`
+	Concurrency    int          `json:"concurrency"`
+	MaxQueued      int          `json:"max_queued"`
+	MaxPendingJobs int          `json:"max_pending_jobs"`
+	MergedFrom     []string     `json:"merged_from"`
+}
+
+type entryDoc struct {
+	Owner           string            `json:"owner"`
+	Class           string            `json:"class"`
+	Resources       resourcesDoc      `json:"resources"`
+	Urgent          bool              `json:"urgent"`
+	Priority        int               `json:"priority"`
+	ExpectedRuntime document.Duration `json:"expected_runtime"`
+	LeaseHold       document.Duration `json:"lease_hold"`
+	Missed          string            `json:"missed"`
+	MaxAttempts     int               `json:"max_attempts"`
+	RequestTimeout  document.Duration `json:"request_timeout"`
+	Hedge           bool              `json:"hedge"`
+}
+
+// Parse reads and checks a catalogue document. The error is document.Problems
+// and lists every problem. The version of the result is zero.
+func Parse(name string, data []byte) (*structs.Catalogue, error) {
+	if len(data) > MaxDocumentBytes {
+		return nil, document.Problems{{File: name, Line: 1, Field: "(size)",
+			Value: fmt.Sprint(len(data)), Allowed: fmt.Sprintf("up to %d bytes", MaxDocumentBytes)}}
+	}
+	var f file
+	doc := document.Decode(name, data, &f)
+	if doc.Err() == nil {
+		checkOwners(doc, f.Owners)
+		checkEntries(doc, f.Entries, f.Owners)
+	}
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return f.catalogue(), nil
+}
+
+func checkOwners(doc *document.Document, owners map[string]ownerDoc) {
+	merged := map[string]string{}
+	for _, name := range sortedKeys(owners) {
+		o := owners[name]
+		at := "owners." + name
+		doc.Check(validName.MatchString(name), at, nameAllowed)
+		checkTokens(doc, at, o.TokenSHA256)
+		checkResources(doc, at+".quota", o.Quota)
+		checkRange(doc, at+".weight", o.Weight, maxWeight)
+		checkRange(doc, at+".request_rate", o.RequestRate, maxCount)
+		checkRange(doc, at+".concurrency", o.Concurrency, maxCount)
+		checkRange(doc, at+".max_queued", o.MaxQueued, maxCount)
+		checkRange(doc, at+".max_pending_jobs", o.MaxPendingJobs, maxCount)
+		for i, former := range o.MergedFrom {
+			checkMerge(doc, fmt.Sprintf("%s.merged_from[%d]", at, i), former, owners, merged)
+			merged[former] = name
+		}
+	}
+}
+
+func checkTokens(doc *document.Document, at string, digests []string) {
+	for i, digest := range digests {
+		raw, err := hex.DecodeString(digest)
+		doc.Check(err == nil && len(raw) == 32, fmt.Sprintf("%s.token_sha256[%d]", at, i),
+			"64 hexadecimal digits, the SHA-256 of a token")
+	}
+}
+
+// checkMerge requires that a former owner is gone from the document and has
+// one successor, so that each job has exactly one owner.
+func checkMerge(doc *document.Document, at, former string, owners map[string]ownerDoc, merged map[string]string) {
+	doc.Check(validName.MatchString(former), at, nameAllowed)
+	_, present := owners[former]
+	doc.Check(!present, at, "an owner that is no longer listed under owners")
+	_, twice := merged[former]
+	doc.Check(!twice, at, "each former owner under one owner only")
+}
+
+func checkEntries(doc *document.Document, entries map[string]entryDoc, owners map[string]ownerDoc) {
+	for _, name := range sortedKeys(entries) {
+		e := entries[name]
+		at := "entries." + name
+		doc.Check(validName.MatchString(name), at, nameAllowed)
+		_, known := owners[e.Owner]
+		doc.Check(known, at+".owner", "the name of an owner listed under owners")
+		class := structs.Class(e.Class)
+		doc.Check(class == structs.ClassLatency || class == structs.ClassBatch, at+".class",
+			fmt.Sprintf("%q or %q", structs.ClassLatency, structs.ClassBatch))
+		checkResources(doc, at+".resources", e.Resources)
+		checkRange(doc, at+".priority", e.Priority, maxPriority)
+		checkRange(doc, at+".max_attempts", e.MaxAttempts, maxAttempts)
+		checkDuration(doc, at+".expected_runtime", e.ExpectedRuntime, maxRuntime)
+		checkDuration(doc, at+".lease_hold", e.LeaseHold, structs.MaxLeaseHold)
+		checkDuration(doc, at+".request_timeout", e.RequestTimeout, structs.RequestTimeoutMax)
+		rule := structs.MissedRule(e.Missed)
+		doc.Check(rule == "" || rule == structs.MissedRunOnce || rule == structs.MissedSkip, at+".missed",
+			fmt.Sprintf("%q or %q", structs.MissedRunOnce, structs.MissedSkip))
+	}
+}
+
+func checkResources(doc *document.Document, at string, r resourcesDoc) {
+	doc.Check(r.Accelerators >= 0 && r.Accelerators <= maxCount, at+".accelerators", rangeAllowed(maxCount))
+}
+
+func checkRange(doc *document.Document, at string, v, most int) {
+	doc.Check(v >= 0 && v <= most, at, rangeAllowed(most))
+}
+
+func checkDuration(doc *document.Document, at string, v document.Duration, most time.Duration) {
+	doc.Check(time.Duration(v) <= most, at, fmt.Sprintf("a duration up to %s", most))
+}
+
+func rangeAllowed(most int) string {
+	return fmt.Sprintf("a whole number from 0 to %d", most)
+}
+
+func (f *file) catalogue() *structs.Catalogue {
+	c := &structs.Catalogue{
+		Owners:  make(map[string]structs.Owner, len(f.Owners)),
+		Entries: make(map[string]structs.Entry, len(f.Entries)),
+	}
+	for name, o := range f.Owners {
+		c.Owners[name] = o.owner()
+	}
+	for name, e := range f.Entries {
+		c.Entries[name] = e.entry()
+	}
+	return c
+}
+
+func (o ownerDoc) owner() structs.Owner {
+	return structs.Owner{
+		TokenSHA256:    o.TokenSHA256,
+		Quota:          o.Quota.resources(),
+		Weight:         o.Weight,
+		RequestRate:    o.RequestRate,
+		Concurrency:    o.Concurrency,
+		MaxQueued:      o.MaxQueued,
+		MaxPendingJobs: o.MaxPendingJobs,
+		MergedFrom:     o.MergedFrom,
+	}
+}
+
+func (e entryDoc) entry() structs.Entry {
+	return structs.Entry{
+		Owner:             e.Owner,
+		Class:             structs.Class(e.Class),
+		Resources:         e.Resources.resources(),
+		Urgent:            e.Urgent,
+		Priority:          e.Priority,
+		ExpectedRuntimeMS: e.ExpectedRuntime.Milliseconds(),
+		LeaseHoldMS:       e.LeaseHold.Milliseconds(),
+		Missed:            structs.MissedRule(e.Missed),
+		MaxAttempts:       e.MaxAttempts,
+		RequestTimeoutMS:  e.RequestTimeout.Milliseconds(),
+		Hedge:             e.Hedge,
+	}
+}
+
+func (r resourcesDoc) resources() structs.Resources {
+	return structs.Resources{CPUMilli: int64(r.CPU), MemoryMB: r.Memory.MiB(), Accelerators: r.Accelerators}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
--- /dev/null
+++ b/core/catalog/catalog_test.go
@@ -0,0 +1,119 @@
+package catalog
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"gooseberrypond/core/document"
+	"gooseberrypond/core/structs"
+)
+
+const token = "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08"
+
+const good = `{
+  // The booking desk and its plans.
+  "owners": {
+    "siam": {
+      "token_sha256": ["` + token + `"],
+      "quota": {"cpu": "64", "memory": "256GiB"},
+      "merged_from": ["nakhon"],
+    },
+  },
+  "entries": {
+    "desk": {"owner": "siam", "class": "latency-critical", "request_timeout": "2s"},
+    "plans": {"owner": "siam", "class": "batch", "resources": {"cpu": "500m", "memory": "512MiB"}},
+  },
+}`
+
+// Guards against units being read wrongly: a core count or size off by a factor overfills hosts.
+func TestParseUnits(t *testing.T) {
+	c, err := Parse("c.jsonc", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := structs.Resources{CPUMilli: 500, MemoryMB: 512}
+	if got := c.Entries["plans"].Resources; got != want {
+		t.Errorf("resources = %v, want %v", got, want)
+	}
+	if got := c.Owners["siam"].Quota; got != (structs.Resources{CPUMilli: 64_000, MemoryMB: 256 << 10}) {
+		t.Errorf("quota = %v", got)
+	}
+	if got := c.Entries["desk"].RequestTimeoutMS; got != 2000 {
+		t.Errorf("timeout = %d ms", got)
+	}
+}
+
+// Guards against a bad document being accepted, or refused without saying where and why.
+func TestParseRefuses(t *testing.T) {
+	tests := []struct {
+		name, old, new string
+		line           int
+		field          string
+	}{
+		{"unknown field", `"request_timeout"`, `"request_timeuot"`, 11, "entries.desk.request_timeuot"},
+		{"wrong class", `"latency-critical"`, `"fast"`, 11, "entries.desk.class"},
+		{"unknown owner", `"owner": "siam", "class": "batch"`, `"owner": "nobody", "class": "batch"`, 12, "entries.plans.owner"},
+		{"missing unit", `"2s"`, `2`, 11, "entries.desk.request_timeout"},
+		{"negative cores", `"500m"`, `"-1"`, 12, "entries.plans.resources.cpu"},
+		{"too long", `"2s"`, `"2h"`, 11, "entries.desk.request_timeout"},
+		{"short digest", token, "abc", 5, "owners.siam.token_sha256[0]"},
+		{"merge of a listed owner", `"nakhon"`, `"siam"`, 7, "owners.siam.merged_from[0]"},
+		{"duplicate entry", `"plans":`, `"desk":`, 12, "entries.desk"},
+		{"overflowing size", `"512MiB"`, `"9999999999999TiB"`, 12, "entries.plans.resources.memory"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			doc := strings.Replace(good, tt.old, tt.new, 1)
+			_, err := Parse("c.jsonc", []byte(doc))
+			var problems document.Problems
+			if !errors.As(err, &problems) {
+				t.Fatalf("error = %v, want problems", err)
+			}
+			p := problems[0]
+			if p.Line != tt.line || p.Field != tt.field || p.Allowed == "" {
+				t.Errorf("problem = %v, want line %d field %s", p, tt.line, tt.field)
+			}
+		})
+	}
+}
+
+// Guards against only the first of several mistakes being shown.
+func TestParseListsAllProblems(t *testing.T) {
+	doc := strings.NewReplacer(`"latency-critical"`, `"fast"`, `"batch"`, `"slow"`).Replace(good)
+	_, err := Parse("c.jsonc", []byte(doc))
+	var problems document.Problems
+	if !errors.As(err, &problems) || len(problems) != 2 {
+		t.Fatalf("error = %v, want two problems", err)
+	}
+}
+
+// Guards against a syntax error that does not say its line.
+func TestParseSyntaxErrorLine(t *testing.T) {
+	_, err := Parse("c.jsonc", []byte("{\n\n  \"owners\": [}\n}"))
+	var problems document.Problems
+	if !errors.As(err, &problems) || problems[0].Line != 3 {
+		t.Fatalf("error = %v, want a problem on line 3", err)
+	}
+}
+
+// Guards against plan hiding a change or reporting one where there is none.
+func TestDiff(t *testing.T) {
+	a, _ := Parse("a", []byte(good))
+	b, _ := Parse("b", []byte(good))
+	if d := Diff(a, b); len(d) != 0 {
+		t.Fatalf("diff of equal catalogues = %v", d)
+	}
+	e := b.Entries["desk"]
+	e.Priority = 3
+	b.Entries["desk"] = e
+	delete(b.Entries, "plans")
+	b.Owners["new"] = structs.Owner{}
+	d := Diff(a, b)
+	if len(d) != 3 || d[0].Action != ActionAdd || d[1].Action != ActionChange || d[2].Action != ActionRemove {
+		t.Fatalf("diff = %+v", d)
+	}
+	if f := d[1].Fields; len(f) != 1 || f[0] != (FieldChange{Field: "priority", From: "0", To: "3"}) {
+		t.Errorf("fields = %+v", f)
+	}
+}
