Add gooseberryctl with plan, apply, domains, jobs, status and members

Cause: operators drive the system only through catalogue edits and failure domains. Every edit carries a change id and every submission an idempotency key, so the client can resend on the next address after a lost answer.

Tested: a lost race exits with 3 and names the winner; a resent edit keeps its change id; a bad file is refused before any call; wait polls until the change is in force everywhere.

Conclusion: works against the HTTP bodies in core/structs; not yet run against a server.

--- a/core/catalog/catalog.go
+++ b/core/catalog/catalog.go
@@ -67,27 +67,79 @@
 	Hedge           bool              `json:"hedge"`
 }
 
-// Parse reads and checks a catalogue document. The error is document.Problems
-// and lists every problem. The version of the result is zero.
+// Source is one file of a catalogue.
+type Source struct {
+	Name string
+	Data []byte
+}
+
+// part is one decoded file.
+type part struct {
+	doc *document.Document
+	file
+}
+
+// Parse reads and checks a catalogue of one file; see ParseAll.
 func Parse(name string, data []byte) (*structs.Catalogue, error) {
-	if len(data) > MaxDocumentBytes {
-		return nil, document.Problems{{File: name, Line: 1, Field: "(size)",
-			Value: fmt.Sprint(len(data)), Allowed: fmt.Sprintf("up to %d bytes", MaxDocumentBytes)}}
+	return ParseAll([]Source{{Name: name, Data: data}})
+}
+
+// ParseAll reads and checks a catalogue that is spread over files. An owner or
+// entry may stand in any file, but only once. The error is document.Problems
+// and lists every problem. The version of the result is zero.
+func ParseAll(sources []Source) (*structs.Catalogue, error) {
+	var parts []*part
+	var problems document.Problems
+	for _, src := range sources {
+		p, err := decode(src)
+		problems = append(problems, err...)
+		parts = append(parts, p)
 	}
-	var f file
-	doc := document.Decode(name, data, &f)
-	if doc.Err() == nil {
-		checkOwners(doc, f.Owners)
-		checkEntries(doc, f.Entries, f.Owners)
+	if len(problems) > 0 {
+		return nil, problems
+	}
+	all := join(parts)
+	merged := map[string]string{}
+	for _, p := range parts {
+		checkOwners(p.doc, p.Owners, all.Owners, merged)
+		checkEntries(p.doc, p.Entries, all.Owners)
+		problems = append(problems, p.doc.Problems()...)
 	}
-	if err := doc.Err(); err != nil {
-		return nil, err
+	if len(problems) > 0 {
+		return nil, problems
 	}
-	return f.catalogue(), nil
+	return all.catalogue(), nil
 }
 
-func checkOwners(doc *document.Document, owners map[string]ownerDoc) {
-	merged := map[string]string{}
+func decode(src Source) (*part, document.Problems) {
+	if len(src.Data) > MaxDocumentBytes {
+		return nil, document.Problems{{File: src.Name, Line: 1, Field: "(size)",
+			Value: fmt.Sprint(len(src.Data)), Allowed: fmt.Sprintf("up to %d bytes", MaxDocumentBytes)}}
+	}
+	p := &part{}
+	p.doc = document.Decode(src.Name, src.Data, &p.file)
+	return p, p.doc.Problems()
+}
+
+// join unites the files; a name that stands in two files is a problem of the later one.
+func join(parts []*part) *file {
+	all := &file{Owners: map[string]ownerDoc{}, Entries: map[string]entryDoc{}}
+	for _, p := range parts {
+		for name, o := range p.Owners {
+			_, twice := all.Owners[name]
+			p.doc.Check(!twice, "owners."+name, "each owner in one file")
+			all.Owners[name] = o
+		}
+		for name, e := range p.Entries {
+			_, twice := all.Entries[name]
+			p.doc.Check(!twice, "entries."+name, "each entry in one file")
+			all.Entries[name] = e
+		}
+	}
+	return all
+}
+
+func checkOwners(doc *document.Document, owners, all map[string]ownerDoc, merged map[string]string) {
 	for _, name := range sortedKeys(owners) {
 		o := owners[name]
 		at := "owners." + name
@@ -100,7 +152,7 @@
 		checkRange(doc, at+".max_queued", o.MaxQueued, maxCount)
 		checkRange(doc, at+".max_pending_jobs", o.MaxPendingJobs, maxCount)
 		for i, former := range o.MergedFrom {
-			checkMerge(doc, fmt.Sprintf("%s.merged_from[%d]", at, i), former, owners, merged)
+			checkMerge(doc, fmt.Sprintf("%s.merged_from[%d]", at, i), former, all, merged)
 			merged[former] = name
 		}
 	}
--- a/core/catalog/catalog_test.go
+++ b/core/catalog/catalog_test.go
@@ -117,3 +117,22 @@
 		t.Errorf("fields = %+v", f)
 	}
 }
+
+// Guards against one of two files with the same entry silently winning.
+func TestParseAllRefusesNameInTwoFiles(t *testing.T) {
+	second := `{"entries": {"desk": {"owner": "siam", "class": "batch"}}}`
+	_, err := ParseAll([]Source{{"a.jsonc", []byte(good)}, {"b.jsonc", []byte(second)}})
+	var problems document.Problems
+	if !errors.As(err, &problems) || problems[0].File != "b.jsonc" || problems[0].Field != "entries.desk" {
+		t.Fatalf("error = %v, want entries.desk in b.jsonc", err)
+	}
+}
+
+// Guards against an entry being refused because its owner stands in another file.
+func TestParseAllOwnerInOtherFile(t *testing.T) {
+	second := `{"entries": {"watch": {"owner": "siam", "class": "batch"}}}`
+	c, err := ParseAll([]Source{{"b.jsonc", []byte(second)}, {"a.jsonc", []byte(good)}})
+	if err != nil || len(c.Entries) != 3 {
+		t.Fatalf("catalogue = %v, error = %v, want three entries", c, err)
+	}
+}
--- a/core/document/document.go
+++ b/core/document/document.go
@@ -93,13 +93,18 @@
 	return ok
 }
 
+// Problems returns all problems in the order of their lines.
+func (d *Document) Problems() Problems {
+	sort.SliceStable(d.problems, func(i, j int) bool { return d.problems[i].Line < d.problems[j].Line })
+	return d.problems
+}
+
 // Err returns all problems as Problems, or nil.
 func (d *Document) Err() error {
 	if len(d.problems) == 0 {
 		return nil
 	}
-	sort.SliceStable(d.problems, func(i, j int) bool { return d.problems[i].Line < d.problems[j].Line })
-	return d.problems
+	return d.Problems()
 }
 
 func (d *Document) line(field string) int {
--- /dev/null
+++ b/ctl/command/command_test.go
@@ -0,0 +1,167 @@
+package command
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"gooseberrypond/core/structs"
+	"gooseberrypond/ctl/client"
+)
+
+const doc = `{
+  "owners": {"siam": {"weight": 2}},
+  "entries": {"desk": {"owner": "siam", "class": "latency-critical"}},
+}`
+
+// testEnv returns an environment whose clients try the given servers in order.
+func testEnv(t *testing.T, servers ...*httptest.Server) (*Env, *bytes.Buffer) {
+	t.Helper()
+	var addresses []string
+	for _, s := range servers {
+		addresses = append(addresses, s.URL)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	out := &bytes.Buffer{}
+	c := &client.Client{Addresses: addresses, HTTP: http.DefaultClient}
+	return &Env{Ctx: ctx, Operator: c, Caller: c, Out: out}, out
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
+
+func catalogueFile(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "catalogue.jsonc")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// operator serves a catalogue of version 7 and answers edits with result.
+func operator(t *testing.T, status int, result structs.ChangeResult) (*httptest.Server, *[]structs.PutCatalogueRequest) {
+	t.Helper()
+	var puts []structs.PutCatalogueRequest
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/catalogue", func(w http.ResponseWriter, _ *http.Request) {
+		answer(w, http.StatusOK, structs.Catalogue{Version: 7})
+	})
+	mux.HandleFunc("PUT /v1/catalogue", func(w http.ResponseWriter, r *http.Request) {
+		var req structs.PutCatalogueRequest
+		json.NewDecoder(r.Body).Decode(&req)
+		puts = append(puts, req)
+		result.ChangeID = req.ChangeID
+		answer(w, status, result)
+	})
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return server, &puts
+}
+
+// Guards against a lost race being shown as a success.
+func TestApplyReportsWinner(t *testing.T) {
+	server, _ := operator(t, http.StatusConflict, structs.ChangeResult{Version: 8, Winner: "other-change"})
+	env, _ := testEnv(t, server)
+	err := (&ApplyCmd{Path: catalogueFile(t, doc)}).Run(env)
+	if ExitCode(err) != ExitRefused || !strings.Contains(err.Error(), "other-change") {
+		t.Fatalf("error = %v, exit code %d", err, ExitCode(err))
+	}
+}
+
+// Guards against an edit that is resent after a lost answer counting as a second edit.
+func TestApplyResendsSameChangeID(t *testing.T) {
+	good, puts := operator(t, http.StatusOK, structs.ChangeResult{Accepted: true, Version: 8})
+	var lost []structs.PutCatalogueRequest
+	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			answer(w, http.StatusOK, structs.Catalogue{Version: 7})
+			return
+		}
+		var req structs.PutCatalogueRequest
+		json.NewDecoder(r.Body).Decode(&req)
+		lost = append(lost, req)
+		panic(http.ErrAbortHandler)
+	}))
+	defer broken.Close()
+	env, out := testEnv(t, broken, good)
+	if err := (&ApplyCmd{Path: catalogueFile(t, doc)}).Run(env); err != nil {
+		t.Fatal(err)
+	}
+	if len(lost) == 0 || len(*puts) != 1 || lost[0].ChangeID != (*puts)[0].ChangeID {
+		t.Fatalf("lost = %+v, received = %+v", lost, *puts)
+	}
+	if (*puts)[0].BaseVersion != 7 || !strings.Contains(out.String(), "version 8") {
+		t.Errorf("base = %d, output = %q", (*puts)[0].BaseVersion, out)
+	}
+}
+
+// Guards against a bad file reaching the network.
+func TestApplyChecksBeforeSending(t *testing.T) {
+	server, puts := operator(t, http.StatusOK, structs.ChangeResult{Accepted: true})
+	env, _ := testEnv(t, server)
+	err := (&ApplyCmd{Path: catalogueFile(t, strings.Replace(doc, "weight", "wieght", 1))}).Run(env)
+	if ExitCode(err) != ExitUsage || len(*puts) != 0 {
+		t.Fatalf("error = %v, exit code %d, edits sent %d", err, ExitCode(err), len(*puts))
+	}
+}
+
+// Guards against scripts having to read messages to tell failures apart.
+func TestExitCodes(t *testing.T) {
+	tests := []struct {
+		code structs.ErrorCode
+		want int
+	}{
+		{structs.CodeBadRequest, ExitUsage},
+		{structs.CodeKeyReused, ExitRefused},
+		{structs.CodeNotFound, ExitNotFound},
+		{structs.CodeNoLeader, ExitUnreachable},
+		{structs.CodeUnauthorized, ExitUnauthorized},
+		{structs.CodeInternal, ExitFailed},
+	}
+	for _, tt := range tests {
+		if got := ExitCode(structs.Errorf(tt.code, "test", "refused")); got != tt.want {
+			t.Errorf("exit code of %s = %d, want %d", tt.code, got, tt.want)
+		}
+	}
+}
+
+// Guards against --wait returning while a host still acts on the old catalogue.
+func TestWaitInForcePollsUntilComplete(t *testing.T) {
+	polls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		polls++
+		status := structs.ChangeStatus{InForce: map[string]bool{"h1": true, "h2": polls > 1}, Complete: polls > 1}
+		answer(w, http.StatusOK, status)
+	}))
+	defer server.Close()
+	env, out := testEnv(t, server)
+	if err := env.waitInForce("c"); err != nil {
+		t.Fatal(err)
+	}
+	if polls != 2 || !strings.Contains(out.String(), "waiting for h2") {
+		t.Errorf("polls = %d, output = %q", polls, out)
+	}
+}
+
+// Guards against a failed job ending a script with success.
+func TestJobWaitFailsOnFailedJob(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer(w, http.StatusOK, structs.JobView{Job: structs.Job{ID: "j1", Status: structs.StatusFailed}})
+	}))
+	defer server.Close()
+	env, _ := testEnv(t, server)
+	if err := (&JobWaitCmd{Job: "j1"}).Run(env); ExitCode(err) != ExitFailed {
+		t.Fatalf("error = %v", err)
+	}
+}
