--- /dev/null
+++ b/host/config/tls.go
@@ -0,0 +1,109 @@
+package config
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+// certCheckInterval is how often the certificate files are checked for a change.
+const certCheckInterval = time.Second
+
+// certSource loads a certificate again when its file has changed.
+type certSource struct {
+	files TLS
+
+	mu      sync.Mutex
+	cert    *tls.Certificate
+	changed time.Time
+	checked time.Time
+}
+
+// get returns the current certificate. A file that cannot be loaded leaves the
+// last good certificate in use, so a half-written file does not stop service.
+func (c *certSource) get() (*tls.Certificate, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cert != nil && time.Since(c.checked) < certCheckInterval {
+		return c.cert, nil
+	}
+	c.checked = time.Now()
+	changed, err := newest(c.files.CertFile, c.files.KeyFile)
+	if err == nil && (c.cert == nil || !changed.Equal(c.changed)) {
+		var cert tls.Certificate
+		if cert, err = tls.LoadX509KeyPair(c.files.CertFile, c.files.KeyFile); err == nil {
+			c.cert, c.changed = &cert, changed
+		}
+	}
+	if c.cert == nil {
+		return nil, err
+	}
+	return c.cert, nil
+}
+
+// newest returns the latest modification time of the files.
+func newest(files ...string) (time.Time, error) {
+	var last time.Time
+	for _, f := range files {
+		info, err := os.Stat(f)
+		if err != nil {
+			return last, err
+		}
+		if info.ModTime().After(last) {
+			last = info.ModTime()
+		}
+	}
+	return last, nil
+}
+
+// ServerConfig returns the TLS configuration of a listener, or nil without
+// TLS. It fails if the files cannot be read now.
+func (t *TLS) ServerConfig() (*tls.Config, error) {
+	cfg, src, err := t.base()
+	if cfg == nil || err != nil {
+		return nil, err
+	}
+	cfg.GetCertificate = func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return src.get() }
+	if cfg.RootCAs != nil {
+		cfg.ClientCAs, cfg.ClientAuth = cfg.RootCAs, tls.RequireAndVerifyClientCert
+	}
+	return cfg, nil
+}
+
+// ClientConfig returns the TLS configuration for calls to listeners of the
+// same kind, or nil without TLS.
+func (t *TLS) ClientConfig() (*tls.Config, error) {
+	cfg, src, err := t.base()
+	if cfg == nil || err != nil {
+		return nil, err
+	}
+	cfg.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return src.get() }
+	return cfg, nil
+}
+
+// base loads the files that both sides share.
+func (t *TLS) base() (*tls.Config, *certSource, error) {
+	if !t.Enabled() {
+		return nil, nil, nil
+	}
+	src := &certSource{files: *t}
+	if _, err := src.get(); err != nil {
+		return nil, nil, fmt.Errorf("load certificate: %w", err)
+	}
+	cfg := &tls.Config{MinVersion: tls.VersionTLS13}
+	if t.CAFile == "" {
+		return cfg, src, nil
+	}
+	pem, err := os.ReadFile(t.CAFile)
+	if err != nil {
+		return nil, nil, err
+	}
+	cfg.RootCAs = x509.NewCertPool()
+	if !cfg.RootCAs.AppendCertsFromPEM(pem) {
+		return nil, nil, fmt.Errorf("%s: no PEM certificate", t.CAFile)
+	}
+	return cfg, src, nil
+}
--- /dev/null
+++ b/host/edge/operator/operator.go
@@ -0,0 +1,202 @@
+// Package operator is the HTTP interface of operators:
+//
+//	GET  /v1/catalogue                    structs.Catalogue
+//	PUT  /v1/catalogue                    structs.PutCatalogue -> structs.ChangeResult
+//	GET  /v1/domains                      rpc.Domains
+//	POST /v1/domains/{name}/out|in        {"change_id"} -> structs.ChangeResult
+//	GET  /v1/status                       rpc.Status
+//	GET  /v1/members                      []rpc.Member
+//	POST /v1/members                      rpc.MemberChange
+//	GET  /v1/changes/{id}                 rpc.ChangeInfo
+//	GET  /v1/dump                         the state of this process
+//
+// A change that is refused answers 409 with the ChangeResult as body.
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"net/http"
+	"os"
+	"strings"
+
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/core/structs"
+	"gooseberrypond/host/edge/web"
+	"gooseberrypond/host/rpc"
+)
+
+// maxSmall bounds bodies other than the catalogue, in bytes.
+const maxSmall = 16 << 10
+
+// Control is what the adapter needs of the control hosts.
+type Control interface {
+	Catalogue(ctx context.Context) (*structs.Catalogue, error)
+	ApplyCatalogue(ctx context.Context, c *structs.PutCatalogue) (*structs.ChangeResult, error)
+	SetDomain(ctx context.Context, c structs.SetDomain) (*structs.ChangeResult, error)
+	Domains(ctx context.Context) (*rpc.Domains, error)
+	Change(ctx context.Context, id string) (*rpc.ChangeInfo, error)
+	Status(ctx context.Context) (*rpc.Status, error)
+	Members(ctx context.Context) ([]rpc.Member, error)
+	MemberChange(ctx context.Context, c rpc.MemberChange) error
+}
+
+// Options configure the adapter.
+type Options struct {
+	// TokenFile holds the operators' bearer token; empty means no token is needed.
+	TokenFile string
+	// MaxCatalogue bounds a catalogue document, in bytes.
+	MaxCatalogue int64
+	// Dump returns the state of this process.
+	Dump func() any
+	// CheckCatalogue returns the first error of a catalogue, or nil.
+	CheckCatalogue func(*structs.Catalogue) error
+	Log            zerolog.Logger
+}
+
+type server struct {
+	control Control
+	opts    Options
+}
+
+// Handler returns the operators' interface.
+func Handler(control Control, opts Options) http.Handler {
+	s := &server{control: control, opts: opts}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/catalogue", get(func(r *http.Request) (any, error) { return control.Catalogue(r.Context()) }))
+	mux.HandleFunc("PUT /v1/catalogue", s.putCatalogue)
+	mux.HandleFunc("GET /v1/domains", get(func(r *http.Request) (any, error) { return control.Domains(r.Context()) }))
+	mux.HandleFunc("POST /v1/domains/{name}/{action}", s.setDomain)
+	mux.HandleFunc("GET /v1/status", get(func(r *http.Request) (any, error) { return control.Status(r.Context()) }))
+	mux.HandleFunc("GET /v1/members", get(func(r *http.Request) (any, error) { return control.Members(r.Context()) }))
+	mux.HandleFunc("POST /v1/members", s.memberChange)
+	mux.HandleFunc("GET /v1/changes/{id}", get(func(r *http.Request) (any, error) { return control.Change(r.Context(), r.PathValue("id")) }))
+	mux.HandleFunc("GET /v1/dump", get(func(*http.Request) (any, error) { return opts.Dump(), nil }))
+	return s.authorize(mux)
+}
+
+// get answers with the result of fn.
+func get(fn func(r *http.Request) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		v, err := fn(r)
+		if err != nil {
+			web.WriteError(w, err)
+			return
+		}
+		web.WriteJSON(w, http.StatusOK, v)
+	}
+}
+
+// authorize requires the token of the token file. The file is read on each
+// request, so a new token needs no restart; an unreadable file admits nobody.
+func (s *server) authorize(next http.Handler) http.Handler {
+	if s.opts.TokenFile == "" {
+		return next
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		want, err := os.ReadFile(s.opts.TokenFile)
+		if err != nil {
+			s.opts.Log.Error().Err(err).Msg("operator token file cannot be read")
+		}
+		given, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if token := strings.TrimSpace(string(want)); err != nil || !ok || token == "" || !same(given, token) {
+			web.WriteError(w, structs.Errorf(structs.CodeUnauthorized, "operator", "missing or wrong operator token").WithOutcome(structs.OutcomeNotRun))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// same compares in constant time.
+func same(a, b string) bool {
+	x, y := sha256.Sum256([]byte(a)), sha256.Sum256([]byte(b))
+	return subtle.ConstantTimeCompare(x[:], y[:]) == 1
+}
+
+// checkChangeID refuses ids that could not be found again.
+func checkChangeID(id string) error {
+	if id == "" || len(id) > 128 || strings.ContainsAny(id, " \t\n/") {
+		return web.BadRequest("change_id must have 1 to 128 characters and no white space or slash")
+	}
+	return nil
+}
+
+func (s *server) putCatalogue(w http.ResponseWriter, r *http.Request) {
+	var put structs.PutCatalogue
+	err := web.ReadJSON(w, r, s.opts.MaxCatalogue, &put)
+	if err == nil {
+		err = checkChangeID(put.ChangeID)
+	}
+	if err == nil && s.opts.CheckCatalogue != nil {
+		if cerr := s.opts.CheckCatalogue(&put.Catalogue); cerr != nil {
+			err = web.BadRequest("catalogue: %v", cerr)
+		}
+	}
+	if err != nil {
+		web.WriteError(w, err)
+		return
+	}
+	res, err := s.control.ApplyCatalogue(r.Context(), &put)
+	s.change(w, "catalogue", put.ChangeID, res, err)
+}
+
+func (s *server) setDomain(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		ChangeID string `json:"change_id"`
+	}
+	err := web.ReadJSON(w, r, maxSmall, &body)
+	if err == nil {
+		err = checkChangeID(body.ChangeID)
+	}
+	action := r.PathValue("action")
+	if err == nil && action != "out" && action != "in" {
+		err = structs.Errorf(structs.CodeNotFound, "operator", "action %q; allowed: out, in", action).WithOutcome(structs.OutcomeNotRun)
+	}
+	if err != nil {
+		web.WriteError(w, err)
+		return
+	}
+	set := structs.SetDomain{ChangeID: body.ChangeID, Domain: r.PathValue("name"), Out: action == "out"}
+	res, err := s.control.SetDomain(r.Context(), set)
+	s.change(w, "domain", body.ChangeID, res, err)
+}
+
+// change answers with the outcome of a change and logs it.
+func (s *server) change(w http.ResponseWriter, kind, id string, res *structs.ChangeResult, err error) {
+	if err != nil {
+		s.opts.Log.Warn().Str("change", id).Str("kind", kind).Err(err).Msg("change not decided")
+		web.WriteError(w, err)
+		return
+	}
+	s.opts.Log.Info().Str("change", id).Str("kind", kind).Bool("accepted", res.Accepted).Uint64("version", res.Version).Msg("change decided")
+	status := http.StatusOK
+	if !res.Accepted {
+		status = http.StatusConflict
+	}
+	web.WriteJSON(w, status, res)
+}
+
+func (s *server) memberChange(w http.ResponseWriter, r *http.Request) {
+	var c rpc.MemberChange
+	err := web.ReadJSON(w, r, maxSmall, &c)
+	switch {
+	case err != nil:
+	case c.Action != rpc.MemberAdd && c.Action != rpc.MemberPromote && c.Action != rpc.MemberRemove:
+		err = web.BadRequest("action %q; allowed: add, promote, remove", c.Action)
+	case c.ID == 0:
+		err = web.BadRequest("id must be at least 1")
+	case (c.Action == rpc.MemberAdd) != (c.Address != ""):
+		err = web.BadRequest("address is needed for add, and only there")
+	}
+	if err == nil {
+		err = s.control.MemberChange(r.Context(), c)
+	}
+	if err != nil {
+		web.WriteError(w, err)
+		return
+	}
+	s.opts.Log.Info().Str("action", string(c.Action)).Uint64("replica", c.ID).Msg("members changed")
+	web.WriteJSON(w, http.StatusOK, c)
+}
--- /dev/null
+++ b/host/rpc/calls.go
@@ -0,0 +1,125 @@
+package rpc
+
+import (
+	"context"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+var _ Control = (*Client)(nil)
+
+// ptr returns the address of a successful call's result.
+func ptr[R any](r R, err error) (*R, error) {
+	if err != nil {
+		return nil, err
+	}
+	return &r, nil
+}
+
+func read(method string) plan    { return plan{method: method, limit: attemptTimeout, again: true} }
+func propose(method string) plan { return plan{method: method, limit: proposeTimeout, again: true} }
+
+// Sync implements Control. It is not repeated: a repeated number is refused.
+func (c *Client) Sync(ctx context.Context, req *structs.EntrySync) (*structs.EntryView, error) {
+	return ptr(call[structs.EntrySync, structs.EntryView](ctx, c, plan{method: "Sync", limit: attemptTimeout}, *req))
+}
+
+// WorkerRegister implements Control.
+func (c *Client) WorkerRegister(ctx context.Context, req *structs.WorkerRegister) error {
+	_, err := call[structs.WorkerRegister, Empty](ctx, c, propose("WorkerRegister"), *req)
+	return err
+}
+
+// WorkerSync implements Control. It is not repeated: a repeated number is refused.
+func (c *Client) WorkerSync(ctx context.Context, req *structs.WorkerSync) (*structs.WorkerSyncReply, error) {
+	limit := proposeTimeout + time.Duration(req.WaitMS)*time.Millisecond
+	return ptr(call[structs.WorkerSync, structs.WorkerSyncReply](ctx, c, plan{method: "WorkerSync", limit: limit}, *req))
+}
+
+// Announce implements Control.
+func (c *Client) Announce(ctx context.Context, u structs.Upstream) error {
+	_, err := call[structs.Upstream, Empty](ctx, c, read("Announce"), u)
+	return err
+}
+
+// Leave implements Control.
+func (c *Client) Leave(ctx context.Context, upstream string) error {
+	_, err := call[string, Empty](ctx, c, read("Leave"), upstream)
+	return err
+}
+
+// Submit implements Control.
+func (c *Client) Submit(ctx context.Context, job structs.SubmitJob) (structs.SubmitResult, error) {
+	return call[structs.SubmitJob, structs.SubmitResult](ctx, c, propose("Submit"), job)
+}
+
+// Cancel implements Control.
+func (c *Client) Cancel(ctx context.Context, cancel structs.CancelJob) error {
+	_, err := call[structs.CancelJob, Empty](ctx, c, propose("Cancel"), cancel)
+	return err
+}
+
+// GetJob implements Control.
+func (c *Client) GetJob(ctx context.Context, q GetJob) (*JobInfo, error) {
+	p := read("GetJob")
+	p.limit += time.Duration(q.WaitMS) * time.Millisecond
+	return ptr(call[GetJob, JobInfo](ctx, c, p, q))
+}
+
+// ListJobs implements Control.
+func (c *Client) ListJobs(ctx context.Context, q ListJobs) ([]structs.Job, error) {
+	return call[ListJobs, []structs.Job](ctx, c, read("ListJobs"), q)
+}
+
+// Claim implements Control. The nonce makes a repeated claim harmless.
+func (c *Client) Claim(ctx context.Context, claim structs.Claim) (structs.Result, error) {
+	return call[structs.Claim, structs.Result](ctx, c, propose("Claim"), claim)
+}
+
+// Complete implements Control.
+func (c *Client) Complete(ctx context.Context, done structs.Complete) error {
+	_, err := call[structs.Complete, Empty](ctx, c, propose("Complete"), done)
+	return err
+}
+
+// Catalogue implements Control.
+func (c *Client) Catalogue(ctx context.Context) (*structs.Catalogue, error) {
+	return ptr(call[Empty, structs.Catalogue](ctx, c, read("Catalogue"), Empty{}))
+}
+
+// ApplyCatalogue implements Control. The change id makes a repeated change harmless.
+func (c *Client) ApplyCatalogue(ctx context.Context, put *structs.PutCatalogue) (*structs.ChangeResult, error) {
+	return ptr(call[structs.PutCatalogue, structs.ChangeResult](ctx, c, propose("ApplyCatalogue"), *put))
+}
+
+// SetDomain implements Control.
+func (c *Client) SetDomain(ctx context.Context, set structs.SetDomain) (*structs.ChangeResult, error) {
+	return ptr(call[structs.SetDomain, structs.ChangeResult](ctx, c, propose("SetDomain"), set))
+}
+
+// Domains implements Control.
+func (c *Client) Domains(ctx context.Context) (*Domains, error) {
+	return ptr(call[Empty, Domains](ctx, c, read("Domains"), Empty{}))
+}
+
+// Change implements Control.
+func (c *Client) Change(ctx context.Context, id string) (*ChangeInfo, error) {
+	return ptr(call[Change, ChangeInfo](ctx, c, read("Change"), Change{ID: id}))
+}
+
+// Status implements Control.
+func (c *Client) Status(ctx context.Context) (*Status, error) {
+	return ptr(call[Empty, Status](ctx, c, read("Status"), Empty{}))
+}
+
+// Members implements Control.
+func (c *Client) Members(ctx context.Context) ([]Member, error) {
+	return call[Empty, []Member](ctx, c, read("Members"), Empty{})
+}
+
+// MemberChange implements Control.
+func (c *Client) MemberChange(ctx context.Context, change MemberChange) error {
+	_, err := call[MemberChange, Empty](ctx, c, propose("MemberChange"), change)
+	return err
+}
--- /dev/null
+++ b/host/rpc/client.go
@@ -0,0 +1,291 @@
+package rpc
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	netrpc "net/rpc"
+	"sync"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// Peer is one control host.
+type Peer struct {
+	ID      string
+	Address string
+}
+
+// Dialer opens a connection to a peer.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	Cluster string
+	// Host is the id of the calling host.
+	Host  string
+	Peers []Peer
+	// TLS is nil for plain TCP.
+	TLS *tls.Config
+	// Dial replaces the network; nil means TCP.
+	Dial Dialer
+}
+
+// Client calls the leader among the control hosts.
+type Client struct {
+	cfg ClientConfig
+
+	mu     sync.Mutex
+	conns  []*conn // by peer; nil when not connected
+	leader int     // index of the presumed leader, or -1
+	next   int
+	closed bool
+}
+
+// conn is one connection to a peer.
+type conn struct {
+	rpc    *netrpc.Client
+	lastOK time.Time
+}
+
+// NewClient returns a client. It connects on first use.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.Dial == nil {
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			var d net.Dialer
+			return d.DialContext(ctx, "tcp", address)
+		}
+	}
+	return &Client{cfg: cfg, conns: make([]*conn, len(cfg.Peers)), leader: -1, next: rand.IntN(max(len(cfg.Peers), 1))}
+}
+
+// Close closes the connections; calls in flight fail.
+func (c *Client) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closed = true
+	for i, cn := range c.conns {
+		if cn != nil {
+			cn.rpc.Close()
+			c.conns[i] = nil
+		}
+	}
+	return nil
+}
+
+// target returns the presumed leader, or the next peer in turn.
+func (c *Client) target() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader >= 0 {
+		return c.leader
+	}
+	c.next = (c.next + 1) % len(c.cfg.Peers)
+	return c.next
+}
+
+// setLeader records the leader hint of a follower, or that peer answered as leader.
+func (c *Client) setLeader(id string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for i, p := range c.cfg.Peers {
+		if p.ID == id {
+			c.leader = i
+			return true
+		}
+	}
+	c.leader = -1
+	return false
+}
+
+// forget drops peer as presumed leader.
+func (c *Client) forget(peer int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == peer {
+		c.leader = -1
+	}
+}
+
+// connect returns the connection to peer, opening it if needed.
+func (c *Client) connect(ctx context.Context, peer int) (*conn, *structs.Error) {
+	c.mu.Lock()
+	cn, closed := c.conns[peer], c.closed
+	c.mu.Unlock()
+	address := c.cfg.Peers[peer].Address
+	if closed {
+		return nil, structs.Errorf(structs.CodeShuttingDown, "rpc.connect", "client is closed").WithOutcome(structs.OutcomeNotRun)
+	}
+	if cn != nil {
+		return cn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := c.cfg.Dial(ctx, address)
+	if err == nil && c.cfg.TLS != nil {
+		nc, err = startTLS(ctx, nc, c.cfg.TLS, address)
+	}
+	if err != nil {
+		return nil, structs.Errorf(structs.CodeNoLeader, "rpc.connect", "%v", err).WithPeer(address).WithOutcome(structs.OutcomeNotRun)
+	}
+	return c.install(peer, &conn{rpc: netrpc.NewClient(nc), lastOK: time.Now()}), nil
+}
+
+// startTLS completes the handshake within ctx.
+func startTLS(ctx context.Context, nc net.Conn, cfg *tls.Config, address string) (net.Conn, error) {
+	cfg = cfg.Clone()
+	if cfg.ServerName == "" {
+		cfg.ServerName, _, _ = net.SplitHostPort(address)
+	}
+	t := tls.Client(nc, cfg)
+	if err := t.HandshakeContext(ctx); err != nil {
+		nc.Close()
+		return nil, err
+	}
+	return t, nil
+}
+
+// install keeps the connection unless another call was first.
+func (c *Client) install(peer int, cn *conn) *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.conns[peer]; old != nil {
+		cn.rpc.Close()
+		return old
+	}
+	if c.closed {
+		cn.rpc.Close()
+		return cn
+	}
+	c.conns[peer] = cn
+	return cn
+}
+
+// drop closes a connection that failed.
+func (c *Client) drop(peer int, cn *conn) {
+	c.mu.Lock()
+	if c.conns[peer] == cn {
+		c.conns[peer] = nil
+	}
+	c.mu.Unlock()
+	cn.rpc.Close()
+}
+
+// timedOut closes the connection if nothing has come back on it for a while.
+func (c *Client) timedOut(peer int, cn *conn) {
+	c.mu.Lock()
+	quiet := time.Since(cn.lastOK) > quietLimit
+	c.mu.Unlock()
+	if quiet {
+		c.drop(peer, cn)
+	}
+}
+
+// answered records that the peer is alive.
+func (c *Client) answered(cn *conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	cn.lastOK = time.Now()
+}
+
+// plan says how a call is attempted.
+type plan struct {
+	method string
+	// limit bounds one attempt.
+	limit time.Duration
+	// again allows another attempt after one whose outcome is unknown. It is
+	// set for reads and for calls that carry a key; numbered syncs are refused
+	// when repeated, so their caller sends the next number instead.
+	again bool
+}
+
+// call attempts body at the leader until it is answered or ctx ends.
+func call[T, R any](ctx context.Context, c *Client, p plan, body T) (R, error) {
+	var zero R
+	if _, ok := ctx.Deadline(); !ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, callTimeout+p.limit)
+		defer cancel()
+	}
+	last := structs.Errorf(structs.CodeNoLeader, p.method, "no control host is configured").WithOutcome(structs.OutcomeNotRun)
+	unknown := false
+	for len(c.cfg.Peers) > 0 && ctx.Err() == nil {
+		peer := c.target()
+		rep, err := attempt[T, R](ctx, c, peer, p, body)
+		if err == nil {
+			return rep, nil
+		}
+		switch {
+		case err.Code == structs.CodeNotLeader, err.Code == structs.CodeNoLeader && err.Outcome == structs.OutcomeNotRun:
+			// The call has not been processed and may go to another peer.
+		case err.Code == structs.CodeNoLeader && p.again:
+			unknown = true
+		default:
+			return zero, err
+		}
+		last = err
+		pause(ctx)
+	}
+	e := last.WithRetryAfter(int64(structs.ElectionTimeoutMax / time.Millisecond))
+	e.Code = structs.CodeNoLeader
+	e.Step = "rpc." + p.method
+	if unknown {
+		e.Outcome = structs.OutcomeUnknown
+	}
+	return zero, e
+}
+
+// pause waits before the next attempt. The random part keeps hosts from
+// retrying in step.
+func pause(ctx context.Context) {
+	t := time.NewTimer(retryPause/2 + rand.N(retryPause))
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// attempt sends body to one peer. Transport failures have CodeNoLeader, with
+// OutcomeNotRun only when nothing was sent.
+func attempt[T, R any](ctx context.Context, c *Client, peer int, p plan, body T) (R, *structs.Error) {
+	var zero R
+	address := c.cfg.Peers[peer].Address
+	cn, cerr := c.connect(ctx, peer)
+	if cerr != nil {
+		c.forget(peer)
+		return zero, cerr
+	}
+	ctx, cancel := context.WithTimeout(ctx, p.limit)
+	defer cancel()
+	deadline, _ := ctx.Deadline()
+	req := Request[T]{Header: Header{Cluster: c.cfg.Cluster, Format: FormatVersion, From: c.cfg.Host, TimeoutMS: max(time.Until(deadline).Milliseconds(), 1)}, Body: body}
+	rep := new(Reply[R])
+	pending := cn.rpc.Go("Control."+p.method, &req, rep, make(chan *netrpc.Call, 1))
+	select {
+	case <-pending.Done:
+	case <-ctx.Done():
+		c.forget(peer)
+		c.timedOut(peer, cn)
+		return zero, structs.Errorf(structs.CodeNoLeader, "rpc."+p.method, "no answer within %s", p.limit).WithPeer(address).WithOutcome(structs.OutcomeUnknown)
+	}
+	if pending.Error != nil {
+		c.forget(peer)
+		c.drop(peer, cn)
+		return zero, structs.Errorf(structs.CodeNoLeader, "rpc."+p.method, "%v", pending.Error).WithPeer(address).WithOutcome(structs.OutcomeUnknown)
+	}
+	c.answered(cn)
+	if rep.Error == nil {
+		c.setLeader(c.cfg.Peers[peer].ID)
+		return rep.Body, nil
+	}
+	if rep.Error.Code == structs.CodeNotLeader {
+		c.setLeader(rep.Leader)
+	}
+	if rep.Error.Peer == "" {
+		return zero, rep.Error.WithPeer(address)
+	}
+	return zero, rep.Error
+}
