Use the shared operator bodies in control rpc

Cause: the command line tool and the operator interface share one definition. Conclusion: rpc carries core/structs types throughout.

--- a/host/edge/operator/operator.go
+++ b/host/edge/operator/operator.go
@@ -1,14 +1,15 @@
-// Package operator is the HTTP interface of operators:
+// Package operator is the HTTP interface of operators. Its bodies are the types
+// of core/structs/operator.go:
 //
-//	GET  /v1/catalogue                    structs.Catalogue
-//	PUT  /v1/catalogue                    structs.PutCatalogue -> structs.ChangeResult
-//	GET  /v1/domains                      rpc.Domains
-//	POST /v1/domains/{name}/out|in        {"change_id"} -> structs.ChangeResult
-//	GET  /v1/status                       rpc.Status
-//	GET  /v1/members                      []rpc.Member
-//	POST /v1/members                      rpc.MemberChange
-//	GET  /v1/changes/{id}                 rpc.ChangeInfo
-//	GET  /v1/dump                         the state of this process
+//	GET  /v1/catalogue                 Catalogue
+//	PUT  /v1/catalogue                 PutCatalogueRequest -> ChangeResult
+//	GET  /v1/domains                   []DomainInfo
+//	POST /v1/domains/{name}/out|in     SetDomainRequest -> ChangeResult
+//	GET  /v1/status                    Status
+//	GET  /v1/members                   []ReplicaInfo
+//	POST /v1/members                   MemberRequest
+//	GET  /v1/changes/{id}              ChangeStatus
+//	GET  /v1/dump?host=ID              one JSON document; without host, this process
 //
 // A change that is refused answers 409 with the ChangeResult as body.
 package operator
@@ -17,6 +18,7 @@
 	"context"
 	"crypto/sha256"
 	"crypto/subtle"
+	"encoding/json"
 	"net/http"
 	"os"
 	"strings"
@@ -25,7 +27,6 @@
 
 	"gooseberrypond/core/structs"
 	"gooseberrypond/host/edge/web"
-	"gooseberrypond/host/rpc"
 )
 
 // maxSmall bounds bodies other than the catalogue, in bytes.
@@ -36,11 +37,12 @@
 	Catalogue(ctx context.Context) (*structs.Catalogue, error)
 	ApplyCatalogue(ctx context.Context, c *structs.PutCatalogue) (*structs.ChangeResult, error)
 	SetDomain(ctx context.Context, c structs.SetDomain) (*structs.ChangeResult, error)
-	Domains(ctx context.Context) (*rpc.Domains, error)
-	Change(ctx context.Context, id string) (*rpc.ChangeInfo, error)
-	Status(ctx context.Context) (*rpc.Status, error)
-	Members(ctx context.Context) ([]rpc.Member, error)
-	MemberChange(ctx context.Context, c rpc.MemberChange) error
+	Domains(ctx context.Context) ([]structs.DomainInfo, error)
+	Change(ctx context.Context, id string) (*structs.ChangeStatus, error)
+	Status(ctx context.Context) (*structs.Status, error)
+	Members(ctx context.Context) ([]structs.ReplicaInfo, error)
+	MemberChange(ctx context.Context, c structs.MemberRequest) error
+	Dump(ctx context.Context, host string) ([]byte, error)
 }
 
 // Options configure the adapter.
@@ -49,6 +51,8 @@
 	TokenFile string
 	// MaxCatalogue bounds a catalogue document, in bytes.
 	MaxCatalogue int64
+	// Host is the id of this host.
+	Host string
 	// Dump returns the state of this process.
 	Dump func() any
 	// CheckCatalogue returns the first error of a catalogue, or nil.
@@ -73,7 +77,7 @@
 	mux.HandleFunc("GET /v1/members", get(func(r *http.Request) (any, error) { return control.Members(r.Context()) }))
 	mux.HandleFunc("POST /v1/members", s.memberChange)
 	mux.HandleFunc("GET /v1/changes/{id}", get(func(r *http.Request) (any, error) { return control.Change(r.Context(), r.PathValue("id")) }))
-	mux.HandleFunc("GET /v1/dump", get(func(*http.Request) (any, error) { return opts.Dump(), nil }))
+	mux.HandleFunc("GET /v1/dump", s.dump)
 	return s.authorize(mux)
 }
 
@@ -124,8 +128,9 @@
 }
 
 func (s *server) putCatalogue(w http.ResponseWriter, r *http.Request) {
-	var put structs.PutCatalogue
-	err := web.ReadJSON(w, r, s.opts.MaxCatalogue, &put)
+	var req structs.PutCatalogueRequest
+	err := web.ReadJSON(w, r, s.opts.MaxCatalogue, &req)
+	put := structs.PutCatalogue(req)
 	if err == nil {
 		err = checkChangeID(put.ChangeID)
 	}
@@ -143,9 +148,7 @@
 }
 
 func (s *server) setDomain(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		ChangeID string `json:"change_id"`
-	}
+	var body structs.SetDomainRequest
 	err := web.ReadJSON(w, r, maxSmall, &body)
 	if err == nil {
 		err = checkChangeID(body.ChangeID)
@@ -179,15 +182,15 @@
 }
 
 func (s *server) memberChange(w http.ResponseWriter, r *http.Request) {
-	var c rpc.MemberChange
+	var c structs.MemberRequest
 	err := web.ReadJSON(w, r, maxSmall, &c)
 	switch {
 	case err != nil:
-	case c.Action != rpc.MemberAdd && c.Action != rpc.MemberPromote && c.Action != rpc.MemberRemove:
+	case c.Action != "add" && c.Action != "promote" && c.Action != "remove":
 		err = web.BadRequest("action %q; allowed: add, promote, remove", c.Action)
 	case c.ID == 0:
 		err = web.BadRequest("id must be at least 1")
-	case (c.Action == rpc.MemberAdd) != (c.Address != ""):
+	case (c.Action == "add") != (c.Address != ""):
 		err = web.BadRequest("address is needed for add, and only there")
 	}
 	if err == nil {
@@ -197,6 +200,21 @@
 		web.WriteError(w, err)
 		return
 	}
-	s.opts.Log.Info().Str("action", string(c.Action)).Uint64("replica", c.ID).Msg("members changed")
+	s.opts.Log.Info().Str("action", c.Action).Uint64("replica", c.ID).Msg("members changed")
 	web.WriteJSON(w, http.StatusOK, c)
 }
+
+// dump answers with the state of this process, or of another control host.
+func (s *server) dump(w http.ResponseWriter, r *http.Request) {
+	host := r.URL.Query().Get("host")
+	if host == "" || host == s.opts.Host {
+		web.WriteJSON(w, http.StatusOK, s.opts.Dump())
+		return
+	}
+	data, err := s.control.Dump(r.Context(), host)
+	if err != nil {
+		web.WriteError(w, err)
+		return
+	}
+	web.WriteJSON(w, http.StatusOK, json.RawMessage(data))
+}
--- a/host/edge/web/web.go
+++ b/host/edge/web/web.go
@@ -17,11 +17,6 @@
 	"gooseberrypond/host/config"
 )
 
-// errorBody is the JSON form of an error.
-type errorBody struct {
-	Error *structs.Error `json:"error"`
-}
-
 // statusOf maps error codes to HTTP status codes.
 var statusOf = map[structs.ErrorCode]int{
 	structs.CodeBadRequest:      http.StatusBadRequest,
@@ -55,7 +50,7 @@
 	if e.RetryAfterMS > 0 {
 		w.Header().Set("Retry-After", strconv.FormatInt((e.RetryAfterMS+999)/1000, 10))
 	}
-	WriteJSON(w, status, errorBody{e})
+	WriteJSON(w, status, structs.ErrorBody{Error: e})
 }
 
 // WriteJSON answers with v.
--- a/host/rpc/calls.go
+++ b/host/rpc/calls.go
@@ -61,10 +61,15 @@
 }
 
 // GetJob implements Control.
-func (c *Client) GetJob(ctx context.Context, q GetJob) (*JobInfo, error) {
+func (c *Client) GetJob(ctx context.Context, q GetJob) (*structs.JobView, error) {
 	p := read("GetJob")
 	p.limit += time.Duration(q.WaitMS) * time.Millisecond
-	return ptr(call[GetJob, JobInfo](ctx, c, p, q))
+	return ptr(call[GetJob, structs.JobView](ctx, c, p, q))
+}
+
+// Explain implements Control.
+func (c *Client) Explain(ctx context.Context, q Explain) ([]string, error) {
+	return call[Explain, []string](ctx, c, read("Explain"), q)
 }
 
 // ListJobs implements Control.
@@ -99,27 +104,45 @@
 }
 
 // Domains implements Control.
-func (c *Client) Domains(ctx context.Context) (*Domains, error) {
-	return ptr(call[Empty, Domains](ctx, c, read("Domains"), Empty{}))
+func (c *Client) Domains(ctx context.Context) ([]structs.DomainInfo, error) {
+	return call[Empty, []structs.DomainInfo](ctx, c, read("Domains"), Empty{})
 }
 
 // Change implements Control.
-func (c *Client) Change(ctx context.Context, id string) (*ChangeInfo, error) {
-	return ptr(call[Change, ChangeInfo](ctx, c, read("Change"), Change{ID: id}))
+func (c *Client) Change(ctx context.Context, id string) (*structs.ChangeStatus, error) {
+	return ptr(call[Change, structs.ChangeStatus](ctx, c, read("Change"), Change{ID: id}))
 }
 
 // Status implements Control.
-func (c *Client) Status(ctx context.Context) (*Status, error) {
-	return ptr(call[Empty, Status](ctx, c, read("Status"), Empty{}))
+func (c *Client) Status(ctx context.Context) (*structs.Status, error) {
+	return ptr(call[Empty, structs.Status](ctx, c, read("Status"), Empty{}))
 }
 
 // Members implements Control.
-func (c *Client) Members(ctx context.Context) ([]Member, error) {
-	return call[Empty, []Member](ctx, c, read("Members"), Empty{})
+func (c *Client) Members(ctx context.Context) ([]structs.ReplicaInfo, error) {
+	return call[Empty, []structs.ReplicaInfo](ctx, c, read("Members"), Empty{})
 }
 
 // MemberChange implements Control.
-func (c *Client) MemberChange(ctx context.Context, change MemberChange) error {
-	_, err := call[MemberChange, Empty](ctx, c, propose("MemberChange"), change)
+func (c *Client) MemberChange(ctx context.Context, change structs.MemberRequest) error {
+	_, err := call[structs.MemberRequest, Empty](ctx, c, propose("MemberChange"), change)
 	return err
 }
+
+// Dump implements Control. A named host answers itself, leader or not.
+func (c *Client) Dump(ctx context.Context, host string) ([]byte, error) {
+	p := plan{method: "Dump", limit: dumpTimeout, again: true}
+	if host == "" {
+		return call[string, []byte](ctx, c, p, host)
+	}
+	for i, peer := range c.cfg.Peers {
+		if peer.ID == host {
+			data, err := attempt[string, []byte](ctx, c, i, p, host)
+			if err != nil {
+				return nil, err
+			}
+			return data, nil
+		}
+	}
+	return nil, structs.Errorf(structs.CodeNotFound, "rpc.Dump", "host %q is not a control host; ask its own operator listener", host).WithOutcome(structs.OutcomeNotRun)
+}
--- a/host/rpc/messages.go
+++ b/host/rpc/messages.go
@@ -50,12 +50,10 @@
 	WaitMS int64
 }
 
-// JobInfo is a job with its tasks.
-type JobInfo struct {
-	Job   structs.Job    `json:"job"`
-	Tasks []structs.Task `json:"tasks,omitempty"`
-	// Explain says why the job is where it is, one line per reason.
-	Explain []string `json:"explain,omitempty"`
+// Explain asks why a job is where it is.
+type Explain struct {
+	Owner string
+	Job   structs.JobID
 }
 
 // ListJobs asks for jobs of an owner in id order.
@@ -70,78 +68,6 @@
 // Change asks for the outcome of an operator's change.
 type Change struct{ ID string }
 
-// ChangeInfo is the outcome of an operator's change and where it is in force.
-type ChangeInfo struct {
-	Result structs.ChangeResult `json:"result"`
-	// InForce maps each entry host to whether it acts on the change or has
-	// stopped starting work.
-	InForce map[string]bool `json:"in_force"`
-	// Everywhere is set when every entry host is in force.
-	Everywhere bool `json:"everywhere"`
-}
-
-// Domain is one failure domain as the leader sees it.
-type Domain struct {
-	Out       bool  `json:"out"`
-	ChangedMS int64 `json:"changed_ms,omitempty"`
-	Workers   int   `json:"workers"`
-	Tasks     int   `json:"tasks"`
-	Upstreams int   `json:"upstreams"`
-}
-
-// Domains lists the failure domains.
-type Domains struct {
-	Version uint64            `json:"version"`
-	Domains map[string]Domain `json:"domains"`
-}
-
-// Member is one replica of the replicated log.
-type Member struct {
-	ID      uint64 `json:"id"`
-	Host    string `json:"host,omitempty"`
-	Address string `json:"address"`
-	Learner bool   `json:"learner,omitempty"`
-	Leader  bool   `json:"leader,omitempty"`
-	// Match is the highest log index known to be on the replica; only the leader knows it.
-	Match uint64 `json:"match,omitempty"`
-	// LastContactMS is the time since the replica's last answer to the leader, in milliseconds.
-	LastContactMS int64 `json:"last_contact_ms,omitempty"`
-}
-
-// MemberAction is what MemberChange does.
-type MemberAction string
-
-// Member actions.
-const (
-	MemberAdd     MemberAction = "add"
-	MemberPromote MemberAction = "promote"
-	MemberRemove  MemberAction = "remove"
-)
-
-// MemberChange adds a learner, makes it a voter, or removes a replica.
-type MemberChange struct {
-	Action  MemberAction `json:"action"`
-	ID      uint64       `json:"id"`
-	Address string       `json:"address,omitempty"`
-}
-
-// Status summarizes the cluster as the leader sees it.
-type Status struct {
-	Cluster          string         `json:"cluster"`
-	Leader           string         `json:"leader"`
-	Term             uint64         `json:"term"`
-	Commit           uint64         `json:"commit"`
-	Applied          uint64         `json:"applied"`
-	CatalogueVersion uint64         `json:"catalogue_version"`
-	DomainsVersion   uint64         `json:"domains_version"`
-	Workers          int            `json:"workers"`
-	WorkersLive      int            `json:"workers_live"`
-	Jobs             map[string]int `json:"jobs"`
-	TasksPending     int            `json:"tasks_pending"`
-	TasksPlaced      int            `json:"tasks_placed"`
-	Members          []Member       `json:"members"`
-}
-
 // Control is what entry hosts and edges ask of the control hosts. The client
 // and the control role implement it. Errors are of type *structs.Error.
 type Control interface {
@@ -152,18 +78,21 @@
 	Leave(ctx context.Context, upstream string) error
 	Submit(ctx context.Context, job structs.SubmitJob) (structs.SubmitResult, error)
 	Cancel(ctx context.Context, c structs.CancelJob) error
-	GetJob(ctx context.Context, q GetJob) (*JobInfo, error)
+	GetJob(ctx context.Context, q GetJob) (*structs.JobView, error)
+	Explain(ctx context.Context, q Explain) ([]string, error)
 	ListJobs(ctx context.Context, q ListJobs) ([]structs.Job, error)
 	Claim(ctx context.Context, c structs.Claim) (structs.Result, error)
 	Complete(ctx context.Context, c structs.Complete) error
 	Catalogue(ctx context.Context) (*structs.Catalogue, error)
 	ApplyCatalogue(ctx context.Context, c *structs.PutCatalogue) (*structs.ChangeResult, error)
 	SetDomain(ctx context.Context, c structs.SetDomain) (*structs.ChangeResult, error)
-	Domains(ctx context.Context) (*Domains, error)
-	Change(ctx context.Context, id string) (*ChangeInfo, error)
-	Status(ctx context.Context) (*Status, error)
-	Members(ctx context.Context) ([]Member, error)
-	MemberChange(ctx context.Context, c MemberChange) error
+	Domains(ctx context.Context) ([]structs.DomainInfo, error)
+	Change(ctx context.Context, id string) (*structs.ChangeStatus, error)
+	Status(ctx context.Context) (*structs.Status, error)
+	Members(ctx context.Context) ([]structs.ReplicaInfo, error)
+	MemberChange(ctx context.Context, c structs.MemberRequest) error
+	// Dump returns the state of one control host as JSON; "" means the leader.
+	Dump(ctx context.Context, host string) ([]byte, error)
 }
 
 // Time limits of the client.
@@ -174,6 +103,8 @@
 	attemptTimeout = time.Second
 	// proposeTimeout bounds one attempt of a call that waits for the replicated log.
 	proposeTimeout = 2 * time.Second
+	// dumpTimeout bounds one dump; at full size it is tens of megabytes.
+	dumpTimeout = 15 * time.Second
 	// retryPause is the wait between attempts while no leader is known.
 	retryPause = 25 * time.Millisecond
 	// callTimeout bounds a call whose caller sets no deadline.
--- a/host/rpc/server.go
+++ b/host/rpc/server.go
@@ -185,12 +185,16 @@
 	})
 }
 
-func (v *service) GetJob(req *Request[GetJob], rep *Reply[JobInfo]) error {
-	return serve(v.s, req, rep, func(ctx context.Context, b GetJob) (JobInfo, error) {
+func (v *service) GetJob(req *Request[GetJob], rep *Reply[structs.JobView]) error {
+	return serve(v.s, req, rep, func(ctx context.Context, b GetJob) (structs.JobView, error) {
 		return deref(v.s.control.GetJob(ctx, b))
 	})
 }
 
+func (v *service) Explain(req *Request[Explain], rep *Reply[[]string]) error {
+	return serve(v.s, req, rep, v.s.control.Explain)
+}
+
 func (v *service) ListJobs(req *Request[ListJobs], rep *Reply[[]structs.Job]) error {
 	return serve(v.s, req, rep, v.s.control.ListJobs)
 }
@@ -223,32 +227,36 @@
 	})
 }
 
-func (v *service) Domains(req *Request[Empty], rep *Reply[Domains]) error {
-	return serve(v.s, req, rep, func(ctx context.Context, _ Empty) (Domains, error) {
-		return deref(v.s.control.Domains(ctx))
+func (v *service) Domains(req *Request[Empty], rep *Reply[[]structs.DomainInfo]) error {
+	return serve(v.s, req, rep, func(ctx context.Context, _ Empty) ([]structs.DomainInfo, error) {
+		return v.s.control.Domains(ctx)
 	})
 }
 
-func (v *service) Change(req *Request[Change], rep *Reply[ChangeInfo]) error {
-	return serve(v.s, req, rep, func(ctx context.Context, b Change) (ChangeInfo, error) {
+func (v *service) Change(req *Request[Change], rep *Reply[structs.ChangeStatus]) error {
+	return serve(v.s, req, rep, func(ctx context.Context, b Change) (structs.ChangeStatus, error) {
 		return deref(v.s.control.Change(ctx, b.ID))
 	})
 }
 
-func (v *service) Status(req *Request[Empty], rep *Reply[Status]) error {
-	return serve(v.s, req, rep, func(ctx context.Context, _ Empty) (Status, error) {
+func (v *service) Status(req *Request[Empty], rep *Reply[structs.Status]) error {
+	return serve(v.s, req, rep, func(ctx context.Context, _ Empty) (structs.Status, error) {
 		return deref(v.s.control.Status(ctx))
 	})
 }
 
-func (v *service) Members(req *Request[Empty], rep *Reply[[]Member]) error {
-	return serve(v.s, req, rep, func(ctx context.Context, _ Empty) ([]Member, error) {
+func (v *service) Members(req *Request[Empty], rep *Reply[[]structs.ReplicaInfo]) error {
+	return serve(v.s, req, rep, func(ctx context.Context, _ Empty) ([]structs.ReplicaInfo, error) {
 		return v.s.control.Members(ctx)
 	})
 }
 
-func (v *service) MemberChange(req *Request[MemberChange], rep *Reply[Empty]) error {
-	return serve(v.s, req, rep, func(ctx context.Context, b MemberChange) (Empty, error) {
+func (v *service) MemberChange(req *Request[structs.MemberRequest], rep *Reply[Empty]) error {
+	return serve(v.s, req, rep, func(ctx context.Context, b structs.MemberRequest) (Empty, error) {
 		return Empty{}, v.s.control.MemberChange(ctx, b)
 	})
 }
+
+func (v *service) Dump(req *Request[string], rep *Reply[[]byte]) error {
+	return serve(v.s, req, rep, v.s.control.Dump)
+}
