Add replicated tables, worker leases and the leader's core

Cause: the scheduler needs a deterministic state machine for the log, the leader's view of worker leases, and a core that turns both into proposals. The tables keep indexes so that costs do not grow with the whole state. Worker syncs gain a session copied from the last reply: a delayed duplicate of a sync to a former leader shows the worker as it was before a start, and its silence about that attempt must not count as proof.

--- /dev/null
+++ b/core/leader/dump.go
@@ -0,0 +1,79 @@
+package leader
+
+import (
+	"time"
+
+	"gooseberrypond/core/lease"
+	"gooseberrypond/core/state"
+	"gooseberrypond/core/structs"
+)
+
+// Dump is all that the leader knows, for inspection. It encodes as JSON.
+type Dump struct {
+	Tables     *state.Image         `json:"tables"`
+	Leases     []lease.Row          `json:"leases"`
+	Upstreams  []structs.Upstream   `json:"upstreams"`
+	EntryHosts map[string]EntryHost `json:"entry_hosts"`
+	Counts     Counts               `json:"counts"`
+}
+
+// EntryHost is what is known of a configured entry host.
+type EntryHost struct {
+	// Synced is set once the host has synced with this leader.
+	Synced bool `json:"synced"`
+	// SilentMS is the time since its last sync, or since the election, in milliseconds.
+	SilentMS         int64  `json:"silent_ms"`
+	CatalogueVersion uint64 `json:"catalogue_version"`
+	DomainsVersion   uint64 `json:"domains_version"`
+	Stopping         bool   `json:"stopping"`
+}
+
+// Counts is a summary for metrics.
+type Counts struct {
+	state.Counts
+	AnsweringWorkers int
+	Upstreams        int
+	LeavingUpstreams int
+	SilentHosts      int
+	CatalogueVersion uint64
+	DomainsOut       int
+}
+
+// Dump returns all tables. The image shares nothing that later changes.
+func (c *Core) Dump(now time.Time) Dump {
+	d := Dump{
+		Tables: c.t.Fork(), Leases: c.lease.Rows(now, c.t), Upstreams: c.Upstreams(now),
+		EntryHosts: make(map[string]EntryHost, len(c.hosts)), Counts: c.Counts(now),
+	}
+	for name, h := range c.hosts {
+		d.EntryHosts[name] = EntryHost{
+			Synced: h.synced, SilentMS: now.Sub(h.lastSync).Milliseconds(),
+			CatalogueVersion: h.catalogue, DomainsVersion: h.domains, Stopping: h.stopping,
+		}
+	}
+	return d
+}
+
+// Counts returns a summary for metrics.
+func (c *Core) Counts(now time.Time) Counts {
+	out := Counts{
+		Counts: c.t.Counts(), CatalogueVersion: c.t.Catalogue().Version, DomainsOut: len(c.t.DomainsOut()),
+	}
+	for _, w := range c.t.Workers() {
+		if c.lease.Live(now, w.ID) {
+			out.AnsweringWorkers++
+		}
+	}
+	for _, u := range c.Upstreams(now) {
+		out.Upstreams++
+		if u.Leaving {
+			out.LeavingUpstreams++
+		}
+	}
+	for _, h := range c.hosts {
+		if now.Sub(h.lastSync) >= silentAfter {
+			out.SilentHosts++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/leader/fakes_test.go
@@ -0,0 +1,123 @@
+package leader
+
+import (
+	"time"
+
+	"gooseberrypond/core/state"
+	"gooseberrypond/core/structs"
+)
+
+// firstFit places each pending task on the first worker with room.
+type firstFit struct {
+	ended []structs.EndedAttempt
+	evict []structs.Eviction
+}
+
+func (s *firstFit) Observe(time.Time, structs.WorkerID, []structs.Usage, *state.Tables) {}
+
+func (s *firstFit) RecordEnd(ev structs.TaskEvent, task *structs.Task, _ string, _ int64) {
+	s.ended = append(s.ended, structs.EndedAttempt{Event: ev, Task: *task})
+}
+
+func (s *firstFit) Throttles(structs.WorkerID) []structs.TaskID { return nil }
+
+func (s *firstFit) Explain(*state.Tables, structs.JobID) []string { return nil }
+
+func (s *firstFit) Plan(_ time.Time, nowMS int64, t *state.Tables, live LiveView) *structs.Plan {
+	p := &structs.Plan{Evict: s.evict}
+	s.evict = nil
+	used := map[structs.WorkerID]structs.Resources{}
+	for task := range t.PendingTasks() {
+		size := t.SizeOf(t.Job(task.ID.Job))
+		for _, w := range t.Workers() {
+			sum := t.Committed(w.ID).Add(used[w.ID]).Add(size)
+			if task.NotBeforeMS > nowMS || !w.Live || !live.Live(w.ID) || t.DomainOut(w.Domain) || !sum.Fits(w.Capacity) {
+				continue
+			}
+			used[w.ID] = used[w.ID].Add(size)
+			p.Assign = append(p.Assign, structs.Assignment{Task: task.ID, Worker: w.ID, Incarnation: w.Incarnation, Reserved: size})
+			break
+		}
+	}
+	for _, w := range t.Workers() {
+		for _, task := range t.AttemptsOn(w.ID) {
+			if t.DomainOut(w.Domain) && task.State == structs.AttemptRunning {
+				ref := structs.AttemptRef{Task: task.ID, Attempt: task.Attempt, Epoch: task.Epoch}
+				p.Evict = append(p.Evict, structs.Eviction{Ref: ref, Reason: "domain out"})
+			}
+		}
+	}
+	return p
+}
+
+// noGrants grants nothing and records the capacities.
+type noGrants struct {
+	capacity map[structs.GrantKey]int
+}
+
+func newNoGrants() *noGrants { return &noGrants{map[structs.GrantKey]int{}} }
+
+func (g *noGrants) SetCapacity(key structs.GrantKey, capacity, _ int) { g.capacity[key] = capacity }
+
+func (g *noGrants) Remove(key structs.GrantKey) { delete(g.capacity, key) }
+
+func (g *noGrants) Sync(time.Time, *structs.EntrySync) ([]structs.Grant, *structs.Error) {
+	return nil, nil
+}
+
+var _ Grants = (*noGrants)(nil)
+
+var (
+	epoch = time.Unix(1_000_000, 0)
+	small = structs.Resources{CPUMilli: 1000, MemoryMB: 1024}
+)
+
+// bed is one replica's tables with a leader on them.
+type bed struct {
+	t     *state.Tables
+	core  *Core
+	sched *firstFit
+	now   time.Time
+	index uint64
+}
+
+func newBed(hosts ...string) *bed {
+	b := &bed{t: state.New(), sched: &firstFit{}, now: epoch}
+	b.core = NewWith(b.now, b.t, hosts, b.sched, newNoGrants())
+	return b
+}
+
+// apply commits a command at once.
+func (b *bed) apply(cmd *structs.Command) structs.Result {
+	b.index++
+	cmd.Version = structs.CommandVersion
+	cmd.NowMS = max(cmd.NowMS, b.now.UnixMilli())
+	res := b.t.Apply(b.index, cmd)
+	b.core.Applied(cmd, res)
+	return res
+}
+
+func (b *bed) tick(d time.Duration) {
+	b.now = b.now.Add(d)
+	for _, cmd := range b.core.Tick(b.now, b.now.UnixMilli()) {
+		b.apply(cmd)
+	}
+}
+
+func (b *bed) sync(req *structs.WorkerSync) (structs.WorkerSyncReply, *structs.Error) {
+	reply, cmd, err := b.core.WorkerSync(b.now, req)
+	if cmd != nil {
+		b.apply(cmd)
+	}
+	return reply, err
+}
+
+func testCatalogue() structs.Catalogue {
+	return structs.Catalogue{
+		Owners: map[string]structs.Owner{"desk": {}, "yard": {}},
+		Entries: map[string]structs.Entry{
+			"sheets": {Owner: "desk", Class: structs.ClassBatch, Resources: small},
+			"watch":  {Owner: "yard", Class: structs.ClassLatency, Resources: small, LeaseHoldMS: 5000},
+		},
+	}
+}
--- /dev/null
+++ b/core/leader/occurrences.go
@@ -0,0 +1,34 @@
+package leader
+
+import (
+	"gooseberrypond/core/state"
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// maxOccurrencesPerPlan bounds the occurrences in one plan.
+	maxOccurrencesPerPlan = 500
+	// missedAfterMS is the delay in milliseconds past which an occurrence counts
+	// as missed. It is longer than an election, so that a change of leader skips nothing.
+	missedAfterMS = 10_000
+)
+
+// occurrences returns the due occurrences of recurring jobs. When several of
+// one job are due, an outage delayed the earlier ones and they are skipped;
+// the rule of the entry decides about the latest.
+func (c *Core) occurrences(nowMS int64) []structs.Occurrence {
+	var out []structs.Occurrence
+	for _, j := range c.t.DueJobs(nowMS, maxOccurrencesPerPlan) {
+		latest := j.NextOccurrence + (nowMS-state.NextDueMS(j))/j.Spec.EveryMS
+		rule := c.t.Catalogue().Entries[j.Spec.Entry].Missed
+		for n := j.NextOccurrence; n <= latest; n++ {
+			if len(out) == maxOccurrencesPerPlan {
+				return out
+			}
+			lateMS := nowMS - j.Spec.FirstMS - n*j.Spec.EveryMS
+			skip := n < latest || rule == structs.MissedSkip && lateMS > missedAfterMS
+			out = append(out, structs.Occurrence{Job: j.ID, Number: n, Skipped: skip})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/lease/sync.go
@@ -0,0 +1,174 @@
+package lease
+
+import (
+	"time"
+
+	"gooseberrypond/core/state"
+	"gooseberrypond/core/structs"
+)
+
+const stepSync = "worker sync"
+
+// Sync takes a worker's report and renews its lease. It returns the commands
+// for the worker and, unless nil, the events to propose. The tasks in throttle
+// are to be throttled.
+func (l *Table) Sync(now time.Time, t *state.Tables, req *structs.WorkerSync, throttle ...structs.TaskID) (structs.WorkerSyncReply, *structs.Command, *structs.Error) {
+	w := t.Worker(req.ID)
+	if w == nil || !w.Live || w.Incarnation != req.Incarnation {
+		return structs.WorkerSyncReply{Reregister: true, Session: l.session}, nil, nil
+	}
+	r := l.rec(now, w)
+	if !r.settle(t) {
+		err := structs.Errorf(structs.CodeConflict, stepSync, "the lease of worker %s has ended and its tasks are being moved", req.ID)
+		return structs.WorkerSyncReply{}, nil, err.WithRetryAfter(structs.TickInterval.Milliseconds())
+	}
+	if req.Seq <= r.seq {
+		return structs.WorkerSyncReply{}, nil, structs.Errorf(structs.CodeConflict, stepSync, "sync %d of worker %s is not newer than %d", req.Seq, req.ID, r.seq)
+	}
+	r.take(now, req)
+	events := l.events(now, t, r, req)
+	return l.reply(t, w, r, throttle), events, nil
+}
+
+// Poll returns the commands for a worker whose sync is still open, because
+// its reply is held back. A sync that is not the worker's latest is refused.
+func (l *Table) Poll(now time.Time, t *state.Tables, req *structs.WorkerSync, throttle ...structs.TaskID) (structs.WorkerSyncReply, *structs.Error) {
+	w := t.Worker(req.ID)
+	if w == nil || !w.Live || w.Incarnation != req.Incarnation {
+		return structs.WorkerSyncReply{Reregister: true, Session: l.session}, nil
+	}
+	r := l.rec(now, w)
+	if r.seq != req.Seq || !r.settle(t) {
+		return structs.WorkerSyncReply{}, structs.Errorf(structs.CodeConflict, stepSync, "sync %d of worker %s is no longer open", req.Seq, req.ID)
+	}
+	return l.reply(t, w, r, throttle), nil
+}
+
+// take replaces what is known of the worker by a newer report.
+func (r *rec) take(now time.Time, req *structs.WorkerSync) {
+	r.seq, r.renewed, r.synced = req.Seq, now, true
+	r.running = make(map[structs.TaskID]structs.RunningTask, len(req.Running))
+	for _, run := range req.Running {
+		r.running[run.Task] = run
+	}
+	r.reported = make(map[structs.TaskID]uint64, len(req.Events))
+	for _, ev := range req.Events {
+		if ev.Type != structs.EventStarted {
+			r.reported[ev.Task] = ev.Epoch
+		}
+	}
+}
+
+// events returns the command with the worker's events that are not yet in the
+// log, followed by stopped events for attempts proved absent. All reported
+// events that are not acknowledged go into each proposal, so that a lost
+// proposal leaves no gap below an acknowledged number.
+func (l *Table) events(now time.Time, t *state.Tables, r *rec, req *structs.WorkerSync) *structs.Command {
+	var open []structs.TaskEvent
+	fresh := now.Sub(r.proposedAt) >= retryAfter
+	for _, ev := range req.Events {
+		if ev.Seq <= r.acked {
+			continue
+		}
+		open = append(open, ev)
+		fresh = fresh || ev.Seq > r.proposed
+	}
+	if !fresh {
+		open = nil
+	}
+	for _, ev := range open {
+		r.proposed = max(r.proposed, ev.Seq)
+		r.proposedAt = now
+	}
+	open = append(open, l.derived(now, t, r, req)...)
+	if len(open) == 0 {
+		return nil
+	}
+	c := &structs.WorkerEvents{Worker: req.ID, Incarnation: req.Incarnation, Events: open}
+	return &structs.Command{WorkerEvents: c}
+}
+
+// derived returns the events that follow from the list of running tasks.
+func (l *Table) derived(now time.Time, t *state.Tables, r *rec, req *structs.WorkerSync) []structs.TaskEvent {
+	var out []structs.TaskEvent
+	if !l.trusts(now, req) {
+		return nil
+	}
+	domainOut := t.DomainOut(t.Worker(req.ID).Domain)
+	for _, task := range t.AttemptsOn(req.ID) {
+		if r.lists(task) || r.reported[task.ID] == task.Epoch {
+			continue
+		}
+		v := r.voided[task.ID]
+		wanted := task.State == structs.AttemptAssigned && !domainOut && v.epoch != task.Epoch
+		if wanted {
+			continue
+		}
+		if v.epoch == task.Epoch && now.Sub(v.at) < retryAfter {
+			continue
+		}
+		r.voided[task.ID] = voiding{task.Epoch, now}
+		out = append(out, structs.TaskEvent{
+			Type: structs.EventStopped, Task: task.ID, Attempt: task.Attempt, Epoch: task.Epoch,
+		})
+	}
+	return out
+}
+
+// trusts reports whether absence in the sync proves that an attempt is not on
+// the worker. A duplicate of a sync sent to an earlier leader may arrive late
+// and would show the worker as it was before a start; only a sync that copies
+// this leader's session was surely sent after one of its replies.
+func (l *Table) trusts(now time.Time, req *structs.WorkerSync) bool {
+	if req.Session != 0 {
+		return req.Session == l.session
+	}
+	return now.Sub(l.electedAt) >= legacyTrust
+}
+
+func (r *rec) lists(task *structs.Task) bool {
+	run, ok := r.running[task.ID]
+	return ok && run.Attempt == task.Attempt && run.Epoch == task.Epoch
+}
+
+// reply compares the worker's report with the log and returns the commands
+// that lead from the one to the other.
+func (l *Table) reply(t *state.Tables, w *structs.Worker, r *rec, throttle []structs.TaskID) structs.WorkerSyncReply {
+	out := structs.WorkerSyncReply{
+		LeaseMS:       structs.WorkerLease.Milliseconds(),
+		StartWithinMS: structs.StartWindow.Milliseconds(),
+		AckedSeq:      r.acked,
+		Session:       l.session,
+	}
+	slow := make(map[structs.TaskID]bool, len(throttle))
+	for _, id := range throttle {
+		slow[id] = true
+	}
+	attempts := t.AttemptsOn(w.ID)
+	r.forgetEnded(attempts)
+	out.Commands = r.strayStops(t, attempts)
+	domainOut := t.DomainOut(w.Domain)
+	for _, task := range attempts {
+		if cmd, ok := r.command(t, task, domainOut, slow[task.ID]); ok {
+			out.Commands = append(out.Commands, cmd)
+		}
+	}
+	return out
+}
+
+// forgetEnded drops the marks of attempts that are no longer on the worker.
+func (r *rec) forgetEnded(attempts []*structs.Task) {
+	if len(r.started)+len(r.voided) <= 2*len(attempts)+16 {
+		return
+	}
+	started, voided := map[structs.TaskID]uint64{}, map[structs.TaskID]voiding{}
+	for _, task := range attempts {
+		if e, ok := r.started[task.ID]; ok {
+			started[task.ID] = e
+		}
+		if v, ok := r.voided[task.ID]; ok {
+			voided[task.ID] = v
+		}
+	}
+	r.started, r.voided = started, voided
+}
--- /dev/null
+++ b/core/state/catalogue.go
@@ -0,0 +1,304 @@
+package state
+
+import (
+	"container/list"
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	stepCatalogue = "put catalogue"
+	stepDomain    = "set domain"
+	// maxNamed bounds the names listed in one error message.
+	maxNamed = 5
+)
+
+// applyPutCatalogue replaces the catalogue by compare-and-set. Every change id
+// gets one recorded answer, also when it is refused.
+func (t *Tables) applyPutCatalogue(c *structs.PutCatalogue) structs.Result {
+	if first, err := t.changeGiven(c.ChangeID, stepCatalogue); first != nil || err != nil {
+		return structs.Result{Change: first, Error: err}
+	}
+	res := &structs.ChangeResult{ChangeID: c.ChangeID, AtMS: t.nowMS, Version: t.catalogue.Version}
+	if c.BaseVersion != t.catalogue.Version {
+		res.Winner = t.catalogueChange
+		res.Error = structs.Errorf(structs.CodeConflict, stepCatalogue, "the catalogue is at version %d (change %q), not at %d", t.catalogue.Version, t.catalogueChange, c.BaseVersion)
+		return t.recordChange(res)
+	}
+	next := normalCatalogue(&c.Catalogue, t.catalogue.Version+1)
+	aliases := t.mergedAliases(next)
+	err := checkCatalogue(next)
+	if err == nil {
+		err = t.checkLiveWork(next, aliases)
+	}
+	if err != nil {
+		res.Error = err
+		return t.recordChange(res)
+	}
+	t.catalogue, t.aliases, t.catalogueChange = next, aliases, c.ChangeID
+	t.moveMerged()
+	res.Accepted, res.Version = true, next.Version
+	return t.recordChange(res)
+}
+
+func (t *Tables) changeGiven(id, step string) (*structs.ChangeResult, *structs.Error) {
+	if id == "" || len(id) > maxKeyBytes {
+		return nil, structs.Errorf(structs.CodeBadRequest, step, "the change id needs 1 to %d bytes, not %d", maxKeyBytes, len(id))
+	}
+	return t.changes[id], nil
+}
+
+func (t *Tables) recordChange(res *structs.ChangeResult) structs.Result {
+	t.changes[res.ChangeID] = res
+	t.changeOrder = append(t.changeOrder, res.ChangeID)
+	return structs.Result{Change: res, Error: res.Error}
+}
+
+func normalCatalogue(c *structs.Catalogue, version uint64) *structs.Catalogue {
+	next := &structs.Catalogue{Version: version, Owners: c.Owners, Entries: c.Entries}
+	if next.Owners == nil {
+		next.Owners = map[string]structs.Owner{}
+	}
+	if next.Entries == nil {
+		next.Entries = map[string]structs.Entry{}
+	}
+	return next
+}
+
+// mergedAliases returns the aliases of former owners that hold with the
+// catalogue c. Earlier merges are kept, so that a later document need not
+// repeat them; a name that is an owner again stands for itself.
+func (t *Tables) mergedAliases(c *structs.Catalogue) map[string]string {
+	out := maps.Clone(t.aliases)
+	for name, o := range c.Owners {
+		for _, former := range o.MergedFrom {
+			out[former] = name
+		}
+	}
+	for name := range c.Owners {
+		delete(out, name)
+	}
+	return out
+}
+
+func resolve(name string, c *structs.Catalogue, aliases map[string]string) string {
+	for range len(aliases) + 1 {
+		if _, ok := c.Owners[name]; ok {
+			return name
+		}
+		next, ok := aliases[name]
+		if !ok {
+			return ""
+		}
+		name = next
+	}
+	return ""
+}
+
+// checkCatalogue checks the rules that the tables rely on. Names are visited
+// in order, so that every replica reports the same error.
+func checkCatalogue(c *structs.Catalogue) *structs.Error {
+	bad := func(format string, args ...any) *structs.Error {
+		return structs.Errorf(structs.CodeBadRequest, stepCatalogue, format, args...)
+	}
+	target := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(c.Owners)) {
+		o := c.Owners[name]
+		if name == "" {
+			return bad("an owner has no name")
+		}
+		if o.Quota.HasNegative() || min(o.Weight, o.RequestRate, o.Concurrency, o.MaxQueued, o.MaxPendingJobs) < 0 {
+			return bad("owner %q has a negative limit", name)
+		}
+		for _, former := range o.MergedFrom {
+			if _, ok := c.Owners[former]; ok {
+				return bad("owner %q names %q in merged_from, which is still an owner", name, former)
+			}
+			if other := target[former]; other != "" && other != name {
+				return bad("owners %q and %q both name %q in merged_from", other, name, former)
+			}
+			target[former] = name
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.Entries)) {
+		if err := checkEntry(name, c); err != "" {
+			return bad("entry %q: %s", name, err)
+		}
+	}
+	return nil
+}
+
+func checkEntry(name string, c *structs.Catalogue) string {
+	e := c.Entries[name]
+	if _, ok := c.Owners[e.Owner]; !ok || name == "" {
+		return fmt.Sprintf("owner %q is not in the catalogue", e.Owner)
+	}
+	if e.Class != structs.ClassLatency && e.Class != structs.ClassBatch {
+		return fmt.Sprintf("class %q is not one of %q, %q", e.Class, structs.ClassLatency, structs.ClassBatch)
+	}
+	if err := checkSize(e.Resources); err != "" {
+		return "resources: " + err
+	}
+	if e.LeaseHoldMS < 0 || e.LeaseHold() > structs.MaxLeaseHold {
+		return fmt.Sprintf("lease_hold_ms %d is not within 0 to %d", e.LeaseHoldMS, structs.MaxLeaseHold.Milliseconds())
+	}
+	switch e.Missed {
+	case "", structs.MissedRunOnce, structs.MissedSkip:
+	default:
+		return fmt.Sprintf("missed %q is not one of %q, %q", e.Missed, structs.MissedRunOnce, structs.MissedSkip)
+	}
+	if min(int64(e.MaxAttempts), int64(e.Priority), e.ExpectedRuntimeMS, e.RequestTimeoutMS) < 0 {
+		return "a limit is negative"
+	}
+	return ""
+}
+
+// checkLiveWork refuses a catalogue that would leave unfinished jobs without
+// their owner or entry.
+func (t *Tables) checkLiveWork(next *structs.Catalogue, aliases map[string]string) *structs.Error {
+	var lost []string
+	for _, name := range slices.Sorted(maps.Keys(t.owners)) {
+		if o := t.owners[name]; o.liveJobs > 0 && resolve(name, next, aliases) == "" {
+			lost = append(lost, fmt.Sprintf("owner %q (%d unfinished jobs, first %s)", name, o.liveJobs, firstLive(o)))
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(t.entries)) {
+		e := t.entries[name]
+		if e.liveJobs == 0 {
+			continue
+		}
+		entry, ok := next.Entries[name]
+		owner := resolve(t.catalogue.Entries[name].Owner, next, aliases)
+		switch {
+		case !ok:
+			lost = append(lost, fmt.Sprintf("entry %q (%d unfinished jobs)", name, e.liveJobs))
+		case owner != "" && entry.Owner != owner:
+			lost = append(lost, fmt.Sprintf("entry %q given to %q (%d unfinished jobs of %q)", name, entry.Owner, e.liveJobs, owner))
+		}
+	}
+	if len(lost) == 0 {
+		return nil
+	}
+	if len(lost) > maxNamed {
+		lost = append(lost[:maxNamed], fmt.Sprintf("and %d more", len(lost)-maxNamed))
+	}
+	return structs.Errorf(structs.CodeConflict, stepCatalogue, "the change takes away what unfinished jobs need: %s; merge the owner or cancel the jobs first", strings.Join(lost, ", "))
+}
+
+func firstLive(o *ownerRec) structs.JobID {
+	for e := o.jobs.Front(); e != nil; e = e.Next() {
+		if j := e.Value.(*jobRec); !j.Status.Finished() {
+			return j.ID
+		}
+	}
+	return ""
+}
+
+// moveMerged gives the jobs, keys and claims of former owners to the owners they were merged into.
+func (t *Tables) moveMerged() {
+	moved := map[string]string{}
+	for _, name := range slices.Sorted(maps.Keys(t.aliases)) {
+		to := t.ResolveOwner(name)
+		if to == "" {
+			continue
+		}
+		moved[name] = to
+		if o := t.owners[name]; o != nil {
+			t.moveJobs(o, t.owner(to))
+			delete(t.owners, name)
+		}
+	}
+	t.moveKeys(moved)
+	t.moveClaims(moved)
+}
+
+// moveJobs joins two lists in order of submission; job ids sort by log index.
+func (t *Tables) moveJobs(from, to *ownerRec) {
+	joined := list.New()
+	a, b := from.jobs.Front(), to.jobs.Front()
+	for a != nil || b != nil {
+		if b == nil || a != nil && a.Value.(*jobRec).ID < b.Value.(*jobRec).ID {
+			j := a.Value.(*jobRec)
+			j.owner, j.Owner = to, to.name
+			j.ownerElem = joined.PushBack(j)
+			a = a.Next()
+			continue
+		}
+		j := b.Value.(*jobRec)
+		j.ownerElem = joined.PushBack(j)
+		b = b.Next()
+	}
+	to.jobs = joined
+	to.usage = to.usage.Add(from.usage)
+	to.liveJobs += from.liveJobs
+	to.liveTasks += from.liveTasks
+}
+
+// moveKeys keeps the keys of both owners. The new owner's own key comes first
+// when both used the same one.
+func (t *Tables) moveKeys(moved map[string]string) {
+	move := func(k *keyRec) {
+		to, ok := moved[k.Owner]
+		if !ok {
+			return
+		}
+		t.unlinkKey(k)
+		k.Owner = to
+		at := ownerKey{k.Owner, k.Key}
+		t.keys[at] = append(t.keys[at], k)
+	}
+	for e := t.jobOrder.Front(); e != nil; e = e.Next() {
+		if j := e.Value.(*jobRec); j.key != nil {
+			move(j.key)
+		}
+	}
+	for e := t.keyOrder.Front(); e != nil; e = e.Next() {
+		move(e.Value.(*keyRec))
+	}
+}
+
+func (t *Tables) unlinkKey(k *keyRec) {
+	at := ownerKey{k.Owner, k.Key}
+	recs := slices.DeleteFunc(t.keys[at], func(r *keyRec) bool { return r == k })
+	if len(recs) == 0 {
+		delete(t.keys, at)
+		return
+	}
+	t.keys[at] = recs
+}
+
+func (t *Tables) moveClaims(moved map[string]string) {
+	for e := t.claimOrder.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*claimRec)
+		to, ok := moved[c.Owner]
+		if !ok {
+			continue
+		}
+		t.unlinkClaim(c)
+		c.Owner = to
+		at := ownerKey{c.Owner, c.Key}
+		t.claims[at] = append(t.claims[at], c)
+	}
+}
+
+// applySetDomain takes a failure domain out of service or brings it back.
+func (t *Tables) applySetDomain(c *structs.SetDomain) structs.Result {
+	if first, err := t.changeGiven(c.ChangeID, stepDomain); first != nil || err != nil {
+		return structs.Result{Change: first, Error: err}
+	}
+	res := &structs.ChangeResult{ChangeID: c.ChangeID, AtMS: t.nowMS, Version: t.catalogue.Version}
+	if c.Domain == "" || len(c.Domain) > maxKeyBytes {
+		res.Error = structs.Errorf(structs.CodeBadRequest, stepDomain, "the domain name needs 1 to %d bytes, not %d", maxKeyBytes, len(c.Domain))
+		return t.recordChange(res)
+	}
+	if t.domains[c.Domain].Out != c.Out {
+		t.domains[c.Domain] = structs.DomainState{Out: c.Out, ChangedMS: t.nowMS}
+		t.domainsVersion++
+	}
+	res.Accepted, res.DomainsVersion = true, t.domainsVersion
+	return t.recordChange(res)
+}
--- /dev/null
+++ b/core/state/check.go
@@ -0,0 +1,165 @@
+package state
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/core/structs"
+)
+
+// ErrInvariant means that the tables break one of their rules.
+var ErrInvariant = errors.New("state invariant broken")
+
+// Check verifies every invariant: capacities, one live attempt per task, and
+// indexes and counters equal to those recomputed from the records.
+func (t *Tables) Check() error {
+	for _, w := range t.workerList {
+		if err := t.checkWorker(t.workers[w.ID]); err != nil {
+			return err
+		}
+	}
+	for e := t.jobOrder.Front(); e != nil; e = e.Next() {
+		j := e.Value.(*jobRec)
+		if err := t.checkJob(j); err != nil {
+			return err
+		}
+	}
+	return t.checkIndexes()
+}
+
+func broken(format string, args ...any) error { return errors.Wrapf(ErrInvariant, format, args...) }
+
+func (t *Tables) checkWorker(w *workerRec) error {
+	if !w.committed.Fits(w.Capacity) || w.committed.HasNegative() {
+		return broken("worker %s: committed %v, capacity %v", w.ID, w.committed, w.Capacity)
+	}
+	for _, task := range w.attempts {
+		r := t.task(task.ID)
+		if r == nil || &r.Task != task || r.Worker != w.ID || r.Incarnation != w.Incarnation {
+			return broken("worker %s lists task %s, which is not there", w.ID, task.ID)
+		}
+	}
+	return nil
+}
+
+func (t *Tables) checkJob(j *jobRec) error {
+	if j.Status.Finished() != (j.finElem != nil) || j.Status.Finished() && (j.open() > 0 || j.attempts > 0) {
+		return broken("job %s: status %s with %d open tasks and %d attempts", j.ID, j.Status, j.open(), j.attempts)
+	}
+	if !j.Status.Finished() && j.Spec.Kind != structs.KindRecurring && j.open() == 0 {
+		return broken("job %s: status %s without open tasks", j.ID, j.Status)
+	}
+	if j.Owner != j.owner.name || !j.Status.Finished() && t.catalogue.Entries[j.Spec.Entry].Owner != j.Owner {
+		return broken("job %s: owner %q does not own entry %q", j.ID, j.Owner, j.Spec.Entry)
+	}
+	for i, r := range j.tasks {
+		if r.ID != (structs.TaskID{Job: j.ID, Index: j.base + int64(i)}) {
+			return broken("job %s: task %s at position %d", j.ID, r.ID, i)
+		}
+		if err := checkTask(r); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func checkTask(r *taskRec) error {
+	idle := r.State == structs.AttemptNone
+	switch {
+	case idle != (r.Worker == ""), idle && !r.Reserved.IsZero():
+		return broken("task %s: state %q on worker %q with %v reserved", r.ID, r.State, r.Worker, r.Reserved)
+	case r.queued != (idle && !r.Status.Finished()):
+		return broken("task %s: queued is %v in state %q, status %s", r.ID, r.queued, r.State, r.Status)
+	case !idle && r.Status.Finished():
+		return broken("task %s: status %s with an attempt", r.ID, r.Status)
+	case r.State == structs.AttemptStopping != (r.job.Cancelled && !idle):
+		return broken("task %s: state %q, job cancelled is %v", r.ID, r.State, r.job.Cancelled)
+	case r.State == structs.AttemptRunning && r.Status != structs.StatusRunning:
+		return broken("task %s: state %q, status %s", r.ID, r.State, r.Status)
+	}
+	return nil
+}
+
+// checkIndexes compares the indexes with those of tables rebuilt from the records.
+func (t *Tables) checkIndexes() error {
+	fresh, err := t.Fork().restore()
+	if err != nil {
+		return errors.Mark(err, ErrInvariant)
+	}
+	if t.counts != fresh.counts {
+		return broken("totals are %+v, recomputed %+v", t.counts, fresh.counts)
+	}
+	a, b := t.indexView(), fresh.indexView()
+	for _, name := range slices.Sorted(maps.Keys(a)) {
+		if !reflect.DeepEqual(a[name], b[name]) {
+			return broken("index %s is %v, recomputed %v", name, a[name], b[name])
+		}
+	}
+	return t.checkStanding()
+}
+
+// indexView returns the indexes as plain values that can be compared.
+func (t *Tables) indexView() map[string]any {
+	workers := map[structs.WorkerID][]any{}
+	for id, w := range t.workers {
+		workers[id] = []any{w.committed, taskIDs(w.attempts)}
+	}
+	owners := map[string][]any{}
+	for name, o := range t.owners {
+		var jobs []structs.JobID
+		for e := o.jobs.Front(); e != nil; e = e.Next() {
+			jobs = append(jobs, e.Value.(*jobRec).ID)
+		}
+		if len(jobs) > 0 || !o.usage.IsZero() || o.liveJobs+o.liveTasks != 0 {
+			owners[name] = []any{o.usage, jobs, o.liveJobs, o.liveTasks}
+		}
+	}
+	entries := map[string][]any{}
+	for name, e := range t.entries {
+		ids := map[structs.TaskID]bool{}
+		for r := e.head; r != nil; r = r.next {
+			ids[r.ID] = true
+		}
+		if e.liveJobs+e.queued+len(ids) != 0 {
+			entries[name] = []any{e.liveJobs, e.queued, ids}
+		}
+	}
+	jobs := map[structs.JobID][]any{}
+	for id, j := range t.jobs {
+		jobs[id] = []any{j.counts, j.attempts, j.heapPos >= 0, j.key != nil}
+	}
+	return map[string]any{
+		"workers": workers, "owners": owners, "entries": entries, "jobs": jobs,
+		"pending": append([]string{}, t.pending...), "shapes": t.shapes, "keys": t.keyView(), "claims": len(t.claims),
+	}
+}
+
+func (t *Tables) keyView() map[ownerKey][]structs.JobID {
+	out := map[ownerKey][]structs.JobID{}
+	for k, recs := range t.keys {
+		for _, r := range recs {
+			out[k] = append(out[k], r.Job)
+		}
+	}
+	return out
+}
+
+func (t *Tables) checkStanding() error {
+	for i, j := range t.standing {
+		if j.heapPos != i || i > 0 && t.standing.Less(i, (i-1)/2) {
+			return broken("standing job %s is out of place at %d", j.ID, i)
+		}
+	}
+	return nil
+}
+
+func taskIDs(tasks []*structs.Task) []structs.TaskID {
+	var ids []structs.TaskID
+	for _, task := range tasks {
+		ids = append(ids, task.ID)
+	}
+	return ids
+}
--- /dev/null
+++ b/core/state/claims.go
@@ -0,0 +1,143 @@
+package state
+
+import (
+	"container/list"
+	"slices"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	stepClaim    = "claim request"
+	stepComplete = "complete request"
+	// maxClaims bounds the claims kept at once.
+	maxClaims = 100_000
+	// maxAllAnswerBytes bounds all recorded answers; answers past it are not kept.
+	maxAllAnswerBytes = 48 << 20
+)
+
+type claimRec struct {
+	Owner string
+	Key   string
+	structs.ClaimState
+	elem *list.Element
+}
+
+// applyClaim reserves an idempotency key for one request. A claim that was
+// already granted to the same nonce is granted again.
+func (t *Tables) applyClaim(c *structs.Claim) structs.Result {
+	owner := t.ResolveOwner(c.Owner)
+	if owner == "" {
+		return failure(structs.CodeUnauthorized, stepClaim, "owner %q is not in the catalogue", c.Owner)
+	}
+	if c.Key == "" || len(c.Key) > maxKeyBytes || c.Nonce == "" {
+		return failure(structs.CodeBadRequest, stepClaim, "a claim needs a nonce and a key of 1 to %d bytes, not %d", maxKeyBytes, len(c.Key))
+	}
+	at := ownerKey{owner, c.Key}
+	for _, r := range t.claims[at] {
+		if r.Digest == c.Digest {
+			state := r.ClaimState
+			return structs.Result{Claimed: r.Nonce == c.Nonce, Claim: &state}
+		}
+	}
+	if len(t.claims[at]) > 0 {
+		return failure(structs.CodeKeyReused, stepClaim, "key %q already names another request", c.Key)
+	}
+	if t.claimOrder.Len() >= maxClaims {
+		res := failure(structs.CodeQueueFull, stepClaim, "%d requests are claimed, the limit is %d", t.claimOrder.Len(), maxClaims)
+		res.Error.RetryAfterMS = queueRetryMS
+		return res
+	}
+	r := &claimRec{Owner: owner, Key: c.Key}
+	r.ClaimState = structs.ClaimState{Digest: c.Digest, Host: c.Host, Nonce: c.Nonce, ClaimedMS: t.nowMS}
+	t.linkClaim(r)
+	state := r.ClaimState
+	return structs.Result{Claimed: true, Claim: &state}
+}
+
+func (t *Tables) linkClaim(r *claimRec) {
+	at := ownerKey{r.Owner, r.Key}
+	t.claims[at] = append(t.claims[at], r)
+	r.elem = t.claimOrder.PushBack(r)
+	t.counts.answerBytes += answerBytes(r.Answer)
+}
+
+func (t *Tables) unlinkClaim(r *claimRec) {
+	at := ownerKey{r.Owner, r.Key}
+	recs := slices.DeleteFunc(t.claims[at], func(o *claimRec) bool { return o == r })
+	if len(recs) == 0 {
+		delete(t.claims, at)
+		return
+	}
+	t.claims[at] = recs
+}
+
+func (t *Tables) removeClaim(r *claimRec) {
+	t.unlinkClaim(r)
+	t.claimOrder.Remove(r.elem)
+	t.counts.answerBytes -= answerBytes(r.Answer)
+}
+
+// applyComplete records the outcome of a claimed request. The first answer
+// stays; a request that has an answer cannot be released as not run.
+func (t *Tables) applyComplete(c *structs.Complete) structs.Result {
+	r := t.findClaim(ownerKey{t.ResolveOwner(c.Owner), c.Key}, c.Nonce)
+	if r == nil {
+		return structs.Result{Error: structs.Errorf(structs.CodeNotFound, stepComplete, "key %q has no claim with this nonce", c.Key)}
+	}
+	switch {
+	case r.Answer != nil && c.NotRun:
+		return structs.Result{Error: structs.Errorf(structs.CodeConflict, stepComplete, "key %q has an answer already", c.Key)}
+	case c.NotRun:
+		t.removeClaim(r)
+		return structs.Result{}
+	case r.Answer == nil && c.Answer != nil:
+		r.Answer = t.keptAnswer(c.Answer)
+		t.counts.answerBytes += answerBytes(r.Answer)
+	}
+	state := r.ClaimState
+	return structs.Result{Claim: &state}
+}
+
+func (t *Tables) findClaim(at ownerKey, nonce string) *claimRec {
+	for _, r := range t.claims[at] {
+		if r.Nonce == nonce {
+			return r
+		}
+	}
+	return nil
+}
+
+// keptAnswer returns what is recorded of an answer: without header and body
+// when it is over the bound of one answer or of all.
+func (t *Tables) keptAnswer(a *structs.Answer) *structs.Answer {
+	size := answerBytes(a)
+	if a.TooLarge || size > structs.MaxStoredAnswerBytes || t.counts.answerBytes+size > maxAllAnswerBytes {
+		return &structs.Answer{Status: a.Status, TooLarge: true}
+	}
+	return a
+}
+
+func answerBytes(a *structs.Answer) int {
+	if a == nil {
+		return 0
+	}
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
+}
+
+// Claim returns the claim of a request by owner, key and digest, or nil.
+func (t *Tables) Claim(owner, key, digest string) *structs.ClaimState {
+	for _, r := range t.claims[ownerKey{t.ResolveOwner(owner), key}] {
+		if r.Digest == digest {
+			return &r.ClaimState
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/core/state/expire.go
@@ -0,0 +1,163 @@
+package state
+
+import "gooseberrypond/core/structs"
+
+const (
+	// maxExpired bounds the records removed by one Expire, so that applying it stays short.
+	maxExpired = 2000
+	// maxFinishedTasks bounds the tasks of finished jobs; the oldest jobs go first.
+	maxFinishedTasks = 150_000
+	// claimKept is how long a claim is kept: its answer may come as late as the
+	// longest request takes, and is then kept for the whole retention.
+	claimKept = structs.ClaimRetention + structs.RequestTimeoutMax
+	// maxKeptKeys bounds the keys of finished jobs.
+	maxKeptKeys = 250_000
+	// maxOccurrences is the number of past occurrences kept of one recurring job.
+	maxOccurrences = 100
+	// maxOpenOccurrences bounds unfinished occurrences of one recurring job. While
+	// it is reached the next ones are late, and the rule for missed ones decides.
+	maxOpenOccurrences = 100
+)
+
+// applyExpire removes records past their retention, at most maxExpired of
+// them. Dropped is 1 when more are left.
+func (t *Tables) applyExpire() structs.Result {
+	n := 0
+	for _, step := range []func() bool{t.expireJob, t.expireKey, t.expireClaim, t.expireChange} {
+		for n < maxExpired && step() {
+			n++
+		}
+	}
+	t.expireWorkers()
+	t.expireOwners()
+	if n == maxExpired {
+		return structs.Result{Dropped: 1}
+	}
+	return structs.Result{}
+}
+
+// ExpireDue reports whether an Expire at nowMS would remove job, key, claim or change records.
+func (t *Tables) ExpireDue(nowMS int64) bool {
+	past := func(ms int64, kept int64) bool { return ms+kept <= nowMS }
+	day := structs.ChangeRetention.Milliseconds()
+	if e := t.finished.Front(); e != nil {
+		if t.finished.Len() > structs.MaxFinishedJobs || t.counts.finishedTasks > maxFinishedTasks || past(e.Value.(*jobRec).FinishedMS, day) {
+			return true
+		}
+	}
+	if e := t.keyOrder.Front(); e != nil {
+		if t.keyOrder.Len() > maxKeptKeys || past(e.Value.(*keyRec).FinishedMS, day) {
+			return true
+		}
+	}
+	if e := t.claimOrder.Front(); e != nil && past(e.Value.(*claimRec).ClaimedMS, claimKept.Milliseconds()) {
+		return true
+	}
+	return len(t.changeOrder) > structs.MinChangeIDs && past(t.changes[t.changeOrder[0]].AtMS, day)
+}
+
+func (t *Tables) pastRetention(ms int64) bool {
+	return ms+structs.ChangeRetention.Milliseconds() <= t.nowMS
+}
+
+func (t *Tables) expireJob() bool {
+	e := t.finished.Front()
+	if e == nil {
+		return false
+	}
+	j := e.Value.(*jobRec)
+	crowded := t.finished.Len() > structs.MaxFinishedJobs || t.counts.finishedTasks > maxFinishedTasks
+	if !crowded && !t.pastRetention(j.FinishedMS) {
+		return false
+	}
+	t.counts.finishedTasks -= len(j.tasks)
+	t.finished.Remove(e)
+	t.jobOrder.Remove(j.orderElem)
+	j.owner.jobs.Remove(j.ownerElem)
+	delete(t.jobs, j.ID)
+	return true
+}
+
+func (t *Tables) expireKey() bool {
+	e := t.keyOrder.Front()
+	if e == nil {
+		return false
+	}
+	k := e.Value.(*keyRec)
+	if t.keyOrder.Len() <= maxKeptKeys && !t.pastRetention(k.FinishedMS) {
+		return false
+	}
+	t.keyOrder.Remove(e)
+	t.unlinkKey(k)
+	if j := t.jobs[k.Job]; j != nil {
+		j.key = nil
+	}
+	return true
+}
+
+func (t *Tables) expireClaim() bool {
+	e := t.claimOrder.Front()
+	if e == nil {
+		return false
+	}
+	r := e.Value.(*claimRec)
+	if r.ClaimedMS+claimKept.Milliseconds() > t.nowMS {
+		return false
+	}
+	t.removeClaim(r)
+	return true
+}
+
+func (t *Tables) expireChange() bool {
+	if len(t.changeOrder) <= structs.MinChangeIDs {
+		return false
+	}
+	id := t.changeOrder[0]
+	if !t.pastRetention(t.changes[id].AtMS) {
+		return false
+	}
+	delete(t.changes, id)
+	t.changeOrder = t.changeOrder[1:]
+	return true
+}
+
+// expireWorkers forgets workers that have been gone for the retention time.
+func (t *Tables) expireWorkers() {
+	kept := t.workerList[:0:0]
+	for _, w := range t.workerList {
+		r := t.workers[w.ID]
+		if w.Live || len(r.attempts) > 0 || !t.pastRetention(w.EndedMS) {
+			kept = append(kept, w)
+			continue
+		}
+		t.dropShape(w.Capacity)
+		t.markChanged(r)
+		delete(t.workers, w.ID)
+	}
+	t.workerList = kept
+}
+
+// expireOwners forgets the index records of names that nothing refers to.
+func (t *Tables) expireOwners() {
+	for name, o := range t.owners {
+		if _, ok := t.catalogue.Owners[name]; !ok && o.jobs.Len() == 0 {
+			delete(t.owners, name)
+		}
+	}
+	for name, e := range t.entries {
+		if _, ok := t.catalogue.Entries[name]; !ok && e.liveJobs == 0 && e.queued == 0 {
+			delete(t.entries, name)
+		}
+	}
+}
+
+// trimOccurrences drops the oldest finished occurrences past the number kept.
+func (t *Tables) trimOccurrences(j *jobRec) {
+	for len(j.tasks) > maxOccurrences && j.tasks[0].Status.Finished() {
+		j.counts[statusIndex(j.tasks[0].Status)]--
+		j.tasks[0] = nil
+		j.tasks = j.tasks[1:]
+		j.base++
+		t.counts.finishedTasks--
+	}
+}
--- /dev/null
+++ b/core/state/status.go
@@ -0,0 +1,86 @@
+package state
+
+import "gooseberrypond/core/structs"
+
+// statusKinds is the number of job states that are counted per job.
+const statusKinds = 8
+
+var statusOrder = [statusKinds]structs.JobStatus{
+	structs.StatusPending, structs.StatusRunning, structs.StatusDone, structs.StatusFailed,
+	structs.StatusCancelled, structs.StatusUnknown, structs.StatusUnrunnable, structs.StatusSkipped,
+}
+
+func statusIndex(s structs.JobStatus) int {
+	for i, o := range statusOrder {
+		if o == s {
+			return i
+		}
+	}
+	return 0
+}
+
+func (j *jobRec) count(s structs.JobStatus) int { return j.counts[statusIndex(s)] }
+
+func (j *jobRec) open() int {
+	return j.count(structs.StatusPending) + j.count(structs.StatusRunning)
+}
+
+// setStatus changes a task's status and the counters that follow from it.
+func (t *Tables) setStatus(r *taskRec, s structs.JobStatus) {
+	j := r.job
+	j.counts[statusIndex(r.Status)]--
+	j.counts[statusIndex(s)]++
+	if !r.Status.Finished() && s.Finished() {
+		r.FinishedMS = t.nowMS
+		t.counts.liveTasks--
+		t.counts.finishedTasks++
+		j.owner.liveTasks--
+	}
+	r.Status = s
+}
+
+// updateJob derives a job's status from its counters.
+func (t *Tables) updateJob(j *jobRec) {
+	if j.Status.Finished() {
+		return
+	}
+	waiting := j.Spec.Kind == structs.KindRecurring && !j.Cancelled
+	if j.open() > 0 || waiting {
+		j.Status = structs.StatusPending
+		if j.open() < len(j.tasks) || j.count(structs.StatusRunning) > 0 {
+			j.Status = structs.StatusRunning
+		}
+		return
+	}
+	t.finishJob(j, finalStatus(j))
+}
+
+func finalStatus(j *jobRec) structs.JobStatus {
+	switch {
+	case j.count(structs.StatusUnknown) > 0:
+		return structs.StatusUnknown
+	case j.count(structs.StatusUnrunnable) > 0:
+		return structs.StatusUnrunnable
+	case j.Cancelled && (j.count(structs.StatusCancelled) > 0 || j.Spec.Kind == structs.KindRecurring):
+		return structs.StatusCancelled
+	case j.count(structs.StatusFailed) > 0:
+		return structs.StatusFailed
+	}
+	return structs.StatusDone
+}
+
+// finishJob makes a job final. The payload is dropped, since no task needs it any more.
+func (t *Tables) finishJob(j *jobRec, s structs.JobStatus) {
+	j.Status = s
+	j.FinishedMS = t.nowMS
+	t.counts.payloadBytes -= len(j.Spec.Payload)
+	j.Spec.Payload = nil
+	j.owner.liveJobs--
+	t.entry(j.Spec.Entry).liveJobs--
+	j.finElem = t.finished.PushBack(j)
+	t.dropStanding(j)
+	if j.key != nil {
+		j.key.FinishedMS = t.nowMS
+		j.key.elem = t.keyOrder.PushBack(j.key)
+	}
+}
--- a/core/structs/command.go
+++ b/core/structs/command.go
@@ -30,6 +30,8 @@
 	Task    TaskID `json:"task"`
 	Attempt int64  `json:"attempt"`
 	Epoch   uint64 `json:"epoch"`
+	// NeverStarted is set in EndAttempts when no start of the attempt was ever sent.
+	NeverStarted bool `json:"never_started,omitempty"`
 }
 
 // WorkerEvents records events reported by a worker.
@@ -175,6 +177,8 @@
 	Accepted bool   `json:"accepted"`
 	// Version is the catalogue version after the change, or the winner's version when refused.
 	Version uint64 `json:"version"`
+	// DomainsVersion is the version of the domain states after a SetDomain; 0 for catalogue changes.
+	DomainsVersion uint64 `json:"domains_version,omitempty"`
 	// Winner is the change id that holds the version when refused for a version conflict.
 	Winner string `json:"winner,omitempty"`
 	Error  *Error `json:"error,omitempty"`
@@ -199,4 +203,12 @@
 	Claim   *ClaimState `json:"claim,omitempty"`
 	// Dropped counts parts of a plan that no longer held.
 	Dropped int `json:"dropped,omitempty"`
+	// Ended lists the attempts that worker events ended.
+	Ended []EndedAttempt `json:"ended,omitempty"`
+}
+
+// EndedAttempt is an attempt ended by a worker event, with the task as it was before.
+type EndedAttempt struct {
+	Event TaskEvent `json:"event"`
+	Task  Task      `json:"task"`
 }
--- a/core/structs/job.go
+++ b/core/structs/job.go
@@ -135,6 +135,10 @@
 	Failures int `json:"failures,omitempty"`
 	// Evictions counts evictions.
 	Evictions int `json:"evictions,omitempty"`
+	// NotBeforeMS is the end of the back-off after a failure, in Unix milliseconds.
+	NotBeforeMS int64 `json:"not_before_ms,omitempty"`
+	// LeaseHoldMS is the entry's lease hold at assignment; the worker was told this value.
+	LeaseHoldMS int64 `json:"lease_hold_ms,omitempty"`
 	// LastEvictedMS is when the task was last evicted, in Unix milliseconds.
 	LastEvictedMS int64 `json:"last_evicted_ms,omitempty"`
 	// PendingSinceMS is when the task last became pending, in Unix milliseconds.
--- a/core/structs/routing.go
+++ b/core/structs/routing.go
@@ -64,6 +64,9 @@
 	CatalogueVersion uint64    `json:"catalogue_version"`
 	DomainsVersion   uint64    `json:"domains_version"`
 	Holdings         []Holding `json:"holdings,omitempty"`
+	// Upstreams lists what the host knows, in the first syncs after it lost its
+	// leader. A new leader uses them until the upstreams' next announcements.
+	Upstreams []Upstream `json:"upstreams,omitempty"`
 	// Stopping is set when the host shuts down; it takes no new requests.
 	Stopping bool `json:"stopping,omitempty"`
 }
--- a/core/structs/worker.go
+++ b/core/structs/worker.go
@@ -17,6 +17,8 @@
 	Live bool `json:"live"`
 	// RegisteredMS is when this incarnation registered, in Unix milliseconds.
 	RegisteredMS int64 `json:"registered_ms"`
+	// EndedMS is when the lease of this incarnation ended, in Unix milliseconds; 0 while live.
+	EndedMS int64 `json:"ended_ms,omitempty"`
 }
 
 // RunningTask is one task in a worker's sync report.
@@ -87,7 +89,10 @@
 	ID          WorkerID `json:"id"`
 	Incarnation uint64   `json:"incarnation"`
 	// Seq numbers syncs within an incarnation, from 1. A repeated or lower number is refused.
-	Seq     uint64        `json:"seq"`
+	Seq uint64 `json:"seq"`
+	// Session is copied from the last reply. It proves that the sync was sent
+	// after the current leader answered, so it is no delayed duplicate.
+	Session uint64        `json:"session,omitempty"`
 	Running []RunningTask `json:"running"`
 	Events  []TaskEvent   `json:"events,omitempty"`
 	Usage   []Usage       `json:"usage,omitempty"`
@@ -130,7 +135,9 @@
 	// StartWithinMS is the age of the sync past which start commands are void.
 	StartWithinMS int64 `json:"start_within_ms"`
 	// AckedSeq is the highest event number that is in the replicated log.
-	AckedSeq uint64          `json:"acked_seq"`
+	AckedSeq uint64 `json:"acked_seq"`
+	// Session names the leader's term of office; the worker copies it to its next sync.
+	Session  uint64          `json:"session,omitempty"`
 	Commands []WorkerCommand `json:"commands,omitempty"`
 	// Reregister tells the worker that its incarnation is over: stop all tasks
 	// and register again with a higher incarnation.
