Add scheduler with index, queue and placement

Other packages need Plan to integrate against. This version places pending tasks on live workers with room, in order of the owners' weighted dominant share, from a bucketed index of free capacity. Ranking is by load only; estimates, preemption and drain follow.

--- /dev/null
+++ b/core/sched/fairness.go
@@ -0,0 +1,41 @@
+package sched
+
+import "gooseberrypond/core/structs"
+
+// share is the owner's weighted dominant resource share: the largest part of
+// any dimension of the cluster that it holds, divided by its weight.
+func (p *planner) share(owner string) float64 {
+	use := p.ownerUsage(owner)
+	total := p.total
+	s := max(part(use.CPUMilli, total.CPUMilli), part(use.MemoryMB, total.MemoryMB), part(use.Accelerators, total.Accelerators))
+	return s / float64(max(1, p.catalogue.Owners[owner].Weight))
+}
+
+func part(use, total int64) float64 {
+	if total <= 0 {
+		return 0
+	}
+	return float64(use) / float64(total)
+}
+
+// ownerUsage is the owner's reservations including the current plan.
+func (p *planner) ownerUsage(owner string) structs.Resources {
+	use, ok := p.usage[owner]
+	if !ok {
+		use = p.t.OwnerUsage(owner)
+		p.usage[owner] = use
+	}
+	return use
+}
+
+// withinQuota reports whether the owner may hold need in addition.
+func (p *planner) withinQuota(owner string, need structs.Resources) bool {
+	return fitsQuota(p.ownerUsage(owner).Add(need), p.catalogue.Owners[owner].Quota)
+}
+
+// fitsQuota reports whether use is within quota; zero dimensions are unlimited.
+func fitsQuota(use, quota structs.Resources) bool {
+	return (quota.CPUMilli == 0 || use.CPUMilli <= quota.CPUMilli) &&
+		(quota.MemoryMB == 0 || use.MemoryMB <= quota.MemoryMB) &&
+		(quota.Accelerators == 0 || use.Accelerators <= quota.Accelerators)
+}
--- /dev/null
+++ b/core/sched/plan.go
@@ -0,0 +1,61 @@
+package sched
+
+import (
+	"container/heap"
+
+	"gooseberrypond/core/structs"
+)
+
+// placePending places pending tasks in the order of the queue.
+func (p *planner) placePending() {
+	for _, q := range p.queues() {
+		p.placeTier(&q)
+	}
+}
+
+// placeTier places one tier's tasks, always for the owner with the lowest share.
+func (p *planner) placeTier(q *queue) {
+	for q.Len() > 0 && len(p.plan.Assign) < p.opts.MaxDecisions {
+		oq := (*q)[0]
+		if len(oq.items) == 0 {
+			heap.Pop(q)
+			continue
+		}
+		it := &oq.items[0]
+		oq.items = oq.items[1:]
+		if p.place(it) {
+			oq.share = p.share(oq.owner)
+			heap.Fix(q, 0)
+		}
+	}
+}
+
+// place assigns the item to the best feasible worker, if there is one.
+func (p *planner) place(it *item) bool {
+	if !p.withinQuota(it.info.owner, it.need) {
+		return false
+	}
+	found := p.feasible(it)
+	n := p.best(it, found)
+	if n == nil {
+		return false
+	}
+	p.assign(it, n, "")
+	return true
+}
+
+// assign adds the assignment to the plan and counts it.
+func (p *planner) assign(it *item, n *node, reason string) {
+	p.plan.Assign = append(p.plan.Assign, structs.Assignment{
+		Task:        it.task.ID,
+		Worker:      n.worker.ID,
+		Incarnation: n.worker.Incarnation,
+		Reserved:    it.need,
+		Reason:      reason,
+	})
+	n.used = n.used.Add(it.need)
+	n.addEntry(it.info.id, 1)
+	p.usage[it.info.owner] = p.ownerUsage(it.info.owner).Add(it.need)
+	p.reindex(n)
+	p.dirty[n] = struct{}{}
+}
