--- /dev/null
+++ b/core/sched/deadline.go
@@ -0,0 +1,49 @@
+package sched
+
+import (
+	"math"
+
+	"gooseberrypond/core/structs"
+)
+
+// remainingMS is the expected run time left of a task, including what runs
+// now; 0 means unknown or overdue.
+func (p *planner) remainingMS(task *structs.Task, info *entryInfo) int64 {
+	total := p.runtimeMS(info)
+	done := p.ran[task.ID]
+	if task.State == structs.AttemptRunning {
+		done += ranMS(task, p.nowMS)
+	}
+	return max(0, total-done)
+}
+
+// slackMS is the time until the task must start, or be running, to meet its
+// job's deadline; jobs without a deadline have the most.
+func (p *planner) slackMS(task *structs.Task, job *structs.Job, info *entryInfo) int64 {
+	if job.Spec.DeadlineMS == 0 {
+		return math.MaxInt64
+	}
+	return job.Spec.DeadlineMS - p.nowMS - p.remainingMS(task, info)
+}
+
+// noteDeadline adds a note when the deadline cannot be met any more.
+func (p *planner) noteDeadline(job *structs.Job, slackMS int64) {
+	if slackMS >= 0 || job.DeadlineAtRisk || p.noted[job.ID] {
+		return
+	}
+	p.noted[job.ID] = true
+	p.plan.Notes = append(p.plan.Notes, structs.JobNote{Job: job.ID, DeadlineAtRisk: true})
+}
+
+// noteRunning checks the deadlines of the tasks that run on a node.
+func (p *planner) noteRunning(n *node) {
+	for _, task := range p.t.AttemptsOn(n.worker.ID) {
+		job := p.t.Job(task.ID.Job)
+		if job == nil || job.Spec.DeadlineMS == 0 || job.DeadlineAtRisk || job.Spec.Kind != structs.KindBatch {
+			continue
+		}
+		if info := p.infos[job.Spec.Entry]; info != nil {
+			p.noteDeadline(job, p.slackMS(task, job, info))
+		}
+	}
+}
--- /dev/null
+++ b/core/sched/drain.go
@@ -0,0 +1,131 @@
+package sched
+
+import (
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// serviceDrainLimit is how long a service waits on a domain that is out of
+	// service for a place elsewhere before it is stopped anyway.
+	serviceDrainLimit = 30 * time.Second
+	// batchDrainLimit is the same for batch work; until then tasks without a
+	// place elsewhere go on, and those that are nearly done finish.
+	batchDrainLimit = 20 * time.Second
+	// drainTicks is the number of ticks between two looks at the domains that are out.
+	drainTicks = 5
+)
+
+// noteDomains records since when domains are out or back, by the leader's clock.
+func (p *planner) noteDomains(out []string) {
+	now := map[string]bool{}
+	for _, d := range out {
+		now[d] = true
+		if _, ok := p.outSince[d]; !ok {
+			p.outSince[d] = p.now.Add(-p.sinceChange(d))
+		}
+		delete(p.returned, d)
+	}
+	for d := range p.outSince {
+		if !now[d] {
+			delete(p.outSince, d)
+			p.returned[d] = p.now
+		}
+	}
+	if p.ticks == 0 {
+		p.noteReturned(now)
+	}
+}
+
+// noteReturned finds domains that returned shortly before this leader began.
+func (p *planner) noteReturned(out map[string]bool) {
+	for _, w := range p.t.Workers() {
+		if out[w.Domain] || p.t.Domain(w.Domain).ChangedMS == 0 {
+			continue
+		}
+		if ago := p.sinceChange(w.Domain); ago < structs.ReturnPacing {
+			p.returned[w.Domain] = p.now.Add(-ago)
+		}
+	}
+}
+
+// sinceChange is the age of the domain's last change; never negative.
+func (p *planner) sinceChange(domain string) time.Duration {
+	return max(0, time.Duration(p.nowMS-p.t.Domain(domain).ChangedMS)*time.Millisecond)
+}
+
+// paced reports whether a worker of a domain that returned must wait with the next start.
+func (p *planner) paced(n *node) bool {
+	back, ok := p.returned[n.worker.Domain]
+	if !ok {
+		return false
+	}
+	if p.now.Sub(back) >= structs.ReturnPacing {
+		delete(p.returned, n.worker.Domain)
+		return false
+	}
+	oldest := n.starts[n.nextStart]
+	return !oldest.IsZero() && p.now.Sub(oldest) < time.Second
+}
+
+// noteStart counts a start for pacing.
+func (n *node) noteStart(now time.Time) {
+	n.starts[n.nextStart] = now
+	n.nextStart = (n.nextStart + 1) % structs.ReturnStartsPerSecond
+}
+
+// drainServices moves latency-critical tasks out of domains that are out of service.
+func (p *planner) drainServices() {
+	p.eachDraining(func(task *structs.Task, it *item, waited time.Duration) {
+		if tierOf(it.info) == tierBatch && it.job.Spec.Kind != structs.KindService {
+			return
+		}
+		if n := p.best(it, p.feasible(it)); n != nil {
+			p.reserveRoom(it, n)
+			p.evict(task, "failure domain out of service; place reserved on "+string(n.worker.ID))
+		} else if waited >= serviceDrainLimit {
+			p.evict(task, "failure domain out of service; no place elsewhere in time")
+		}
+	})
+}
+
+// drainBatch moves batch work that has a place elsewhere or has waited long enough.
+func (p *planner) drainBatch() {
+	p.eachDraining(func(task *structs.Task, it *item, waited time.Duration) {
+		if tierOf(it.info) != tierBatch || it.job.Spec.Kind == structs.KindService {
+			return
+		}
+		left := p.remainingMS(task, it.info)
+		if waited < batchDrainLimit && left > 0 && left < (batchDrainLimit-waited).Milliseconds() {
+			return
+		}
+		if n := p.best(it, p.feasible(it)); n != nil {
+			p.reserveRoom(it, n)
+			p.evict(task, "failure domain out of service; place reserved on "+string(n.worker.ID))
+		} else if waited >= batchDrainLimit {
+			p.evict(task, "failure domain out of service; no place elsewhere in time")
+		}
+	})
+}
+
+// eachDraining visits the evictable tasks on workers of domains that are out.
+func (p *planner) eachDraining(visit func(task *structs.Task, it *item, waited time.Duration)) {
+	if len(p.out) == 0 || p.ticks%drainTicks != 0 {
+		return
+	}
+	for _, n := range p.order {
+		if !p.out[n.worker.Domain] || !n.worker.Live {
+			continue
+		}
+		waited := p.now.Sub(p.outSince[n.worker.Domain])
+		for _, task := range p.t.AttemptsOn(n.worker.ID) {
+			if !p.mayEvict(task) {
+				continue
+			}
+			if it, ok := p.item(task); ok {
+				visit(task, &it, waited)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/core/sched/estimate.go
@@ -0,0 +1,148 @@
+package sched
+
+import (
+	"fmt"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// ratioScale expresses measured/declared use as an integer.
+	ratioScale = 1000
+	// maxRatio bounds a measured ratio: 32 times the declared size.
+	maxRatio = 32 * ratioScale
+	// lowerSamples is the number of reports needed before a reservation goes below the declared size.
+	lowerSamples = 60
+	// raiseSamples is the number of reports needed before it goes above.
+	raiseSamples = 5
+	// windowSamples is the number of reports after which older ones begin to be forgotten.
+	windowSamples = 2048
+	// requantile is the number of reports between two computations of the quantiles.
+	requantile = 16
+	// memoryQuantile is high, since a task that exceeds its memory is stopped.
+	memoryQuantile = 99.5
+	memoryMargin   = 1.10
+	// cpuQuantile is lower, since processors are shared and a short excess only slows.
+	cpuQuantile = 90
+	cpuMargin   = 1.05
+	// minRatio bounds how far a reservation is lowered: a tenth of the declared size.
+	minRatio = ratioScale / 10
+	// runtimeSamples bounds the weight of past run times.
+	runtimeSamples = 50
+)
+
+// ratioWindow is the distribution of measured over declared use in one
+// dimension, over the last one to two windows of reports.
+type ratioWindow struct {
+	current, previous *hdrhistogram.Histogram
+}
+
+func newRatioWindow() ratioWindow {
+	return ratioWindow{current: hdrhistogram.New(1, maxRatio, 2), previous: hdrhistogram.New(1, maxRatio, 2)}
+}
+
+func (w *ratioWindow) add(used, declared int64) {
+	if declared <= 0 {
+		return
+	}
+	if w.current.TotalCount() >= windowSamples {
+		w.current, w.previous = w.previous, w.current
+		w.current.Reset()
+	}
+	// The value is within the histogram's range, so recording cannot fail.
+	_ = w.current.RecordValue(min(max(used*ratioScale/declared, 1), maxRatio))
+}
+
+func (w *ratioWindow) quantile(q float64) int64 {
+	return max(w.current.ValueAtQuantile(q), w.previous.ValueAtQuantile(q))
+}
+
+// entryEstimate is what was learned of one entry's tasks.
+type entryEstimate struct {
+	cpu, memory ratioWindow
+	samples     int64
+	// cpuRatio and memoryRatio are the reservation per declared unit, by ratioScale.
+	cpuRatio, memoryRatio int64
+	// runtime is the run time of whole tasks in milliseconds.
+	runtime meanStat
+	// failedOn lists workers on which the entry failed since it last succeeded.
+	failedOn map[structs.WorkerID]struct{}
+}
+
+// estimate returns the entry's estimate, creating it.
+func (s *Scheduler) estimate(entry int32) *entryEstimate {
+	s.estimates = grow(s.estimates, entry)
+	if s.estimates[entry] == nil {
+		s.estimates[entry] = &entryEstimate{
+			cpu: newRatioWindow(), memory: newRatioWindow(),
+			cpuRatio: ratioScale, memoryRatio: ratioScale,
+			failedOn: map[structs.WorkerID]struct{}{},
+		}
+	}
+	return s.estimates[entry]
+}
+
+// observe takes in one measured use.
+func (e *entryEstimate) observe(declared, used structs.Resources) {
+	e.cpu.add(used.CPUMilli, declared.CPUMilli)
+	e.memory.add(used.MemoryMB, declared.MemoryMB)
+	e.samples++
+	if e.samples%requantile == 0 || e.samples == raiseSamples {
+		e.cpuRatio = e.ratio(float64(e.cpu.quantile(cpuQuantile)) * cpuMargin)
+		e.memoryRatio = e.ratio(float64(e.memory.quantile(memoryQuantile)) * memoryMargin)
+	}
+}
+
+// ratio bounds a measured ratio by what the number of reports allows.
+func (e *entryEstimate) ratio(r float64) int64 {
+	ratio := max(int64(r), minRatio)
+	if ratio < ratioScale && e.samples < lowerSamples {
+		return ratioScale
+	}
+	return ratio
+}
+
+// declaredSize is the size the job or its entry declares for one task.
+func declaredSize(info *entryInfo, job *structs.Job) structs.Resources {
+	if job.Spec.Resources.IsZero() {
+		return info.Resources
+	}
+	return job.Spec.Resources
+}
+
+// reserve is the size to reserve for one task: the declared size corrected by
+// what was measured. A correction that no kind of worker has room for is dropped.
+func (s *Scheduler) reserve(info *entryInfo, declared structs.Resources) structs.Resources {
+	e := s.estimate(info.id)
+	if e.cpuRatio == ratioScale && e.memoryRatio == ratioScale {
+		return declared
+	}
+	need := declared
+	need.CPUMilli = (declared.CPUMilli*e.cpuRatio + ratioScale - 1) / ratioScale
+	need.MemoryMB = (declared.MemoryMB*e.memoryRatio + ratioScale - 1) / ratioScale
+	if !s.fitsSomeKind(need) {
+		return declared
+	}
+	return need
+}
+
+// sizeNote describes the correction for the record; empty when there is none.
+func (s *Scheduler) sizeNote(info *entryInfo) string {
+	e := s.estimate(info.id)
+	if e.cpuRatio == ratioScale && e.memoryRatio == ratioScale {
+		return ""
+	}
+	return fmt.Sprintf("; reserved %d%% of declared processors and %d%% of memory after %d reports",
+		e.cpuRatio*100/ratioScale, e.memoryRatio*100/ratioScale, e.samples)
+}
+
+// runtimeMS is the expected run time of one whole task; 0 means unknown.
+func (s *Scheduler) runtimeMS(info *entryInfo) int64 {
+	e := s.estimate(info.id)
+	if info.ExpectedRuntimeMS <= 0 {
+		return int64(e.runtime.mean)
+	}
+	return int64(e.runtime.toward(float64(info.ExpectedRuntimeMS)))
+}
--- /dev/null
+++ b/core/sched/explain.go
@@ -0,0 +1,124 @@
+package sched
+
+import (
+	"fmt"
+
+	"gooseberrypond/core/structs"
+)
+
+// explainTasks bounds the tasks described for one job.
+const explainTasks = 10
+
+// Explain says why the tasks of a job wait, or where they run and why, with
+// the state of each group of workers for those that wait.
+func (s *Scheduler) Explain(t View, id structs.JobID) []string {
+	job := t.Job(id)
+	if job == nil {
+		return []string{"no such job"}
+	}
+	lines := []string{fmt.Sprintf("job %s is %s", id, job.Status)}
+	lines = append(lines, job.Reasons...)
+	if job.DeadlineAtRisk {
+		lines = append(lines, "its deadline is predicted to be missed")
+	}
+	waiting, shown := 0, 0
+	for _, task := range t.TasksOf(id) {
+		if task.Status.Finished() {
+			continue
+		}
+		if task.State == structs.AttemptNone {
+			waiting++
+		}
+		if shown < explainTasks {
+			shown++
+			lines = append(lines, s.explainTask(task))
+		}
+	}
+	if waiting > 0 {
+		lines = append(lines, s.explainWaiting(t, job, waiting)...)
+	}
+	return lines
+}
+
+func (s *Scheduler) explainTask(task *structs.Task) string {
+	line := fmt.Sprintf("task %d: ", task.ID.Index)
+	if task.State != structs.AttemptNone {
+		line += fmt.Sprintf("%s on %s (%s)", task.State, task.Worker, task.PlaceReason)
+	} else {
+		line += "waits"
+	}
+	if task.Evictions > 0 {
+		line += fmt.Sprintf("; evicted %d times, last: %s", task.Evictions, task.EvictReason)
+	}
+	if r, ok := s.retries[task.ID]; ok {
+		line += fmt.Sprintf("; failed on %s, not tried again before %d ms", r.worker, r.notBeforeMS)
+	}
+	return line
+}
+
+// explainWaiting names what the waiting tasks lack.
+func (s *Scheduler) explainWaiting(t View, job *structs.Job, waiting int) []string {
+	info := s.infos[job.Spec.Entry]
+	if info == nil {
+		return []string{fmt.Sprintf("%d tasks wait: entry %q is not in the catalogue", waiting, job.Spec.Entry)}
+	}
+	need := s.reserve(info, declaredSize(info, job))
+	lines := []string{fmt.Sprintf("%d tasks wait, each reserves %s%s", waiting, need, s.sizeNote(info))}
+	if use, quota := t.OwnerUsage(info.owner), t.Catalogue().Owners[info.owner].Quota; !fitsQuota(use.Add(need), quota) {
+		lines = append(lines, fmt.Sprintf("owner %s uses %s of its quota %s", info.owner, use, quota))
+	}
+	if len(s.order) == 0 {
+		return append(lines, "no worker has registered")
+	}
+	return append(lines, s.explainGroups(need)...)
+}
+
+// group counts the workers of one domain and rack by what they lack.
+type group struct {
+	name    string
+	workers int
+	reasons map[string]int
+	order   []string
+}
+
+func (s *Scheduler) explainGroups(need structs.Resources) []string {
+	var groups []*group
+	byName := map[string]*group{}
+	for _, n := range s.order {
+		name := "domain " + n.worker.Domain + " rack " + n.worker.Rack
+		g := byName[name]
+		if g == nil {
+			g = &group{name: name, reasons: map[string]int{}}
+			byName[name] = g
+			groups = append(groups, g)
+		}
+		g.workers++
+		reason := nodeReason(n, need)
+		if g.reasons[reason] == 0 {
+			g.order = append(g.order, reason)
+		}
+		g.reasons[reason]++
+	}
+	var lines []string
+	for _, g := range groups {
+		for _, reason := range g.order {
+			lines = append(lines, fmt.Sprintf("%s: %d of %d workers: %s", g.name, g.reasons[reason], g.workers, reason))
+		}
+	}
+	return lines
+}
+
+// nodeReason says what keeps a node from taking a task of the size.
+func nodeReason(n *node, need structs.Resources) string {
+	switch {
+	case n.blocked != "":
+		return n.blocked
+	case !need.Fits(n.worker.Capacity):
+		return "too small"
+	case need.Fits(n.free()):
+		return "has room now"
+	case need.Fits(n.free().Add(n.held)):
+		return "room reserved for another task"
+	}
+	return "no room now"
+}
--- a/core/sched/fake_test.go
+++ b/core/sched/fake_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -67,19 +69,37 @@
 	}
 }
 
-func (f *fakeView) Catalogue() *structs.Catalogue        { return &f.catalogue }
-func (f *fakeView) DomainsOut() []string                 { return f.out }
-func (f *fakeView) Job(id structs.JobID) *structs.Job    { return f.jobs[id] }
-func (f *fakeView) Task(id structs.TaskID) *structs.Task { return f.tasks[id] }
-func (f *fakeView) Workers() []*structs.Worker           { return f.workers }
-func (f *fakeView) ResolveOwner(name string) string      { return name }
-func (f *fakeView) PendingTasks() (pending []*structs.Task) {
+func (f *fakeView) Catalogue() *structs.Catalogue          { return &f.catalogue }
+func (f *fakeView) DomainsOut() []string                   { return f.out }
+func (f *fakeView) Job(id structs.JobID) *structs.Job      { return f.jobs[id] }
+func (f *fakeView) Task(id structs.TaskID) *structs.Task   { return f.tasks[id] }
+func (f *fakeView) Workers() []*structs.Worker             { return f.workers }
+func (f *fakeView) ResolveOwner(name string) string        { return name }
+func (f *fakeView) DomainsVersion() uint64                 { return uint64(len(f.out)) }
+func (f *fakeView) Domain(string) (d structs.DomainState)  { return d }
+func (f *fakeView) TakeChangedWorkers() []structs.WorkerID { return nil }
+func (f *fakeView) DueJobs(int64, int) []*structs.Job      { return nil }
+func (f *fakeView) PendingCount(string) int                { return 0 }
+
+func (f *fakeView) TasksOf(id structs.JobID) (tasks []*structs.Task) {
 	for _, t := range f.order {
-		if t.State == structs.AttemptNone && t.Status == structs.StatusPending {
-			pending = append(pending, t)
+		if t.ID.Job == id {
+			tasks = append(tasks, t)
+		}
+	}
+	return tasks
+}
+
+func (f *fakeView) PendingEntries() []string { return slices.Sorted(maps.Keys(f.catalogue.Entries)) }
+
+func (f *fakeView) PendingIn(entry string) func(yield func(*structs.Task) bool) {
+	return func(yield func(*structs.Task) bool) {
+		for _, t := range f.order {
+			if f.jobs[t.ID.Job].Spec.Entry == entry && t.State == structs.AttemptNone && t.Status == structs.StatusPending && !yield(t) {
+				return
+			}
 		}
 	}
-	return pending
 }
 
 func (f *fakeView) Worker(id structs.WorkerID) *structs.Worker {
--- a/core/sched/feasible.go
+++ b/core/sched/feasible.go
@@ -11,6 +11,8 @@
 		return "failure domain out of service"
 	case !p.live.Live(n.worker.ID):
 		return "not answering"
+	case p.setAside(n):
+		return "set aside after repeated failures"
 	}
 	return ""
 }
@@ -30,7 +32,7 @@
 		p.markInfeasible(it.need)
 		return nil
 	}
-	return p.filter(found)
+	return p.filter(it, found)
 }
 
 // markInfeasible remembers that no worker has room for need until some
@@ -45,13 +47,23 @@
 // maxInfeasible bounds the remembered shapes.
 const maxInfeasible = 4096
 
-// filter drops candidates that may not take the task for reasons other than room.
-func (p *planner) filter(found []*node) []*node {
+// filter drops candidates that may not take the task now for reasons other
+// than room. The worker on which the task last failed is kept when it is the only one.
+func (p *planner) filter(it *item, found []*node) []*node {
 	kept := found[:0]
+	var avoided *node
+	last, failed := p.retries[it.task.ID]
 	for _, n := range found {
-		if p.live.Live(n.worker.ID) {
+		switch {
+		case !p.live.Live(n.worker.ID), p.paced(n), p.setAside(n):
+		case failed && n.worker.ID == last.worker:
+			avoided = n
+		default:
 			kept = append(kept, n)
 		}
 	}
+	if len(kept) == 0 && avoided != nil {
+		kept = append(kept, avoided)
+	}
 	return kept
 }
--- /dev/null
+++ b/core/sched/interference.go
@@ -0,0 +1,171 @@
+package sched
+
+import (
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// confidenceSamples is k in the weight n/(n+k) of an observed mean against the prior.
+	confidenceSamples = 5.0
+	// maxPairWeight bounds the weight of past samples, so that estimates follow load.
+	maxPairWeight = 200.0
+	// maxExcess bounds the slowdown counted from one report; longer outliers
+	// come from faults rather than from neighbours.
+	maxExcess = 5.0
+	// excessFloor is the least share of blame of any neighbour, so that a pair
+	// that was never blamed can be found out later.
+	excessFloor = 0.002
+	// reportHalfAgeMS is the age at which a report counts half.
+	reportHalfAgeMS = 30_000.0
+	// tablePriorExcess is the excess slowdown assumed for a pair before any report.
+	tablePriorExcess = 0.02
+)
+
+// meanStat is a weighted running mean.
+type meanStat struct {
+	weight float32
+	mean   float32
+}
+
+func (m *meanStat) add(x, weight float64, limit float32) {
+	m.weight = min(m.weight+float32(weight), limit)
+	m.mean += (float32(x) - m.mean) * float32(weight) / m.weight
+}
+
+// toward blends the mean with a prior by the weight n/(n+k).
+func (m *meanStat) toward(prior float64) float64 {
+	c := float64(m.weight) / (float64(m.weight) + confidenceSamples)
+	return float64(m.mean)*c + prior*(1-c)
+}
+
+// interference estimates, for each ordered pair of entries, the excess
+// slowdown that one task of the aggressor adds to a task of the victim.
+type interference struct {
+	// plainMean uses observed means as they are, for comparison.
+	plainMean bool
+	rows      []interferenceRow
+	overall   meanStat
+	// noise is the mean excess that an entry adds to any victim.
+	noise []meanStat
+}
+
+// interferenceRow holds one victim's estimates by aggressor.
+type interferenceRow struct {
+	pairs []meanStat
+	// all is the mean over every aggressor: the victim's sensitivity.
+	all meanStat
+}
+
+func grow[T any](list []T, id int32) []T {
+	if int(id) < len(list) {
+		return list
+	}
+	return append(list, make([]T, int(id)+1-len(list))...)
+}
+
+// excess is the estimated excess slowdown of victim beside one aggressor.
+func (f *interference) excess(victim, aggressor int32) float64 {
+	if int(victim) < len(f.rows) {
+		if row := &f.rows[victim]; int(aggressor) < len(row.pairs) {
+			pair := &row.pairs[aggressor]
+			if f.plainMean && pair.weight > 0 {
+				return float64(pair.mean)
+			}
+			if pair.weight > 20*confidenceSamples {
+				return float64(pair.mean)
+			}
+			return pair.toward(f.prior(victim, aggressor))
+		}
+	}
+	return f.prior(victim, aggressor)
+}
+
+// prior estimates a pair from the victim's sensitivity and the aggressor's
+// noise, both relative to the overall mean.
+func (f *interference) prior(victim, aggressor int32) float64 {
+	overall := f.overall.toward(tablePriorExcess)
+	if f.plainMean || overall <= 0 {
+		return overall
+	}
+	p := overall
+	if int(victim) < len(f.rows) {
+		p *= f.rows[victim].all.toward(overall) / overall
+	}
+	if int(aggressor) < len(f.noise) {
+		p *= f.noise[aggressor].toward(overall) / overall
+	}
+	return p
+}
+
+// observe learns from one report: the excess slowdown is divided among the
+// neighbours in proportion to their present estimates.
+func (f *interference) observe(victim int32, slowdown float64, ageMS int64, neighbours []int32) {
+	if len(neighbours) == 0 || slowdown <= 0 {
+		return
+	}
+	excess := min(max(slowdown-1, 0), maxExcess)
+	weight := reportHalfAgeMS / (reportHalfAgeMS + float64(max(0, ageMS)))
+	sum := 0.0
+	for _, a := range neighbours {
+		sum += f.excess(victim, a) + excessFloor
+	}
+	f.rows = grow(f.rows, victim)
+	for i, a := range neighbours {
+		if seenBefore(neighbours[:i], a) {
+			continue
+		}
+		part := excess * (f.excess(victim, a) + excessFloor) / sum
+		f.learn(victim, a, part, weight)
+	}
+}
+
+func (f *interference) learn(victim, aggressor int32, excess, weight float64) {
+	row := &f.rows[victim]
+	row.pairs = grow(row.pairs, aggressor)
+	f.noise = grow(f.noise, aggressor)
+	row.pairs[aggressor].add(excess, weight, maxPairWeight)
+	row.all.add(excess, weight, maxPairWeight)
+	f.noise[aggressor].add(excess, weight, maxPairWeight)
+	f.overall.add(excess, weight, 10*maxPairWeight)
+}
+
+func seenBefore(list []int32, x int32) bool {
+	for _, y := range list {
+		if x == y {
+			return true
+		}
+	}
+	return false
+}
+
+// Observe takes in a worker's usage reports.
+func (s *Scheduler) Observe(now time.Time, worker structs.WorkerID, usage []structs.Usage, t View) {
+	n := s.nodes[worker]
+	for i := range usage {
+		u := &usage[i]
+		task := t.Task(u.Task)
+		job := t.Job(u.Task.Job)
+		if task == nil || job == nil {
+			continue
+		}
+		id := s.entryID(job.Spec.Entry)
+		s.neighbours = s.neighbours[:0]
+		for _, name := range u.Neighbours {
+			s.neighbours = append(s.neighbours, s.entryID(name))
+		}
+		s.interference.observe(id, u.Slowdown, u.AgeMS, s.neighbours)
+		info := s.infos[job.Spec.Entry]
+		if info == nil {
+			continue
+		}
+		s.estimate(id).observe(declaredSize(info, job), u.Used)
+		if n != nil && info.Class == structs.ClassLatency && u.Slowdown > 0 {
+			n.suffer(u.Task, u.Slowdown, now.Add(-time.Duration(u.AgeMS)*time.Millisecond))
+		}
+	}
+	if n != nil {
+		s.adjustThrottles(n, now, t)
+	}
+}
--- a/core/sched/node.go
+++ b/core/sched/node.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"time"
+
 	"gooseberrypond/core/structs"
 )
 
@@ -19,6 +21,12 @@
 	blocked string
 	// counted is the capacity that the scheduler's total includes for the node.
 	counted structs.Resources
+	// dirty is set while the node waits to be copied from the tables again.
+	dirty bool
+	// starts are the times of the last starts, a ring for pacing.
+	starts    [structs.ReturnStartsPerSecond]time.Time
+	nextStart int
+	pressure  pressure
 	// index positions; pos is -1 when the node is in no bucket.
 	bucket [2]int
 	pos    [2]int
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -2,17 +2,11 @@
 
 import (
 	"container/heap"
+	"fmt"
 
 	"gooseberrypond/core/structs"
 )
 
-// placePending places pending tasks in the order of the queue.
-func (p *planner) placePending() {
-	for _, q := range p.queues() {
-		p.placeTier(&q)
-	}
-}
-
 // placeTier places one tier's tasks, always for the owner with the lowest share.
 func (p *planner) placeTier(q *queue) {
 	for q.Len() > 0 && len(p.plan.Assign) < p.opts.MaxDecisions {
@@ -35,12 +29,18 @@
 	if !p.withinQuota(it.info.owner, it.need) {
 		return false
 	}
+	if placed, done := p.placeHeld(it); done {
+		return placed
+	}
 	found := p.feasible(it)
 	n := p.best(it, found)
 	if n == nil {
+		if it.info.Urgent {
+			p.preempt(it)
+		}
 		return false
 	}
-	p.assign(it, n, "")
+	p.assign(it, n, fmt.Sprintf("best of %d workers with room%s", len(found), p.sizeNote(it.info)))
 	return true
 }
 
@@ -55,7 +55,9 @@
 	})
 	n.used = n.used.Add(it.need)
 	n.addEntry(it.info.id, 1)
+	n.noteStart(p.now)
+	p.spread.add(it.info.id, n, 1)
 	p.usage[it.info.owner] = p.ownerUsage(it.info.owner).Add(it.need)
 	p.reindex(n)
-	p.dirty[n] = struct{}{}
+	p.markDirty(n)
 }
--- /dev/null
+++ b/core/sched/preempt.go
@@ -0,0 +1,259 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// evictionBurst and evictionsPerMinute are the eviction budget of one owner.
+	evictionBurst      = 20.0
+	evictionsPerMinute = 20.0
+	// preemptsPerTick bounds the searches for victims in one tick.
+	preemptsPerTick = 48
+	// preemptCandidates is the number of workers searched for victims.
+	preemptCandidates = 24
+	// holdTime is how long room stays reserved for a task after evictions made
+	// room for it; a checkpoint that takes longer loses the reservation.
+	holdTime = 15 * time.Second
+	// evictionCost is the cost of an eviction in seconds of lost work: writing
+	// and loading the checkpoint.
+	evictionCost = 5.0
+)
+
+// hold is room reserved on a worker for one task.
+type hold struct {
+	node  *node
+	need  structs.Resources
+	until time.Time
+}
+
+// budget is an owner's allowance of evictions, a token bucket.
+type budget struct {
+	tokens float64
+	at     time.Time
+}
+
+// mayEvict reports whether the task's cooldown allows an eviction now.
+func (p *planner) mayEvict(task *structs.Task) bool {
+	if task.State != structs.AttemptRunning && task.State != structs.AttemptAssigned {
+		return false
+	}
+	_, planned := p.evicted[task.ID]
+	return !planned && (task.LastEvictedMS == 0 || p.nowMS-task.LastEvictedMS >= structs.EvictionCooldown.Milliseconds())
+}
+
+// allowance is the owner's budget, refilled up to now.
+func (p *planner) allowance(owner string) *budget {
+	b := p.budgets[owner]
+	if b == nil {
+		b = &budget{tokens: evictionBurst, at: p.now}
+		p.budgets[owner] = b
+	}
+	b.tokens = min(evictionBurst, b.tokens+p.now.Sub(b.at).Minutes()*evictionsPerMinute)
+	b.at = p.now
+	return b
+}
+
+// spendEviction takes one eviction from the budget of the task's owner.
+func (p *planner) spendEviction(task *structs.Task) bool {
+	b := p.allowance(p.ownerOf(task))
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// evict adds the eviction to the plan.
+func (p *planner) evict(task *structs.Task, reason string) {
+	p.evicted[task.ID] = struct{}{}
+	p.plan.Evict = append(p.plan.Evict, structs.Eviction{
+		Ref:    structs.AttemptRef{Task: task.ID, Attempt: task.Attempt, Epoch: task.Epoch},
+		Reason: reason,
+	})
+}
+
+// reserveRoom keeps room on the node for the task until it is placed.
+func (p *planner) reserveRoom(it *item, n *node) {
+	p.releaseHold(it.task.ID)
+	p.holdOrder = append(p.holdOrder, it.task.ID)
+	p.holds[it.task.ID] = hold{node: n, need: it.need, until: p.now.Add(holdTime)}
+	n.held = n.held.Add(it.need)
+	p.reindex(n)
+}
+
+// releaseHold gives up the room reserved for the task.
+func (p *planner) releaseHold(id structs.TaskID) {
+	h, ok := p.holds[id]
+	if !ok {
+		return
+	}
+	delete(p.holds, id)
+	h.node.held = h.node.held.Sub(h.need)
+	p.reindex(h.node)
+	p.freed++
+}
+
+// expireHolds releases reservations that are over, whose task is gone or
+// whose worker takes no tasks any more.
+func (p *planner) expireHolds() {
+	p.holdOrder = slices.DeleteFunc(p.holdOrder, func(id structs.TaskID) bool {
+		h, ok := p.holds[id]
+		if !ok {
+			return true
+		}
+		task := p.t.Task(id)
+		if p.now.After(h.until) || task == nil || task.Status.Finished() || h.node.blocked != "" {
+			p.releaseHold(id)
+			return true
+		}
+		return false
+	})
+}
+
+// placeHeld places the item in the room reserved for it. done is false when
+// it has no reservation; a reservation that is not free yet is waited for.
+func (p *planner) placeHeld(it *item) (placed, done bool) {
+	h, ok := p.holds[it.task.ID]
+	if !ok {
+		return false, false
+	}
+	if !it.need.Fits(h.node.free().Add(h.need)) || p.paced(h.node) || !p.live.Live(h.node.worker.ID) {
+		return false, true
+	}
+	p.releaseHold(it.task.ID)
+	p.assign(it, h.node, "room made by evictions or drain")
+	return true, true
+}
+
+// victims is a set of evictions that makes room on one node.
+type victims struct {
+	node  *node
+	tasks []*structs.Task
+	cost  float64
+}
+
+// preempt evicts batch tasks to make room for the item, and reserves the room.
+func (p *planner) preempt(it *item) {
+	if p.preempts >= preemptsPerTick || len(p.order) == 0 {
+		return
+	}
+	p.preempts++
+	best := victims{}
+	start := p.rng.IntN(len(p.order))
+	for i := range min(preemptCandidates, len(p.order)) {
+		n := p.order[(start+i*max(1, len(p.order)/preemptCandidates))%len(p.order)]
+		if n.blocked != "" || p.paced(n) || !it.need.Fits(n.worker.Capacity) {
+			continue
+		}
+		if v, ok := p.victimsOn(n, it.need); ok && (best.node == nil || v.cost < best.cost) {
+			best = v
+		}
+	}
+	if best.node == nil {
+		return
+	}
+	for _, task := range best.tasks {
+		if !p.spendEviction(task) {
+			return
+		}
+		p.evict(task, "makes room for urgent "+it.info.name)
+	}
+	p.reserveRoom(it, best.node)
+}
+
+// victimsOn chooses batch tasks on the node whose eviction makes room for need.
+func (p *planner) victimsOn(n *node, need structs.Resources) (victims, bool) {
+	v := victims{node: n}
+	room := n.free()
+	var able []*structs.Task
+	for _, task := range p.t.AttemptsOn(n.worker.ID) {
+		_, planned := p.evicted[task.ID]
+		if planned || task.State == structs.AttemptEvicting || task.State == structs.AttemptStopping {
+			room = room.Add(task.Reserved)
+		} else if p.mayEvict(task) && p.preemptible(task) {
+			able = append(able, task)
+		}
+	}
+	slices.SortStableFunc(able, func(a, b *structs.Task) int {
+		return cmp.Compare(p.evictCost(a), p.evictCost(b))
+	})
+	for _, task := range able {
+		if need.Fits(room) {
+			break
+		}
+		if !helps(task.Reserved, need, room) || !p.affordable(task, v.tasks) {
+			continue
+		}
+		room = room.Add(task.Reserved)
+		v.tasks = append(v.tasks, task)
+		v.cost += p.evictCost(task)
+	}
+	return p.prune(v, need, room), need.Fits(room)
+}
+
+// helps reports whether freeing part brings room closer to need.
+func helps(part, need, room structs.Resources) bool {
+	return part.CPUMilli > 0 && need.CPUMilli > room.CPUMilli ||
+		part.MemoryMB > 0 && need.MemoryMB > room.MemoryMB ||
+		part.Accelerators > 0 && need.Accelerators > room.Accelerators
+}
+
+// prune drops victims, most costly first, that later ones made unnecessary.
+func (p *planner) prune(v victims, need, room structs.Resources) victims {
+	for i := len(v.tasks) - 1; i >= 0; i-- {
+		without := room.Sub(v.tasks[i].Reserved)
+		if need.Fits(without) {
+			room = without
+			v.cost -= p.evictCost(v.tasks[i])
+			v.tasks = slices.Delete(v.tasks, i, i+1)
+		}
+	}
+	return v
+}
+
+// affordable reports whether the budget of the task's owner covers one more
+// eviction beyond those chosen.
+func (p *planner) affordable(task *structs.Task, chosen []*structs.Task) bool {
+	owner := p.ownerOf(task)
+	tokens := p.allowance(owner).tokens
+	for _, c := range chosen {
+		if p.ownerOf(c) == owner {
+			tokens--
+		}
+	}
+	return tokens >= 1
+}
+
+// ownerOf is the current owner of the task's job; empty when the job is gone.
+func (p *planner) ownerOf(task *structs.Task) string {
+	if job := p.t.Job(task.ID.Job); job != nil {
+		return p.t.ResolveOwner(job.Owner)
+	}
+	return ""
+}
+
+func (p *planner) preemptible(task *structs.Task) bool {
+	job := p.t.Job(task.ID.Job)
+	return job != nil && p.isPlainBatch(job)
+}
+
+// evictCost is the work lost by an eviction in seconds: what ran since the
+// start of the attempt may not be in a checkpoint, a task that was evicted
+// before is spared, and one that is nearly done is better left to finish.
+func (p *planner) evictCost(task *structs.Task) float64 {
+	elapsed := float64(ranMS(task, p.nowMS)) / 1000
+	cost := evictionCost*float64(1+task.Evictions) + elapsed/10
+	job := p.t.Job(task.ID.Job)
+	if info := p.infos[job.Spec.Entry]; info != nil {
+		cost += float64(info.Priority) / 10
+		if left := float64(p.remainingMS(task, info)) / 1000; left < 2*evictionCost {
+			cost += 2 * evictionCost
+		}
+	}
+	return cost
+}
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -75,19 +75,23 @@
 func (p *planner) queues() [tiers]queue {
 	var qs [tiers]queue
 	byOwner := [tiers]map[string]*ownerQueue{{}, {}, {}}
-	for _, task := range p.t.PendingTasks() {
-		it, ok := p.item(task)
-		if !ok {
+	for _, name := range p.t.PendingEntries() {
+		info := p.infos[name]
+		if info == nil {
 			continue
 		}
-		tier := tierOf(it.info)
-		oq := byOwner[tier][it.info.owner]
+		tier := tierOf(info)
+		oq := byOwner[tier][info.owner]
 		if oq == nil {
-			oq = &ownerQueue{owner: it.info.owner, share: p.share(it.info.owner)}
-			byOwner[tier][it.info.owner] = oq
+			oq = &ownerQueue{owner: info.owner, share: p.share(info.owner)}
+			byOwner[tier][info.owner] = oq
 			qs[tier] = append(qs[tier], oq)
 		}
-		oq.items = append(oq.items, it)
+		for task := range p.t.PendingIn(name) {
+			if it, ok := p.item(task); ok && p.nowMS >= p.retries[task.ID].notBeforeMS {
+				oq.items = append(oq.items, it)
+			}
+		}
 	}
 	for tier := range qs {
 		for _, oq := range qs[tier] {
@@ -109,9 +113,13 @@
 	if info == nil {
 		return it, false
 	}
-	need := info.Resources
-	if !job.Spec.Resources.IsZero() {
-		need = job.Spec.Resources
+	declared := declaredSize(info, job)
+	if p.noteUnrunnable(job, declared) {
+		return it, false
+	}
+	slack := p.slackMS(task, job, info)
+	if job.Spec.Kind == structs.KindBatch {
+		p.noteDeadline(job, slack)
 	}
-	return item{task: task, job: job, info: info, need: need}, true
+	return item{task: task, job: job, info: info, need: p.reserve(info, declared), slackMS: slack}, true
 }
--- a/core/sched/rank.go
+++ b/core/sched/rank.go
@@ -1,6 +1,23 @@
 package sched
 
-// best returns the candidate with the lowest cost for the item.
+import "gooseberrypond/core/structs"
+
+const (
+	// latencyWeight is how much a slowdown of a latency-critical task counts
+	// relative to one of a batch task.
+	latencyWeight = 4.0
+	// loadWeight weighs the processors and memory in use after the placement.
+	loadWeight = 0.3
+	// Spread weights count the part of a service's tasks that shares the
+	// domain, rack or worker.
+	domainWeight = 1.0
+	rackWeight   = 0.6
+	workerWeight = 0.6
+	// acceleratorWeight keeps workers with accelerators for tasks that need them.
+	acceleratorWeight = 0.5
+)
+
+// best returns the candidate with the lowest cost for the item, or nil.
 func (p *planner) best(it *item, found []*node) *node {
 	var best *node
 	var low float64
@@ -14,7 +31,69 @@
 
 // cost estimates the harm of placing the item on the node; lower is better.
 func (p *planner) cost(it *item, n *node) float64 {
-	cap := n.worker.Capacity
-	used := n.used.Add(it.need)
-	return part(used.CPUMilli, cap.CPUMilli) + part(used.MemoryMB, cap.MemoryMB)
+	cost := p.interferenceCost(it.info, n)
+	cost += loadWeight * load(n.used.Add(n.held).Add(it.need), n.worker.Capacity)
+	if it.need.Accelerators == 0 && n.worker.Capacity.Accelerators > 0 {
+		cost += acceleratorWeight
+	}
+	if it.info.Class == structs.ClassLatency || it.job.Spec.Kind == structs.KindService {
+		cost += p.spread.cost(it.info.id, n)
+	}
+	return cost
+}
+
+// load grows with the square of the fuller dimension, since tasks disturb each
+// other more on a full worker.
+func load(used, capacity structs.Resources) float64 {
+	u := max(part(used.CPUMilli, capacity.CPUMilli), part(used.MemoryMB, capacity.MemoryMB))
+	return u * u
+}
+
+// interferenceCost is the excess slowdown that the placement adds for the
+// task and for its neighbours.
+func (p *planner) interferenceCost(info *entryInfo, n *node) float64 {
+	own, others := 0.0, 0.0
+	for _, c := range n.entries {
+		own += float64(c.n) * p.interference.excess(info.id, c.entry)
+		others += float64(c.n) * p.interference.excess(c.entry, info.id) * p.weights[c.entry]
+	}
+	return own*p.weights[info.id] + others
+}
+
+// spread counts each entry's tasks by domain and by rack.
+type spread struct {
+	domains, racks [][]int32
+	total          []int32
+}
+
+func (s *spread) add(entry int32, n *node, delta int32) {
+	s.domains = grow(s.domains, entry)
+	s.racks = grow(s.racks, entry)
+	s.total = grow(s.total, entry)
+	s.domains[entry] = grow(s.domains[entry], n.domain)
+	s.racks[entry] = grow(s.racks[entry], n.rack)
+	s.domains[entry][n.domain] += delta
+	s.racks[entry][n.rack] += delta
+	s.total[entry] += delta
+}
+
+// cost is the weighted part of the entry's tasks that would share the node's
+// domain, rack and worker.
+func (s *spread) cost(entry int32, n *node) float64 {
+	if int(entry) >= len(s.total) || s.total[entry] <= 0 {
+		return 0
+	}
+	sum := 0.0
+	if d := s.domains[entry]; int(n.domain) < len(d) {
+		sum += domainWeight * float64(d[n.domain])
+	}
+	if r := s.racks[entry]; int(n.rack) < len(r) {
+		sum += rackWeight * float64(r[n.rack])
+	}
+	for _, c := range n.entries {
+		if c.entry == entry {
+			sum += workerWeight * float64(c.n)
+		}
+	}
+	return sum / float64(s.total[entry])
 }
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -13,6 +14,9 @@
 	Seed uint64
 	// Candidates is the number of workers ranked for one task; 0 means 32.
 	Candidates int
+	// PlainMean uses observed interference as it is, without the confidence
+	// weight against a prior.
+	PlainMean bool
 	// MaxDecisions bounds the placements of one plan; 0 means 1,000.
 	MaxDecisions int
 }
@@ -44,8 +48,14 @@
 	ticks   uint64
 	all     freeIndex
 	accel   freeIndex
-	dirty   map[*node]struct{}
-	out     map[string]bool
+	dirty   []*node
+	kinds   []kind
+	// out, outSince and returned are the domains out of service, since when,
+	// and when others returned.
+	out            map[string]bool
+	outSince       map[string]time.Time
+	returned       map[string]time.Time
+	domainsVersion uint64
 	// total is the capacity of the workers that take tasks.
 	total structs.Resources
 
@@ -55,7 +65,22 @@
 	// freed counts events after which a shape that had no room may have some.
 	freed uint64
 
+	interference interference
+	estimates    []*entryEstimate
+	spread       spread
+	// weights is how much a slowdown of each entry counts.
+	weights []float64
+	holds   map[structs.TaskID]hold
+	// holdOrder lists the holds in the order in which they were made.
+	holdOrder []structs.TaskID
+	budgets   map[string]*budget
+	health    map[structs.WorkerID]*health
+	retries   map[structs.TaskID]retry
+	// ran is the run time of earlier attempts that ended with a checkpoint, in milliseconds.
+	ran map[structs.TaskID]int64
+
 	candidates []*node
+	neighbours []int32
 }
 
 // entryInfo is an entry of the current catalogue with derived values.
@@ -81,43 +106,59 @@
 		domains:    newInterner(),
 		racks:      newInterner(),
 		nodes:      map[structs.WorkerID]*node{},
-		dirty:      map[*node]struct{}{},
 		out:        map[string]bool{},
+		outSince:   map[string]time.Time{},
+		returned:   map[string]time.Time{},
+		holds:      map[structs.TaskID]hold{},
+		budgets:    map[string]*budget{},
+		health:     map[structs.WorkerID]*health{},
+		retries:    map[structs.TaskID]retry{},
+		ran:        map[structs.TaskID]int64{},
 		infos:      map[string]*entryInfo{},
 		infeasible: map[structs.Resources]uint64{},
 	}
 	s.accel.slot = 1
+	s.interference.plainMean = opts.PlainMean
 	return s
 }
 
 // Plan decides one tick. now is used for intervals, nowMS is the wall clock
 // in Unix milliseconds that deadlines and schedules refer to.
 func (s *Scheduler) Plan(now time.Time, nowMS int64, t View, live LiveView) *structs.Plan {
-	p := &planner{Scheduler: s, now: now, nowMS: nowMS, t: t, live: live, plan: &structs.Plan{}}
-	p.usage = map[string]structs.Resources{}
+	p := &planner{
+		Scheduler: s, now: now, nowMS: nowMS, t: t, live: live,
+		plan:    &structs.Plan{},
+		usage:   map[string]structs.Resources{},
+		evicted: map[structs.TaskID]struct{}{},
+		noted:   map[structs.JobID]bool{},
+	}
 	p.syncCatalogue()
 	p.syncWorkers()
-	p.placePending()
+	p.expireHolds()
+	p.createOccurrences()
+	qs := p.queues()
+	p.placeTier(&qs[tierUrgent])
+	p.placeTier(&qs[tierLatency])
+	p.drainServices()
+	p.placeTier(&qs[tierBatch])
+	p.drainBatch()
+	p.forget()
+	p.ticks++
 	return p.plan
 }
 
-// Observe takes in a worker's usage reports.
-func (s *Scheduler) Observe(now time.Time, worker structs.WorkerID, usage []structs.Usage, t View) {
-}
+// forgetTicks is the number of ticks between two removals of records of tasks that are gone.
+const forgetTicks = 1500
 
-// RecordEnd takes in the end of an attempt. task is its record before the end.
-func (s *Scheduler) RecordEnd(ev structs.TaskEvent, task *structs.Task, entry string, nowMS int64) {
-	if n := s.nodes[task.Worker]; n != nil {
-		s.dirty[n] = struct{}{}
+// forget drops what is known of tasks that have ended.
+func (p *planner) forget() {
+	if p.ticks%forgetTicks != 0 {
+		return
 	}
-}
-
-// Throttles lists the tasks that the worker should throttle now.
-func (s *Scheduler) Throttles(worker structs.WorkerID) []structs.TaskID {
-	return nil
-}
-
-// Explain says why the tasks of a job wait or where they were placed.
-func (s *Scheduler) Explain(t View, job structs.JobID) []string {
-	return nil
+	gone := func(id structs.TaskID) bool {
+		task := p.t.Task(id)
+		return task == nil || task.Status.Finished()
+	}
+	maps.DeleteFunc(p.retries, func(id structs.TaskID, _ retry) bool { return gone(id) })
+	maps.DeleteFunc(p.ran, func(id structs.TaskID, _ int64) bool { return gone(id) })
 }
--- /dev/null
+++ b/core/sched/setaside.go
@@ -0,0 +1,113 @@
+package sched
+
+import (
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// failuresToSetAside is the number of failures in a row after which a worker is set aside.
+	failuresToSetAside = 3
+	// setAsideMin and setAsideMax bound the time until a worker is tried again.
+	setAsideMin = 10 * time.Second
+	setAsideMax = 10 * time.Minute
+	// entryFaultWorkers is the number of workers on which an entry must fail in
+	// a row before its failures are taken as its own and not the workers'.
+	entryFaultWorkers = 3
+	// retryMin and retryMax bound the delay before a failed task is tried again.
+	retryMin = 500 * time.Millisecond
+	retryMax = time.Minute
+)
+
+// health is a worker's record of failures.
+type health struct {
+	failures int
+	backoff  time.Duration
+	untilMS  int64
+	// probing is set while a worker that was set aside may run one task at a time.
+	probing bool
+}
+
+// retry is the record of a task's last failure.
+type retry struct {
+	worker      structs.WorkerID
+	notBeforeMS int64
+}
+
+// RecordEnd takes in the end of an attempt. task is its record before the end.
+func (s *Scheduler) RecordEnd(ev structs.TaskEvent, task *structs.Task, entry string, nowMS int64) {
+	if n := s.nodes[task.Worker]; n != nil {
+		s.markDirty(n)
+	}
+	est := s.estimate(s.entryID(entry))
+	switch ev.Type {
+	case structs.EventFinished:
+		s.recordRuntime(est, task, nowMS)
+		s.recordSuccess(est, task)
+	case structs.EventCheckpointed:
+		s.ran[task.ID] += ranMS(task, nowMS)
+		delete(s.health, task.Worker)
+	case structs.EventFailed:
+		s.recordFailure(est, task, nowMS)
+	case structs.EventStopped:
+		delete(s.ran, task.ID)
+	}
+}
+
+func ranMS(task *structs.Task, nowMS int64) int64 {
+	if task.StartedMS <= 0 {
+		return 0
+	}
+	return max(0, nowMS-task.StartedMS)
+}
+
+func (s *Scheduler) recordRuntime(est *entryEstimate, task *structs.Task, nowMS int64) {
+	if task.StartedMS > 0 {
+		est.runtime.add(float64(s.ran[task.ID]+ranMS(task, nowMS)), 1, runtimeSamples)
+	}
+	delete(s.ran, task.ID)
+}
+
+func (s *Scheduler) recordSuccess(est *entryEstimate, task *structs.Task) {
+	clear(est.failedOn)
+	delete(s.health, task.Worker)
+	delete(s.retries, task.ID)
+}
+
+// recordFailure counts a failure against the worker, unless the entry has
+// failed on several workers in a row, and delays the task's next try.
+func (s *Scheduler) recordFailure(est *entryEstimate, task *structs.Task, nowMS int64) {
+	delay := min(retryMin<<min(task.Failures, 10), retryMax)
+	s.retries[task.ID] = retry{worker: task.Worker, notBeforeMS: nowMS + delay.Milliseconds()}
+	_, again := est.failedOn[task.Worker]
+	if !again && len(est.failedOn) >= entryFaultWorkers {
+		return
+	}
+	est.failedOn[task.Worker] = struct{}{}
+	h := s.health[task.Worker]
+	if h == nil {
+		h = &health{}
+		s.health[task.Worker] = h
+	}
+	h.failures++
+	if h.failures >= failuresToSetAside {
+		h.setAside(nowMS)
+	}
+}
+
+func (h *health) setAside(nowMS int64) {
+	if nowMS < h.untilMS {
+		return
+	}
+	h.backoff = min(max(2*h.backoff, setAsideMin), setAsideMax)
+	h.untilMS = nowMS + h.backoff.Milliseconds()
+	h.probing = true
+}
+
+// setAside reports whether the worker takes no task because of its failures.
+// A worker whose time is over takes one task, and more once it succeeds.
+func (p *planner) setAside(n *node) bool {
+	h := p.health[n.worker.ID]
+	return h != nil && h.probing && (p.nowMS < h.untilMS || len(n.entries) > 0)
+}
--- a/core/sched/sync.go
+++ b/core/sched/sync.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"gooseberrypond/core/structs"
@@ -16,6 +18,10 @@
 	plan  *structs.Plan
 	// usage holds the owners' reservations including this plan.
 	usage map[string]structs.Resources
+	// evicted and noted hold the tasks and jobs already named in this plan.
+	evicted  map[structs.TaskID]struct{}
+	noted    map[structs.JobID]bool
+	preempts int
 }
 
 // syncCatalogue derives entry values again after a change of the catalogue.
@@ -26,54 +32,91 @@
 	}
 	p.catalogue = c
 	clear(p.infos)
-	for name, e := range c.Entries {
+	for _, name := range slices.Sorted(maps.Keys(c.Entries)) {
+		e := c.Entries[name]
 		p.infos[name] = &entryInfo{Entry: e, name: name, id: p.entries.id(name), owner: p.t.ResolveOwner(e.Owner)}
 	}
+	p.setWeights()
 	p.freed++
 }
 
+// setWeights derives how much a slowdown of each entry counts.
+func (s *Scheduler) setWeights() {
+	s.weights = s.weights[:0]
+	for _, name := range s.entries.names {
+		w := 1.0
+		if info := s.infos[name]; info != nil && info.Class == structs.ClassLatency {
+			w = latencyWeight
+		}
+		s.weights = append(s.weights, w)
+	}
+}
+
+// entryID is the number of a catalogue entry, also of a former one.
+func (s *Scheduler) entryID(name string) int32 {
+	id := s.entries.id(name)
+	for int(id) >= len(s.weights) {
+		s.weights = append(s.weights, 1)
+	}
+	return id
+}
+
+// markDirty has the node copied from the tables in the next tick.
+func (s *Scheduler) markDirty(n *node) {
+	if !n.dirty {
+		n.dirty = true
+		s.dirty = append(s.dirty, n)
+	}
+}
+
 // syncWorkers brings the copies of workers up to date: all of them after a
 // change of domains, else the changed ones and a rotating part of the rest.
 func (p *planner) syncWorkers() {
 	if p.syncDomains() {
 		for _, n := range p.order {
-			p.dirty[n] = struct{}{}
+			p.markDirty(n)
 		}
 	}
+	changed := p.t.TakeChangedWorkers()
 	if p.ticks%membershipTicks == 0 || len(p.order) == 0 {
 		p.syncMembership()
 	}
-	p.ticks++
+	for _, id := range changed {
+		if n := p.nodes[id]; n != nil {
+			p.markDirty(n)
+		}
+	}
 	for range min(refreshPerTick, len(p.order)) {
 		p.cursor = (p.cursor + 1) % len(p.order)
-		p.dirty[p.order[p.cursor]] = struct{}{}
+		p.markDirty(p.order[p.cursor])
 	}
-	for n := range p.dirty {
+	for _, n := range p.dirty {
+		n.dirty = false
 		p.refresh(n)
 	}
-	clear(p.dirty)
+	p.dirty = p.dirty[:0]
 }
 
 // syncDomains reports whether the set of domains out of service has changed.
 func (p *planner) syncDomains() bool {
-	out := p.t.DomainsOut()
-	changed := len(out) != len(p.out)
-	for _, d := range out {
-		changed = changed || !p.out[d]
-	}
-	if !changed {
+	version := p.t.DomainsVersion()
+	if version == p.domainsVersion && p.ticks > 0 {
 		return false
 	}
+	p.domainsVersion = version
+	out := p.t.DomainsOut()
 	clear(p.out)
 	for _, d := range out {
 		p.out[d] = true
 	}
+	p.noteDomains(out)
 	return true
 }
 
 // syncMembership adds workers that have registered and drops removed ones.
 func (p *planner) syncMembership() {
 	workers := p.t.Workers()
+	p.syncKinds(workers)
 	same := len(workers) == len(p.order)
 	for i := 0; same && i < len(workers); i++ {
 		same = p.order[i].worker.ID == workers[i].ID
@@ -88,15 +131,16 @@
 		n := known[w.ID]
 		if n == nil {
 			n = &node{worker: w, blocked: "new", pos: [2]int{-1, -1}}
-			p.dirty[n] = struct{}{}
+			p.markDirty(n)
 		}
 		delete(known, w.ID)
 		p.nodes[w.ID] = n
 		p.order = append(p.order, n)
 	}
 	for _, n := range known {
+		p.countEntries(n, -1)
+		n.entries = n.entries[:0]
 		p.block(n, "removed")
-		delete(p.dirty, n)
 	}
 }
 
@@ -108,6 +152,7 @@
 		return
 	}
 	free, blocked := n.free(), n.blocked
+	p.countEntries(n, -1)
 	n.worker = w
 	n.domain = p.domains.id(w.Domain)
 	n.rack = p.racks.id(w.Rack)
@@ -115,13 +160,23 @@
 	n.entries = n.entries[:0]
 	for _, task := range p.t.AttemptsOn(w.ID) {
 		if job := p.t.Job(task.ID.Job); job != nil {
-			n.addEntry(p.entries.id(job.Spec.Entry), 1)
+			n.addEntry(p.entryID(job.Spec.Entry), 1)
 		}
 	}
+	p.countEntries(n, 1)
 	p.block(n, p.blockReason(n))
 	if n.blocked == "" && (blocked != "" || !n.free().Fits(free)) {
 		p.freed++
 	}
+	p.noteRunning(n)
+	p.relieve(n)
+}
+
+// countEntries adds the node's tasks to the spread, or takes them out.
+func (s *Scheduler) countEntries(n *node, sign int32) {
+	for _, c := range n.entries {
+		s.spread.add(c.entry, n, sign*c.n)
+	}
 }
 
 // block sets or clears the reason for which a node takes no tasks.
