Add grant shares and the entry host's routing

Cause: entry hosts need leased shares of upstream slots and owner limits, and a pure routing state to use them.

--- /dev/null
+++ b/core/grant/sync.go
@@ -0,0 +1,144 @@
+package grant
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// Sync takes an entry host's report and returns its shares. Limits that are
+// not listed are zero. now is when the report was received. A repeated or
+// lower number, an earlier incarnation and an unknown host are refused.
+func (g *Table) Sync(now time.Time, req *structs.EntrySync) ([]structs.Grant, *structs.Error) {
+	index, err := g.accept(now, req)
+	if err != nil {
+		return nil, err
+	}
+	g.expire(now)
+	g.report(index, req)
+	settled := g.Settled(now)
+	var grants []structs.Grant
+	for _, key := range g.sortedKeys() {
+		l := g.limits[key]
+		amount := g.amount(now, l, index, settled)
+		l.shares[index].record(req.Seq, amount)
+		if amount > 0 {
+			grants = append(grants, structs.Grant{Key: key, Amount: amount})
+		}
+	}
+	return grants, nil
+}
+
+// accept checks the order of reports and retires shares of an earlier incarnation.
+func (g *Table) accept(now time.Time, req *structs.EntrySync) (int, *structs.Error) {
+	const step = "grant.sync"
+	index, ok := slices.BinarySearch(g.names, req.Host)
+	if !ok {
+		return 0, structs.Errorf(structs.CodeBadRequest, step, "entry host %q is not configured", req.Host).WithPeer(req.Host)
+	}
+	h := &g.holders[index]
+	if h.known && req.Incarnation < h.incarnation {
+		return 0, structs.Errorf(structs.CodeConflict, step, "incarnation %d is over; the current one is %d", req.Incarnation, h.incarnation).WithPeer(req.Host)
+	}
+	if h.known && req.Incarnation > h.incarnation {
+		g.retire(index)
+		h.seq = 0
+	}
+	if req.Seq <= h.seq {
+		return 0, structs.Errorf(structs.CodeConflict, step, "sync %d is not above %d", req.Seq, h.seq).WithPeer(req.Host)
+	}
+	h.known = true
+	h.incarnation = req.Incarnation
+	h.seq = req.Seq
+	h.lastSync = now
+	h.stopping = req.Stopping
+	return index, nil
+}
+
+// retire keeps the shares of an incarnation that ended until its requests are over.
+func (g *Table) retire(index int) {
+	until := g.holders[index].lastSync.Add(structs.GrantReclaim)
+	for _, l := range g.limits {
+		if b := l.shares[index].bound(); b > 0 {
+			l.retired = append(l.retired, retired{amount: b, until: until})
+		}
+		l.shares[index] = share{}
+	}
+}
+
+// expire frees shares whose requests have certainly ended, and drops removed
+// limits of which nothing is outstanding.
+func (g *Table) expire(now time.Time) {
+	for i := range g.holders {
+		h := &g.holders[i]
+		if h.known && now.Sub(h.lastSync) > structs.GrantReclaim {
+			g.clear(i)
+		}
+	}
+	for key, l := range g.limits {
+		l.retired = slices.DeleteFunc(l.retired, func(r retired) bool { return now.After(r.until) })
+		if l.removed && l.outstandingExcept(-1) == 0 {
+			delete(g.limits, key)
+			g.keys = nil
+		}
+	}
+}
+
+// clear ends all shares of a silent holder.
+func (g *Table) clear(index int) {
+	for _, l := range g.limits {
+		l.shares[index] = share{}
+	}
+}
+
+// report replaces what is known of a holder by its own account.
+func (g *Table) report(index int, req *structs.EntrySync) {
+	for _, l := range g.limits {
+		s := &l.shares[index]
+		s.confirm(req.AppliedSeq)
+		s.held, s.demand = 0, 0
+	}
+	for _, r := range req.Holdings {
+		l, ok := g.limits[r.Key]
+		if !ok && r.Held <= 0 {
+			continue
+		}
+		if !ok {
+			// A holding of a limit that this leader has not met, as after an
+			// election. It has no capacity until the limit is set.
+			l = g.limit(r.Key)
+			l.removed = true
+		}
+		s := &l.shares[index]
+		s.held = max(r.Held, 0)
+		s.demand = max(r.Demand, 0)
+	}
+}
+
+// amount decides the share of a holder that has just reported.
+func (g *Table) amount(now time.Time, l *limit, index int, settled bool) int {
+	s := &l.shares[index]
+	free := l.capacity - l.outstandingExcept(index)
+	target := g.target(now, l, index, settled)
+	if !settled {
+		return min(target, s.held)
+	}
+	// Renewing what is held adds nothing to the sum, so a holder is cut to its
+	// target at once and not below it, even while others are above theirs.
+	return min(target, max(free, s.held))
+}
+
+func (g *Table) sortedKeys() []structs.GrantKey {
+	if g.keys != nil {
+		return g.keys
+	}
+	for key := range g.limits {
+		g.keys = append(g.keys, key)
+	}
+	slices.SortFunc(g.keys, func(a, b structs.GrantKey) int {
+		return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Name, b.Name))
+	})
+	return g.keys
+}
--- /dev/null
+++ b/core/grant/target.go
@@ -0,0 +1,96 @@
+package grant
+
+import (
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// target is the share that the holder should have of a limit: max-min fair by
+// demand above a small floor, with a part of what is unused spread over the
+// hosts with demand.
+func (g *Table) target(now time.Time, l *limit, index int, settled bool) int {
+	var wantBuf, shareBuf [16]int
+	n := len(g.names)
+	wants, shares := wantBuf[:0], shareBuf[:0]
+	active := 0
+	for i := range l.shares {
+		w := g.want(now, l, i, settled)
+		wants = append(wants, w)
+		shares = append(shares, 0)
+		if w > 0 && l.shares[i].demand > 0 {
+			active++
+		}
+	}
+	start := l.rotation
+	if active > l.capacity {
+		start += int(now.Sub(g.electedAt) / rotatePeriod)
+	}
+	spare := fill(wants, shares, l.capacity, start%n)
+	got := shares[index]
+	if settled && active > 0 && wants[index] > 0 && l.shares[index].demand > 0 && !g.holders[index].stopping {
+		got = l.clip(got + spare/spareDivisor/active)
+	}
+	return got
+}
+
+// want is what a holder is to have if the capacity allows it.
+func (g *Table) want(now time.Time, l *limit, index int, settled bool) int {
+	s := &l.shares[index]
+	if !settled {
+		// Only holdings are renewed until all holdings are known.
+		return l.clip(s.bound())
+	}
+	h := &g.holders[index]
+	if !h.known || now.Sub(h.lastSync) > structs.ViewMaxAge {
+		return 0
+	}
+	if h.stopping {
+		return l.clip(s.demand)
+	}
+	return l.clip(max(s.demand, l.floor(index)))
+}
+
+// floor is the share that a holder has without demand. Limits differ in the
+// hosts that have the remainder.
+func (l *limit) floor(index int) int {
+	n := len(l.shares)
+	total := l.capacity / floorDivisor
+	f := total / n
+	if (index+l.rotation)%n < total%n {
+		f++
+	}
+	return f
+}
+
+// clip bounds an amount by the most that one host may hold.
+func (l *limit) clip(amount int) int {
+	if l.perHostMax > 0 {
+		amount = min(amount, l.perHostMax)
+	}
+	return min(amount, l.capacity)
+}
+
+// fill shares capacity max-min fairly by wants and returns what is left. A
+// remainder below one per host goes to hosts from start on.
+func fill(wants, shares []int, capacity, start int) int {
+	for capacity > 0 {
+		open := 0
+		for i := range wants {
+			if shares[i] < wants[i] {
+				open++
+			}
+		}
+		if open == 0 {
+			break
+		}
+		each := capacity / open
+		for k := 0; k < len(wants) && capacity > 0; k++ {
+			i := (start + k) % len(wants)
+			add := min(max(each, 1), wants[i]-shares[i], capacity)
+			shares[i] += add
+			capacity -= add
+		}
+	}
+	return capacity
+}
--- /dev/null
+++ b/core/route/admit.go
@@ -0,0 +1,250 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// queueTimeShare is the part of a request's time (one half) after which it
+	// is refused from the queue, so that its answer is not held back until
+	// near the deadline.
+	queueTimeShare = 2
+	// maxRateWait is the longest wait for a token of the owner's rate.
+	maxRateWait = time.Second
+	// grantWait is the expected time until more is granted: a sync to report
+	// the demand and one more where another host must first give back.
+	grantWait = 2 * structs.EntrySyncInterval
+)
+
+// Admit takes a new request: it starts, is queued, or is refused as not run.
+func (r *Router) Admit(now time.Time, req Request) Decision {
+	q, err := r.accept(now, req)
+	if err != nil {
+		r.stats.Refused++
+		return Decision{Action: ActionRefuse, Err: err}
+	}
+	q.owner.arrivals.add(now, 1)
+	if len(q.entry.queue) == 0 {
+		if d, ok := r.start(now, q, false); ok {
+			r.admitted(now, q)
+			return d
+		}
+	}
+	if err := r.queueable(now, q); err != nil {
+		r.stats.Refused++
+		return Decision{Action: ActionRefuse, Err: err}
+	}
+	r.admitted(now, q)
+	r.enqueue(q, false)
+	r.stats.Queued++
+	return Decision{Request: q.id, Action: ActionQueue, Deadline: q.deadline}
+}
+
+// accept checks what does not depend on load.
+func (r *Router) accept(now time.Time, req Request) (*request, *structs.Error) {
+	switch {
+	case r.stopping:
+		return nil, refusal(structs.CodeShuttingDown, structs.OutcomeNotRun, retryAfterShort, "the entry host is shutting down")
+	case !r.Fresh(now):
+		return nil, refusal(structs.CodeStaleView, structs.OutcomeNotRun, retryAfterLong, "no contact with the leader for %s", structs.ViewMaxAge)
+	}
+	info, ok := r.view.catalogue.Entries[req.Entry]
+	if !ok {
+		return nil, refusal(structs.CodeNotFound, structs.OutcomeNotRun, retryAfterLong, "no entry %q in the catalogue", req.Entry)
+	}
+	timeout := req.Timeout
+	if timeout <= 0 {
+		timeout = time.Duration(info.RequestTimeoutMS) * time.Millisecond
+	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	timeout = min(timeout, structs.RequestTimeoutMax)
+	r.nextID++
+	return &request{
+		id:       r.nextID,
+		owner:    r.owner(req.Owner),
+		entry:    r.entryState(req.Entry),
+		idem:     req.Idempotent,
+		arrived:  now,
+		deadline: now.Add(timeout),
+	}, nil
+}
+
+// admitted records a request that was started or is about to be queued.
+func (r *Router) admitted(now time.Time, q *request) {
+	r.requests[q.id] = q
+	q.entry.budget.note(now)
+	r.stats.Admitted++
+}
+
+// queueable refuses a request that could not start in time.
+func (r *Router) queueable(now time.Time, q *request) *structs.Error {
+	if r.usable(now, q.entry) == 0 {
+		return r.noUpstream(q)
+	}
+	o := q.owner
+	limits := r.view.catalogue.Owners[o.name]
+	bound := limits.MaxQueued
+	if bound == 0 {
+		bound = defaultMaxQueued
+	}
+	slotWait := r.slotWait(now, q.entry)
+	if o.queued >= bound {
+		return refusal(structs.CodeQueueFull, q.outcome(), max(slotWait, retryAfterShort), "the queue of owner %q is full", o.name)
+	}
+	if limits.RequestRate > 0 && !q.started {
+		if w := o.rate.wait(now, o.queued+1); w > min(maxRateWait, q.queueTime()) {
+			return refusal(structs.CodeRateLimited, q.outcome(), w, "owner %q is above its request rate", o.name)
+		}
+	}
+	if slotWait > q.queueTime() || now.Add(slotWait+q.entry.latency.mean).After(q.deadline) {
+		return refusal(structs.CodeDeadline, q.outcome(), slotWait, "the deadline cannot be met: expected wait %s", slotWait.Round(time.Millisecond))
+	}
+	return nil
+}
+
+func (r *Router) noUpstream(q *request) *structs.Error {
+	return refusal(structs.CodeNoUpstream, q.outcome(), retryAfterLong, "entry %q has no upstream", q.entry.name)
+}
+
+// slotWait estimates the wait of a request at the end of the entry's queue.
+func (r *Router) slotWait(now time.Time, e *entryState) time.Duration {
+	slots := 0
+	for _, u := range e.upstreams {
+		if u.eligible(now) {
+			slots += u.limit()
+		}
+	}
+	if slots == 0 {
+		return grantWait
+	}
+	return e.latency.mean * time.Duration(len(e.queue)+1) / time.Duration(slots)
+}
+
+// outcome is what is certain about the request.
+func (q *request) outcome() structs.Outcome {
+	if q.sent {
+		return structs.OutcomeUnknown
+	}
+	return structs.OutcomeNotRun
+}
+
+// queueTime is how long the request may stay in the queue.
+func (q *request) queueTime() time.Duration {
+	return q.deadline.Sub(q.arrived) / queueTimeShare
+}
+
+// enqueue adds the request to its entry's queue; a request that is to be
+// tried again goes first.
+func (r *Router) enqueue(q *request, first bool) {
+	e := q.entry
+	if len(e.queue) == 0 {
+		r.queueList = append(r.queueList, e)
+	}
+	if first {
+		e.queue = slices.Insert(e.queue, 0, q)
+	} else {
+		e.queue = append(e.queue, q)
+	}
+	q.queued = true
+	q.owner.queued++
+	r.queued++
+	q.owner.notePeak()
+	e.notePeak()
+	if e.inFlight+len(e.queue) > e.asked {
+		e.asked = e.inFlight + len(e.queue)
+		r.wantsSync = true
+	}
+}
+
+// dequeue removes the request at index i of its entry's queue.
+func (r *Router) dequeue(e *entryState, i int) *request {
+	q := e.queue[i]
+	e.queue = slices.Delete(e.queue, i, i+1)
+	q.queued = false
+	q.owner.queued--
+	r.queued--
+	if len(e.queue) == 0 {
+		r.queueList = slices.DeleteFunc(r.queueList, func(x *entryState) bool { return x == e })
+	}
+	return q
+}
+
+// drain starts queued requests, one per entry in turn, until none can start.
+func (r *Router) drain(now time.Time) []Decision {
+	if r.queued == 0 || !r.Fresh(now) {
+		return nil
+	}
+	var out []Decision
+	for progress := true; progress; {
+		progress = false
+		list := slices.Clone(r.queueList)
+		for k := range list {
+			e := list[(k+r.queueTurn)%len(list)]
+			if d, ok := r.startQueued(now, e); ok {
+				out = append(out, d)
+				progress = true
+			}
+		}
+		r.queueTurn++
+	}
+	return out
+}
+
+// startQueued starts the first request of the queue that may start.
+func (r *Router) startQueued(now time.Time, e *entryState) (Decision, bool) {
+	var blocked *owner
+	for i, q := range e.queue {
+		if q.owner == blocked {
+			continue
+		}
+		if d, ok := r.start(now, q, false); ok {
+			r.dequeue(e, i)
+			return d, true
+		}
+		if !r.withinLimits(now, q) {
+			blocked = q.owner
+		}
+	}
+	return Decision{}, false
+}
+
+// refuseQueued refuses queued requests that can no longer start in time.
+func (r *Router) refuseQueued(now time.Time) []Decision {
+	var out []Decision
+	for _, e := range slices.Clone(r.queueList) {
+		usable := r.usable(now, e)
+		for i := len(e.queue) - 1; i >= 0; i-- {
+			if err := r.giveUp(now, e.queue[i], usable); err != nil {
+				q := r.dequeue(e, i)
+				out = append(out, r.refuse(q, err))
+			}
+		}
+	}
+	return out
+}
+
+// giveUp returns the final answer of a queued request, or nil while it may wait.
+func (r *Router) giveUp(now time.Time, q *request, usable int) *structs.Error {
+	switch {
+	case !r.Fresh(now):
+		return refusal(structs.CodeStaleView, q.outcome(), retryAfterLong, "no contact with the leader for %s", structs.ViewMaxAge)
+	case usable == 0:
+		return r.noUpstream(q)
+	case now.Sub(q.arrived) > q.queueTime(), now.Add(q.entry.latency.mean).After(q.deadline):
+		wait := max(r.slotWait(now, q.entry), retryAfterShort)
+		return refusal(structs.CodeDeadline, q.outcome(), wait, "the deadline cannot be met after %s in the queue", now.Sub(q.arrived).Round(time.Millisecond))
+	}
+	return nil
+}
+
+// refuse ends a request without an attempt in flight.
+func (r *Router) refuse(q *request, err *structs.Error) Decision {
+	r.end(q)
+	r.stats.Refused++
+	return Decision{Request: q.id, Action: ActionRefuse, Err: err, Deadline: q.deadline}
+}
--- /dev/null
+++ b/core/route/done.go
@@ -0,0 +1,211 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// Commit says that the attempt's answer is about to be passed on. It returns
+// false if another attempt of the request was first or the request has ended;
+// then this attempt's answer must not be used. Other attempts are cancelled.
+func (r *Router) Commit(t Ticket) ([]Decision, bool) {
+	a, ok := r.tickets[t]
+	if !ok || a.req.ended || a.req.committed != 0 {
+		return nil, false
+	}
+	a.req.committed = t
+	return cancels(a.req, t), true
+}
+
+// Done reports the end of an attempt. The request ends, waits for another of
+// its attempts, or is tried again; queued requests may start.
+func (r *Router) Done(now time.Time, t Ticket, outcome AttemptOutcome) []Decision {
+	a, ok := r.tickets[t]
+	if !ok {
+		return nil
+	}
+	q := a.req
+	r.release(now, a, outcome)
+	var out []Decision
+	switch {
+	case q.ended:
+		r.end(q)
+	case outcome == AttemptOK, outcome == AttemptUnhealthy, q.committed == t:
+		// Answered, or cut off in the middle of the answer: either is final.
+		out = cancels(q, t)
+		r.end(q)
+	case len(q.inFlight) == 0:
+		out = append(out, r.again(now, q, a, outcome))
+	}
+	return append(out, r.drain(now)...)
+}
+
+// release gives back the attempt's slot and learns from its outcome.
+func (r *Router) release(now time.Time, a *attempt, outcome AttemptOutcome) {
+	q, u := a.req, a.up
+	a.released = true
+	delete(r.tickets, a.ticket)
+	q.inFlight = slices.DeleteFunc(q.inFlight, func(x *attempt) bool { return x == a })
+	u.inUse--
+	q.entry.inFlight--
+	if !u.present && u.inUse == 0 && r.upstreams[u.info.Name] == u {
+		delete(r.upstreams, u.info.Name)
+	}
+	if outcome != AttemptNotSent {
+		q.sent = true
+	}
+	elapsed := now.Sub(a.started)
+	switch outcome {
+	case AttemptOK:
+		u.healthy()
+		q.entry.latency.add(elapsed)
+	case AttemptUnhealthy, AttemptNotSent, AttemptFailed:
+		r.failed(now, u)
+	case AttemptTimeout:
+		// A caller's short timeout says nothing about the upstream.
+		if elapsed >= entryTimeout(q.entry.info) {
+			r.failed(now, u)
+		}
+	}
+}
+
+func entryTimeout(e structs.Entry) time.Duration {
+	if e.RequestTimeoutMS > 0 {
+		return time.Duration(e.RequestTimeoutMS) * time.Millisecond
+	}
+	return defaultTimeout
+}
+
+// again tries the request once more if that is safe, worth it and within the
+// retry budget, and refuses it otherwise.
+func (r *Router) again(now time.Time, q *request, a *attempt, outcome AttemptOutcome) Decision {
+	if !r.mayRetry(now, q, outcome) {
+		return r.refuse(q, r.failure(now, q, a, outcome))
+	}
+	r.stats.Retries++
+	if d, ok := r.start(now, q, false); ok {
+		return d
+	}
+	if err := r.giveUp(now, q, r.usable(now, q.entry)); err != nil {
+		return r.refuse(q, err)
+	}
+	r.enqueue(q, true)
+	return Decision{Request: q.id, Action: ActionQueue, Deadline: q.deadline}
+}
+
+// mayRetry reports whether another attempt is allowed. Only requests that are
+// idempotent, or of which nothing was ever sent, are tried again.
+func (r *Router) mayRetry(now time.Time, q *request, outcome AttemptOutcome) bool {
+	switch {
+	case q.abandoned, q.attempts >= maxAttempts:
+		return false
+	case outcome != AttemptNotSent && outcome != AttemptFailed:
+		return false
+	case q.sent && !q.idem:
+		return false
+	case now.Add(q.entry.latency.mean).After(q.deadline):
+		return false
+	}
+	return q.entry.budget.take(now)
+}
+
+// failure is the final answer after the last attempt.
+func (r *Router) failure(now time.Time, q *request, a *attempt, outcome AttemptOutcome) *structs.Error {
+	var e *structs.Error
+	switch {
+	case outcome == AttemptTimeout || !now.Before(q.deadline):
+		e = refusal(structs.CodeDeadline, q.outcome(), retryAfterShort, "no answer within %s", q.deadline.Sub(q.arrived))
+	case outcome == AttemptNotSent:
+		e = refusal(structs.CodeUpstreamFailed, q.outcome(), retryAfterShort, "the upstream cannot be reached")
+	case outcome == AttemptCancelled:
+		e = refusal(structs.CodeUpstreamFailed, q.outcome(), retryAfterShort, "the exchange was cancelled")
+	default:
+		e = refusal(structs.CodeUpstreamFailed, q.outcome(), retryAfterShort, "the exchange with the upstream failed")
+	}
+	e.Peer = a.up.info.Name
+	return e
+}
+
+// Abandon says that the caller has gone. A queued request is refused; attempts
+// of an idempotent request are cancelled; others go on and keep their slots.
+func (r *Router) Abandon(now time.Time, id RequestID) []Decision {
+	q, ok := r.requests[id]
+	if !ok || q.ended {
+		return nil
+	}
+	q.abandoned = true
+	if q.queued {
+		r.dequeue(q.entry, slices.Index(q.entry.queue, q))
+		return []Decision{r.refuse(q, refusal(structs.CodeDeadline, q.outcome(), retryAfterShort, "the caller has gone"))}
+	}
+	if !q.idem {
+		return nil
+	}
+	return cancels(q, 0)
+}
+
+// cancels lists the attempts in flight except one.
+func cancels(q *request, except Ticket) []Decision {
+	var out []Decision
+	for _, a := range q.inFlight {
+		if a.ticket != except {
+			out = append(out, Decision{Request: q.id, Action: ActionCancel, Ticket: a.ticket, Upstream: a.up.info, Deadline: q.deadline})
+		}
+	}
+	return out
+}
+
+// end marks the request as answered and forgets it once nothing is in flight.
+// Until then it counts against the owner's concurrency.
+func (r *Router) end(q *request) {
+	q.ended = true
+	if len(q.inFlight) > 0 || r.requests[q.id] == nil {
+		return
+	}
+	delete(r.requests, q.id)
+	if q.started {
+		q.owner.running--
+	}
+}
+
+// Tick refuses queued requests that can no longer start in time, starts those
+// that can, and starts hedges.
+func (r *Router) Tick(now time.Time) []Decision {
+	r.expireView(now)
+	out := r.refuseQueued(now)
+	out = append(out, r.drain(now)...)
+	return append(out, r.hedge(now)...)
+}
+
+// hedgeFloor is the shortest delay before a hedge. Below it a second attempt
+// costs more than it can save.
+const hedgeFloor = 5 * time.Millisecond
+
+// hedge starts a second attempt of idempotent requests that are slower than
+// most of their entry, within the retry budget.
+func (r *Router) hedge(now time.Time) []Decision {
+	var out []Decision
+	keep := r.hedgeable[:0]
+	for _, a := range r.hedgeable {
+		q := a.req
+		if a.released || q.ended || q.committed != 0 || q.abandoned {
+			continue
+		}
+		if q.entry.latency.high == 0 || now.Sub(a.started) < max(q.entry.latency.high, hedgeFloor) {
+			keep = append(keep, a)
+			continue
+		}
+		if u := r.pick(now, q); u == nil || u == a.up || !q.entry.budget.take(now) {
+			continue
+		}
+		if d, ok := r.start(now, q, true); ok {
+			r.stats.Hedges++
+			out = append(out, d)
+		}
+	}
+	clear(r.hedgeable[len(keep):])
+	r.hedgeable = keep
+	return out
+}
--- /dev/null
+++ b/core/route/pick.go
@@ -0,0 +1,211 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// start begins an attempt of the request if the owner's limits and the
+// granted slots allow it.
+func (r *Router) start(now time.Time, q *request, hedge bool) (Decision, bool) {
+	if !r.Fresh(now) || !r.withinLimits(now, q) {
+		return Decision{}, false
+	}
+	u := r.pick(now, q)
+	if u == nil {
+		return Decision{}, false
+	}
+	r.charge(q)
+	r.nextTick++
+	a := &attempt{ticket: r.nextTick, req: q, up: u, started: now, hedge: hedge}
+	r.tickets[a.ticket] = a
+	q.inFlight = append(q.inFlight, a)
+	q.tried = append(q.tried, u)
+	q.attempts++
+	u.inUse++
+	q.entry.inFlight++
+	q.entry.notePeak()
+	if q.entry.info.Hedge && q.idem && !hedge && q.attempts == 1 {
+		r.hedgeable = append(r.hedgeable, a)
+	}
+	return Decision{
+		Request: q.id, Action: ActionStart, Ticket: a.ticket, Upstream: u.info, Connections: u.connCap,
+		Deadline: q.deadline, SendBefore: r.view.validUntil,
+	}, true
+}
+
+// withinLimits reports whether the owner's rate and concurrency allow a first attempt.
+func (r *Router) withinLimits(now time.Time, q *request) bool {
+	if q.started {
+		return true
+	}
+	o := q.owner
+	limits := r.view.catalogue.Owners[o.name]
+	if limits.Concurrency > 0 && o.running >= o.concurrency {
+		return false
+	}
+	return limits.RequestRate == 0 || o.rate.ready(now)
+}
+
+// charge counts the request against the owner's limits, once.
+func (r *Router) charge(q *request) {
+	if q.started {
+		return
+	}
+	q.started = true
+	o := q.owner
+	o.running++
+	o.notePeak()
+	if r.view.catalogue.Owners[o.name].RequestRate > 0 {
+		o.rate.tokens--
+	}
+}
+
+// pick chooses an upstream with a free granted slot: the less loaded of two
+// chosen at random. An upstream that the request has tried is used again only
+// when there is no other.
+func (r *Router) pick(now time.Time, q *request) *upstream {
+	fresh := false
+	for _, u := range q.entry.upstreams {
+		if u.eligible(now) && !slices.Contains(q.tried, u) {
+			fresh = true
+			break
+		}
+	}
+	r.scratch = r.scratch[:0]
+	for _, u := range q.entry.upstreams {
+		if u.eligible(now) && u.inUse < u.limit() && !(fresh && slices.Contains(q.tried, u)) {
+			r.scratch = append(r.scratch, u)
+		}
+	}
+	switch n := len(r.scratch); n {
+	case 0:
+		return nil
+	case 1:
+		return r.scratch[0]
+	default:
+		i := r.rnd.IntN(n)
+		j := r.rnd.IntN(n - 1)
+		if j >= i {
+			j++
+		}
+		return lessLoaded(r.scratch[i], r.scratch[j])
+	}
+}
+
+// lessLoaded compares the used part of the granted slots, then the number used.
+func lessLoaded(a, b *upstream) *upstream {
+	la, lb := a.inUse*b.limit(), b.inUse*a.limit()
+	if lb < la || lb == la && b.inUse < a.inUse {
+		return b
+	}
+	return a
+}
+
+// limit is the number of requests that this host may have at the upstream.
+func (u *upstream) limit() int { return min(u.grant, u.connCap) }
+
+// eligible reports whether the upstream may get new requests.
+func (u *upstream) eligible(now time.Time) bool {
+	return u.present && !u.info.Leaving && !u.isEjected(now)
+}
+
+func (u *upstream) isEjected(now time.Time) bool {
+	return !u.ejected.IsZero() && now.Before(u.ejected)
+}
+
+// usable counts the upstreams that may get requests of the entry.
+func (r *Router) usable(now time.Time, e *entryState) int {
+	n := 0
+	for _, u := range e.upstreams {
+		if u.eligible(now) {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *entryState) notePeak() { e.peak = max(e.peak, e.inFlight+len(e.queue)) }
+
+// Outlier ejection.
+const (
+	// ejectAfter is the number of failures in a row that ejects an upstream.
+	ejectAfter = 5
+	// ejectBase is the duration of the first ejection; each further one doubles it.
+	ejectBase = time.Second
+	// ejectDoublings bounds the doubling (64 s).
+	ejectDoublings = 6
+	// ejectShare is the reciprocal of the largest part of an entry's upstreams
+	// that may be ejected. Beyond it the cause is likely common to all.
+	ejectShare = 2
+)
+
+// healthy records a whole answer.
+func (u *upstream) healthy() {
+	u.failures = 0
+	u.ejections = max(u.ejections-1, 0)
+}
+
+// failed records a failure and ejects the upstream if it has failed repeatedly.
+func (r *Router) failed(now time.Time, u *upstream) {
+	u.failures++
+	if u.failures < ejectAfter || u.isEjected(now) || !u.present {
+		return
+	}
+	total, ejected := 0, 0
+	for _, x := range u.entry.upstreams {
+		if x.info.Leaving {
+			continue
+		}
+		total++
+		if x.isEjected(now) {
+			ejected++
+		}
+	}
+	if (ejected+1)*ejectShare > total {
+		return
+	}
+	u.ejected = now.Add(ejectBase << min(u.ejections, ejectDoublings))
+	u.ejections++
+	// One more failure after the return ejects it again.
+	u.failures = ejectAfter - 1
+	r.stats.Ejections++
+}
+
+// limitEjected brings back the first to return where too many of an entry's
+// upstreams are ejected, as when others have left.
+func (r *Router) limitEjected(now time.Time) {
+	for _, e := range r.entries {
+		total := 0
+		var ejected []*upstream
+		for _, u := range e.upstreams {
+			if u.info.Leaving {
+				continue
+			}
+			total++
+			if u.isEjected(now) {
+				ejected = append(ejected, u)
+			}
+		}
+		slices.SortFunc(ejected, func(a, b *upstream) int { return a.ejected.Compare(b.ejected) })
+		for len(ejected)*ejectShare > total {
+			ejected[0].ejected = time.Time{}
+			ejected = ejected[1:]
+		}
+	}
+}
+
+// Upstreams returns the announced upstreams of an entry by preference, for dumps.
+func (r *Router) Upstreams(entry string) []structs.Upstream {
+	e, ok := r.entries[entry]
+	if !ok {
+		return nil
+	}
+	var out []structs.Upstream
+	for _, u := range e.upstreams {
+		out = append(out, u.info)
+	}
+	return out
+}
--- /dev/null
+++ b/core/route/view.go
@@ -0,0 +1,221 @@
+package route
+
+import (
+	"slices"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// view is the leader's last answer that is in force.
+type view struct {
+	term           uint64
+	catalogue      *structs.Catalogue
+	domainsVersion uint64
+	domainsOut     []string
+	entryHosts     int
+	// validUntil is ViewMaxAge after the send of the answered sync.
+	validUntil time.Time
+}
+
+// upstream is a back end as this host sees it. It is kept while requests are
+// in flight there, even when it is no longer announced.
+type upstream struct {
+	info      structs.Upstream
+	entry     *entryState
+	present   bool
+	grant     int
+	connCap   int
+	inUse     int
+	wanted    int // part of the entry's demand
+	failures  int // failures in a row
+	ejections int
+	ejected   time.Time // zero when not ejected
+	order     uint64    // this host's order of preference
+}
+
+// entryState is one catalogue entry with its upstreams and queue.
+type entryState struct {
+	name      string
+	info      structs.Entry
+	upstreams []*upstream // present ones, by preference
+	queue     []*request
+	inFlight  int
+	peak      int // highest number in flight and queued since the last sync
+	asked     int // demand of the last sync
+	latency   latency
+	budget    budget
+}
+
+// Catalogue returns the catalogue in force, or nil before the first view.
+func (r *Router) Catalogue() *structs.Catalogue { return r.view.catalogue }
+
+// Versions returns the versions in force of the catalogue and the failure domains.
+func (r *Router) Versions() (catalogue, domains uint64) {
+	if r.view.catalogue != nil {
+		catalogue = r.view.catalogue.Version
+	}
+	return catalogue, r.view.domainsVersion
+}
+
+// Fresh reports whether work may start: the view is younger than ViewMaxAge.
+func (r *Router) Fresh(now time.Time) bool {
+	return r.view.catalogue != nil && now.Before(r.view.validUntil)
+}
+
+// ApplyView puts the answer to the sync sent at sentAt in force. Only the
+// answer to the newest sync counts: the report in a newer sync does not cover
+// shares of an older answer. Answers with a lower term or versions, and those
+// already older than ViewMaxAge, are ignored. Queued requests may
+// start with the next Tick.
+func (r *Router) ApplyView(sentAt time.Time, v *structs.EntryView) {
+	if !r.acceptable(v) {
+		return
+	}
+	r.applied = v.Seq
+	r.view.term = v.Term
+	if v.Catalogue != nil {
+		r.view.catalogue = v.Catalogue
+	}
+	r.view.domainsVersion = v.DomainsVersion
+	r.view.domainsOut = v.DomainsOut
+	r.view.entryHosts = v.EntryHosts
+	r.view.validUntil = sentAt.Add(structs.ViewMaxAge)
+	r.setEntries()
+	r.setUpstreams(v.Upstreams)
+	r.setGrants(sentAt, v.Grants)
+	r.limitEjected(sentAt)
+}
+
+// acceptable reports whether v may replace the view in force.
+func (r *Router) acceptable(v *structs.EntryView) bool {
+	if v == nil || v.Seq != r.seq || v.Seq <= r.applied || v.Term < r.view.term {
+		return false
+	}
+	version, domains := r.Versions()
+	if v.CatalogueVersion < version || v.DomainsVersion < domains {
+		return false
+	}
+	if v.Catalogue == nil {
+		return r.view.catalogue != nil && v.CatalogueVersion == version
+	}
+	return v.Catalogue.Version == v.CatalogueVersion
+}
+
+// setEntries brings the entries in line with the catalogue.
+func (r *Router) setEntries() {
+	for name, info := range r.view.catalogue.Entries {
+		r.entryState(name).info = info
+	}
+	for name, e := range r.entries {
+		if _, ok := r.view.catalogue.Entries[name]; !ok && e.inFlight == 0 && len(e.queue) == 0 {
+			delete(r.entries, name)
+		}
+	}
+}
+
+func (r *Router) entryState(name string) *entryState {
+	e, ok := r.entries[name]
+	if !ok {
+		e = &entryState{name: name}
+		r.entries[name] = e
+	}
+	return e
+}
+
+// setUpstreams brings the upstreams in line with the view.
+func (r *Router) setUpstreams(list []structs.Upstream) {
+	for _, u := range r.upstreams {
+		u.present = false
+	}
+	for _, e := range r.entries {
+		e.upstreams = e.upstreams[:0]
+	}
+	for _, info := range list {
+		u := r.upstream(info)
+		u.info = info
+		u.info.Leaving = info.Leaving || slices.Contains(r.view.domainsOut, info.Domain)
+		u.present = true
+		u.connCap = info.Connections / max(r.view.entryHosts, 1)
+		u.entry = r.entryState(info.Entry)
+		u.entry.upstreams = append(u.entry.upstreams, u)
+	}
+	for name, u := range r.upstreams {
+		if !u.present && u.inUse == 0 {
+			delete(r.upstreams, name)
+		}
+	}
+	for _, e := range r.entries {
+		slices.SortFunc(e.upstreams, func(a, b *upstream) int {
+			if a.order < b.order {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+func (r *Router) upstream(info structs.Upstream) *upstream {
+	u, ok := r.upstreams[info.Name]
+	if !ok {
+		u = &upstream{order: preference(r.host, info.Name)}
+		r.upstreams[info.Name] = u
+	}
+	if u.info.Address != info.Address {
+		// A new process: the failures of the earlier one say nothing about it.
+		u.failures, u.ejections, u.ejected = 0, 0, time.Time{}
+	}
+	return u
+}
+
+// preference spreads the first choices of the hosts over the upstreams (FNV-1a).
+func preference(host, upstream string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, s := range []string{host, "\x00", upstream} {
+		for i := 0; i < len(s); i++ {
+			h = (h ^ uint64(s[i])) * 1099511628211
+		}
+	}
+	h ^= h >> 32
+	return h * 0x9e3779b97f4a7c15
+}
+
+// setGrants replaces the shares; a limit that is not listed has none.
+func (r *Router) setGrants(now time.Time, grants []structs.Grant) {
+	for _, u := range r.upstreams {
+		u.grant = 0
+	}
+	for _, o := range r.owners {
+		o.newConcurrency, o.newRate = 0, 0
+	}
+	for _, g := range grants {
+		switch g.Key.Kind {
+		case structs.GrantUpstream:
+			if u, ok := r.upstreams[g.Key.Name]; ok {
+				u.grant = g.Amount
+			}
+		case structs.GrantConcurrency:
+			r.owner(g.Key.Name).newConcurrency = g.Amount
+		case structs.GrantRate:
+			r.owner(g.Key.Name).newRate = g.Amount
+		}
+	}
+	for _, o := range r.owners {
+		o.concurrency = o.newConcurrency
+		o.rate.set(now, o.newRate)
+	}
+}
+
+// expireView drops all shares once the view is too old. What is in flight keeps its slots.
+func (r *Router) expireView(now time.Time) {
+	if r.Fresh(now) {
+		return
+	}
+	for _, u := range r.upstreams {
+		u.grant = 0
+	}
+	for _, o := range r.owners {
+		o.concurrency = 0
+		o.rate.set(now, 0)
+	}
+}
