--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"gooseberrypond/core/structs"
 )
 
 // start begins an attempt of the request if the owner's limits and the
@@ -196,16 +194,3 @@
 		}
 	}
 }
-
-// Upstreams returns the announced upstreams of an entry by preference, for dumps.
-func (r *Router) Upstreams(entry string) []structs.Upstream {
-	e, ok := r.entries[entry]
-	if !ok {
-		return nil
-	}
-	var out []structs.Upstream
-	for _, u := range e.upstreams {
-		out = append(out, u.info)
-	}
-	return out
-}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -204,3 +204,6 @@
 	e.RetryAfterMS = max(after.Milliseconds(), 1)
 	return e
 }
+
+// Idle reports whether Tick has nothing to do.
+func (r *Router) Idle() bool { return r.queued == 0 && len(r.hedgeable) == 0 }
--- /dev/null
+++ b/host/entry/answer.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"gooseberrypond/core/route"
+)
+
+// writeMargin is the time past the request's deadline for which the answer may
+// still be written to the caller. It frees the slot from callers that do not read.
+const writeMargin = time.Second
+
+// errCallerGone ends the copy of an answer that nobody reads.
+var errCallerGone = errors.New("the caller does not read the answer")
+
+var copyBuffers = sync.Pool{New: func() any { b := make([]byte, 32<<10); return &b }}
+
+// passOn writes the answer to the caller and reports the end of the attempt.
+func (h *Host) passOn(ctx context.Context, w http.ResponseWriter, req *Request, res result, rec *recorder) error {
+	// Not every writer has deadlines; then the server's own applies.
+	_ = http.NewResponseController(w).SetWriteDeadline(res.deadline.Add(writeMargin))
+	outcome := route.AttemptFailed
+	defer func() {
+		res.ans.cancel()
+		h.done(res.ticket, outcome)
+	}()
+	err := relay(w, req, res.ans, rec)
+	switch {
+	case err == nil:
+		outcome = healthOf(res.ans.resp.StatusCode)
+		return nil
+	case errors.Is(err, errCallerGone), ctx.Err() != nil:
+		outcome = route.AttemptCancelled
+	}
+	res.ans.resp.Body.Close()
+	panic(http.ErrAbortHandler)
+}
+
+// healthOf tells answers that say that the upstream is failing from others.
+// 500 is left out: one caller's bad request must not eject an upstream.
+func healthOf(status int) route.AttemptOutcome {
+	switch status {
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return route.AttemptUnhealthy
+	}
+	return route.AttemptOK
+}
+
+// relay writes the whole answer to w and to rec. A request that is not
+// idempotent is read to its end even when the caller has gone.
+func relay(w http.ResponseWriter, req *Request, ans *answer, rec *recorder) error {
+	resp := ans.resp
+	copyEndToEnd(w.Header(), resp.Header)
+	rec.header(resp)
+	w.WriteHeader(resp.StatusCode)
+	if ans.buffered {
+		rec.write(ans.body)
+		// A failed write means that the caller has gone; the exchange is complete.
+		_, _ = w.Write(ans.body)
+		rec.complete()
+		return nil
+	}
+	if err := stream(w, req, resp, rec); err != nil {
+		return err
+	}
+	for key, values := range resp.Trailer {
+		for _, v := range values {
+			w.Header().Add(http.TrailerPrefix+key, v)
+		}
+	}
+	rec.complete()
+	return resp.Body.Close()
+}
+
+// stream copies the body as it arrives.
+func stream(w http.ResponseWriter, req *Request, resp *http.Response, rec *recorder) error {
+	flush := resp.ContentLength < 0
+	ctl := http.NewResponseController(w)
+	buf := copyBuffers.Get().(*[]byte)
+	defer copyBuffers.Put(buf)
+	gone := false
+	for {
+		n, err := resp.Body.Read(*buf)
+		rec.write((*buf)[:n])
+		if n > 0 && !gone {
+			_, werr := w.Write((*buf)[:n])
+			if werr == nil && flush {
+				werr = ctl.Flush()
+			}
+			gone = werr != nil
+		}
+		if gone && req.Idempotent {
+			return errCallerGone
+		}
+		switch {
+		case err == io.EOF && gone:
+			rec.complete()
+			return errCallerGone
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return err
+		}
+	}
+}
--- /dev/null
+++ b/host/entry/auth.go
@@ -0,0 +1,103 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+
+	"gooseberrypond/core/structs"
+)
+
+// tokenIndex holds the token digests of one catalogue.
+type tokenIndex struct {
+	catalogue *structs.Catalogue
+	digests   []tokenDigest
+	merged    map[string]string // former owner to the owner it was merged into
+}
+
+type tokenDigest struct {
+	sum   [sha256.Size]byte
+	owner string
+}
+
+// update returns the index of the catalogue.
+func (t *tokenIndex) update(c *structs.Catalogue) *tokenIndex {
+	if c == t.catalogue {
+		return t
+	}
+	next := &tokenIndex{catalogue: c, merged: make(map[string]string)}
+	for name, o := range c.Owners {
+		for _, from := range o.MergedFrom {
+			next.merged[from] = name
+		}
+	}
+	for name, o := range c.Owners {
+		for _, text := range o.TokenSHA256 {
+			var d tokenDigest
+			if n, err := hex.Decode(d.sum[:], []byte(text)); err != nil || n != len(d.sum) {
+				continue
+			}
+			d.owner = next.resolve(name)
+			next.digests = append(next.digests, d)
+		}
+	}
+	return next
+}
+
+// resolve returns the owner into which name was merged, or name itself.
+func (t *tokenIndex) resolve(name string) string {
+	// The bound ends a cycle, which the catalogue check refuses.
+	for range len(t.merged) {
+		next, ok := t.merged[name]
+		if !ok {
+			break
+		}
+		name = next
+	}
+	return name
+}
+
+// owner returns the owner of a token. Every digest is compared, in constant time.
+func (t *tokenIndex) owner(token string) (string, bool) {
+	sum := sha256.Sum256([]byte(token))
+	found := -1
+	for i := range t.digests {
+		if subtle.ConstantTimeCompare(sum[:], t.digests[i].sum[:]) == 1 {
+			found = i
+		}
+	}
+	if found < 0 {
+		return "", false
+	}
+	return t.digests[found].owner, true
+}
+
+// Authenticate returns the owner of a bearer token. A token of a merged owner
+// counts for the owner it was merged into.
+func (h *Host) Authenticate(token string) (string, error) {
+	h.mu.Lock()
+	tokens := h.tokens
+	h.mu.Unlock()
+	if tokens.catalogue == nil {
+		return "", structs.Errorf(structs.CodeStaleView, "entry.authenticate", "no catalogue yet").
+			WithOutcome(structs.OutcomeNotRun).WithRetryAfter(structs.ViewMaxAge.Milliseconds())
+	}
+	owner, ok := tokens.owner(token)
+	if !ok {
+		return "", structs.Errorf(structs.CodeUnauthorized, "entry.authenticate", "unknown token").WithOutcome(structs.OutcomeNotRun)
+	}
+	return owner, nil
+}
+
+// checkOwner refuses an entry of another owner as if it did not exist.
+func (h *Host) checkOwner(owner, entry string) error {
+	h.mu.Lock()
+	tokens := h.tokens
+	h.mu.Unlock()
+	if tokens.catalogue != nil {
+		if e, ok := tokens.catalogue.Entries[entry]; ok && tokens.resolve(e.Owner) == owner && e.Class == structs.ClassLatency {
+			return nil
+		}
+	}
+	return structs.Errorf(structs.CodeNotFound, "entry.run", "owner %q has no latency-critical entry %q", owner, entry).WithOutcome(structs.OutcomeNotRun)
+}
--- /dev/null
+++ b/host/entry/exchange.go
@@ -0,0 +1,176 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"gooseberrypond/core/route"
+)
+
+// bufferedAnswer is the largest answer, in bytes, that is read as a whole
+// before it is passed on, so that a failure in it can still be answered as such.
+const bufferedAnswer = 64 << 10
+
+// answer is an upstream's answer. Either body holds all of it, or resp.Body
+// is still to be read.
+type answer struct {
+	resp     *http.Response
+	buffered bool
+	body     []byte
+	cancel   context.CancelFunc
+}
+
+// errNoLength refuses answers that end with the connection: a truncated one
+// could not be told from a whole one.
+var errNoLength = errors.New("the answer has neither a length nor chunks")
+
+// exchange sends the request to the upstream of d and reads the answer, or
+// its header when it is large. On failure the answer is nil.
+func (h *Host) exchange(ctx context.Context, cancel context.CancelFunc, d route.Decision, req *Request) (*answer, route.AttemptOutcome, error) {
+	guard := &sendGuard{cancel: cancel, now: h.cfg.Now, sendBefore: d.SendBefore}
+	trace := &httptrace.ClientTrace{GotConn: guard.gotConn}
+	out := buildRequest(httptrace.WithClientTrace(ctx, trace), d, req, h.cfg.Now())
+	resp, err := h.transports.get(d.Upstream.Address, d.Connections).RoundTrip(out)
+	if err != nil {
+		return nil, guard.classify(ctx, err), err
+	}
+	ans := &answer{resp: resp, cancel: cancel}
+	if err := ans.buffer(req.Method); err != nil {
+		resp.Body.Close()
+		return nil, classify(ctx, err), err
+	}
+	return ans, route.AttemptOK, nil
+}
+
+// buildRequest returns the request to the upstream.
+func buildRequest(ctx context.Context, d route.Decision, req *Request, now time.Time) *http.Request {
+	out := (&http.Request{
+		Method:        req.Method,
+		URL:           &url.URL{Scheme: "http", Host: d.Upstream.Address, Path: req.Path, RawPath: req.RawPath, RawQuery: req.RawQuery},
+		Proto:         "HTTP/1.1",
+		ProtoMajor:    1,
+		ProtoMinor:    1,
+		Header:        upstreamHeader(req),
+		Host:          req.Host,
+		ContentLength: int64(len(req.Body)),
+	}).WithContext(ctx)
+	out.Header[HeaderTimeout] = []string{strconv.FormatInt(max(d.Deadline.Sub(now).Milliseconds(), 1), 10)}
+	switch {
+	case len(req.Body) > 0:
+		// Without GetBody net/http does not repeat the request on its own.
+		out.Body = io.NopCloser(bytes.NewReader(req.Body))
+	case !req.Idempotent && usuallyIdempotent(req.Method):
+		// net/http repeats methods like GET on its own unless they have a body.
+		out.Body = io.NopCloser(bytes.NewReader(nil))
+	}
+	return out
+}
+
+// usuallyIdempotent reports whether net/http takes the method as repeatable.
+func usuallyIdempotent(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+// buffer reads small answers.
+func (a *answer) buffer(method string) error {
+	resp := a.resp
+	if bodyless(method, resp.StatusCode) {
+		a.buffered = true
+		return resp.Body.Close()
+	}
+	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return errNoLength
+	}
+	if resp.ContentLength < 0 || resp.ContentLength > bufferedAnswer {
+		return nil
+	}
+	a.body = make([]byte, resp.ContentLength)
+	if _, err := io.ReadFull(resp.Body, a.body); err != nil {
+		return err
+	}
+	a.buffered = true
+	return resp.Body.Close()
+}
+
+// bodyless reports whether an answer has no body whatever its header says.
+func bodyless(method string, status int) bool {
+	return method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
+}
+
+// discard ends an answer that is not passed on.
+func (a *answer) discard() {
+	a.cancel()
+	a.resp.Body.Close()
+}
+
+// sendGuard knows whether a request can have left, and stops it from leaving
+// once the view under which it was started is too old.
+type sendGuard struct {
+	cancel     context.CancelFunc
+	now        func() time.Time
+	sendBefore time.Time
+
+	mu    sync.Mutex
+	conn  *guardedConn
+	begun uint64 // writes on conn before the request
+	sent  bool
+}
+
+// gotConn notes the connection that the request is about to be written to.
+func (g *sendGuard) gotConn(info httptrace.GotConnInfo) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settle()
+	conn, ok := info.Conn.(*guardedConn)
+	if !ok {
+		g.sent = true
+		return
+	}
+	g.conn, g.begun = conn, conn.count()
+	if !g.now().Before(g.sendBefore) {
+		conn.seal()
+		g.cancel()
+	}
+}
+
+// settle takes account of the connection used so far.
+func (g *sendGuard) settle() {
+	if g.conn != nil && g.conn.seal() > g.begun {
+		g.sent = true
+	}
+	g.conn = nil
+}
+
+// classify returns the outcome of a failed exchange. Nothing leaves after it.
+func (g *sendGuard) classify(ctx context.Context, err error) route.AttemptOutcome {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.settle()
+	if !g.sent {
+		return route.AttemptNotSent
+	}
+	return classify(ctx, err)
+}
+
+// classify returns the outcome of an exchange that failed after the request was sent.
+func classify(ctx context.Context, err error) route.AttemptOutcome {
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded), errors.Is(err, context.DeadlineExceeded):
+		return route.AttemptTimeout
+	case ctx.Err() != nil:
+		return route.AttemptCancelled
+	}
+	return route.AttemptFailed
+}
--- /dev/null
+++ b/host/entry/host.go
@@ -0,0 +1,139 @@
+// Package entry is the entry role of a host: it syncs with the leader, sends
+// callers' requests to upstreams, and keeps the claims of requests that must
+// not run twice.
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/core/route"
+	"gooseberrypond/core/structs"
+)
+
+// Control is what the entry role asks of the control hosts. Errors are of
+// type *structs.Error.
+type Control interface {
+	// Sync must return the answer of the last peer that was asked; an answer
+	// of a peer that was given up for another must be dropped.
+	Sync(ctx context.Context, req *structs.EntrySync) (*structs.EntryView, error)
+	Claim(ctx context.Context, c structs.Claim) (structs.Result, error)
+	Complete(ctx context.Context, c structs.Complete) error
+}
+
+// Config configures a Host.
+type Config struct {
+	// Host is the id of this host.
+	Host string
+	// Incarnation must grow with each start of the process; 0 means the wall
+	// clock in milliseconds.
+	Incarnation uint64
+	Control     Control
+	Log         zerolog.Logger
+	// Now replaces the clock; nil means time.Now.
+	Now func() time.Time
+}
+
+// Host is the entry role of one host.
+type Host struct {
+	cfg        Config
+	transports transports
+	kick       chan struct{}
+	background sync.WaitGroup // loops
+
+	mu       sync.Mutex
+	router   *route.Router
+	flows    map[route.RequestID]*flow
+	tokens   *tokenIndex
+	stopping bool
+	claims   int // claimed requests whose outcome is not recorded yet
+	syncErr  error
+	syncOK   bool
+	cancel   context.CancelFunc
+}
+
+// New returns a host. It serves once Start has been called and the first sync
+// is answered.
+func New(cfg Config) *Host {
+	if cfg.Now == nil {
+		cfg.Now = time.Now
+	}
+	if cfg.Incarnation == 0 {
+		cfg.Incarnation = uint64(time.Now().UnixMilli())
+	}
+	return &Host{
+		cfg:    cfg,
+		kick:   make(chan struct{}, 1),
+		router: route.New(cfg.Host, cfg.Incarnation),
+		flows:  make(map[route.RequestID]*flow),
+		tokens: &tokenIndex{},
+	}
+}
+
+// Start begins to sync with the leader and to serve queued requests.
+func (h *Host) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	h.mu.Lock()
+	h.cancel = cancel
+	h.mu.Unlock()
+	h.background.Go(func() { h.syncLoop(ctx) })
+	h.background.Go(func() { h.tickLoop(ctx) })
+}
+
+// Close ends the loops without waiting for requests in flight.
+func (h *Host) Close() {
+	h.mu.Lock()
+	cancel := h.cancel
+	h.mu.Unlock()
+	if cancel != nil {
+		cancel()
+	}
+	h.background.Wait()
+	h.transports.closeIdle()
+}
+
+// Ready reports whether new requests are accepted.
+func (h *Host) Ready() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.stopping && h.router.Fresh(h.cfg.Now())
+}
+
+// Catalogue returns the catalogue in force, or nil before the first view.
+func (h *Host) Catalogue() *structs.Catalogue {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.router.Catalogue()
+}
+
+// Dump is the state of the entry role.
+type Dump struct {
+	Host             string         `json:"host"`
+	Incarnation      uint64         `json:"incarnation"`
+	Ready            bool           `json:"ready"`
+	Stopping         bool           `json:"stopping,omitempty"`
+	CatalogueVersion uint64         `json:"catalogue_version"`
+	DomainsVersion   uint64         `json:"domains_version"`
+	OpenClaims       int            `json:"open_claims"`
+	LastSyncError    string         `json:"last_sync_error,omitempty"`
+	Routing          route.Snapshot `json:"routing"`
+}
+
+// Dump returns the state of the entry role.
+func (h *Host) Dump() Dump {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.cfg.Now()
+	catalogue, domains := h.router.Versions()
+	d := Dump{
+		Host: h.cfg.Host, Incarnation: h.cfg.Incarnation, Ready: !h.stopping && h.router.Fresh(now), Stopping: h.stopping,
+		CatalogueVersion: catalogue, DomainsVersion: domains, OpenClaims: h.claims, Routing: h.router.Snapshot(now),
+	}
+	if h.syncErr != nil {
+		d.LastSyncError = h.syncErr.Error()
+	}
+	return d
+}
--- /dev/null
+++ b/host/entry/transport.go
@@ -0,0 +1,125 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// dialTimeout bounds a connection to an upstream. Together with ViewMaxAge
+	// it bounds the time until an upstream that leaves gets its last request.
+	dialTimeout = time.Second
+	// idleTimeout closes unused connections to upstreams.
+	idleTimeout = 30 * time.Second
+	// maxAnswerHeader bounds the header of an upstream's answer, in bytes.
+	maxAnswerHeader = 64 << 10
+)
+
+// transports holds one transport per upstream, so that each has its own cap
+// on connections.
+type transports struct {
+	mu        sync.Mutex
+	byAddress map[string]*cappedTransport
+}
+
+type cappedTransport struct {
+	*http.Transport
+	connections int
+}
+
+// get returns the transport to an address that opens at most connections.
+func (t *transports) get(address string, connections int) *http.Transport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c, ok := t.byAddress[address]
+	if ok && c.connections == connections {
+		return c.Transport
+	}
+	if ok {
+		c.CloseIdleConnections()
+	}
+	if t.byAddress == nil {
+		t.byAddress = make(map[string]*cappedTransport)
+	}
+	c = &cappedTransport{Transport: newTransport(connections), connections: connections}
+	t.byAddress[address] = c
+	return c.Transport
+}
+
+// keep closes the idle connections to addresses that are no longer announced.
+func (t *transports) keep(list []structs.Upstream) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	announced := make(map[string]bool, len(list))
+	for _, u := range list {
+		announced[u.Address] = true
+	}
+	for address, c := range t.byAddress {
+		if !announced[address] {
+			c.CloseIdleConnections()
+			delete(t.byAddress, address)
+		}
+	}
+}
+
+func (t *transports) closeIdle() { t.keep(nil) }
+
+func newTransport(connections int) *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			c, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &guardedConn{Conn: c}, nil
+		},
+		DisableCompression:     true,
+		MaxConnsPerHost:        connections,
+		MaxIdleConns:           connections,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: maxAnswerHeader,
+	}
+}
+
+// guardedConn counts writes, so that it is known whether any byte of a
+// request can have left, and refuses writes once sealed.
+type guardedConn struct {
+	net.Conn
+	mu     sync.Mutex
+	writes uint64
+	sealed bool
+}
+
+// Write implements net.Conn.
+func (c *guardedConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	if c.sealed {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	c.writes++
+	c.mu.Unlock()
+	return c.Conn.Write(b)
+}
+
+// count returns the number of writes begun.
+func (c *guardedConn) count() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
+
+// seal refuses further writes and returns the number of writes begun.
+func (c *guardedConn) seal() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+	return c.writes
+}
