Run a control host and a development cluster

Cause: the replica, the tables and the scheduler had no process around them. host/control drives the leader's tick, answers calls only while the lease holds, batches submissions and holds worker syncs; host/node assembles a host from settings; host/standin provides workers and an upstream.

Measured: go test -race ./host/node: one batch job of 3 tasks runs from submit to done on stand-in workers.

Conclusion: the batch path works; the caller interface is not mounted yet.

--- /dev/null
+++ b/core/leader/hosts.go
@@ -0,0 +1,15 @@
+package leader
+
+import "time"
+
+// EntryHosts returns what is known of the configured entry hosts.
+func (c *Core) EntryHosts(now time.Time) map[string]EntryHost {
+	out := make(map[string]EntryHost, len(c.hosts))
+	for name, h := range c.hosts {
+		out[name] = EntryHost{
+			Synced: h.synced, SilentMS: now.Sub(h.lastSync).Milliseconds(),
+			CatalogueVersion: h.catalogue, DomainsVersion: h.domains, Stopping: h.stopping,
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/host/cmd/gooseberryd/dev.go
@@ -0,0 +1,64 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"gooseberrypond/host/node"
+)
+
+const (
+	// devStart bounds the start of a development cluster.
+	devStart = 20 * time.Second
+	// devDrain bounds its graceful stop.
+	devDrain = 35 * time.Second
+)
+
+// devCmd runs a development cluster.
+type devCmd struct {
+	DataFolder string `help:"Folder for the data; default is a temporary one that is removed at the end." type:"path"`
+	Address    string `help:"Loopback IP address." default:"127.0.0.1"`
+	FirstPort  int    `help:"First of 7 ports; 0 means free ones." default:"0"`
+	Domains    int    `help:"Number of failure domains." default:"3"`
+	Workers    int    `help:"Stand-in workers per failure domain." default:"2"`
+	LogLevel   string `help:"Log level." default:"warn" enum:"debug,info,warn,error"`
+}
+
+// Run implements the command.
+func (c *devCmd) Run() error {
+	folder := c.DataFolder
+	if folder == "" {
+		tmp, err := os.MkdirTemp("", "gooseberryd-dev-")
+		if err != nil {
+			return err
+		}
+		defer os.RemoveAll(tmp)
+		folder = tmp
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	start, cancel := context.WithTimeout(ctx, devStart)
+	defer cancel()
+	d, err := node.StartDev(start, node.DevOptions{
+		Folder: folder, Address: c.Address, FirstPort: c.FirstPort,
+		Domains: c.Domains, WorkersPerDomain: c.Workers, Log: newLog(c.LogLevel),
+	})
+	if err != nil {
+		return err
+	}
+	fmt.Print(d.Describe())
+	select {
+	case <-ctx.Done():
+	case err := <-d.Node.Failed():
+		d.Kill()
+		return err
+	}
+	stop() // a second signal ends the process at once
+	drain, cancelDrain := context.WithTimeout(context.Background(), devDrain)
+	defer cancelDrain()
+	return d.Drain(drain)
+}
--- a/host/cmd/gooseberryd/main.go
+++ b/host/cmd/gooseberryd/main.go
@@ -1,4 +1,96 @@
 // Command gooseberryd runs one host of the scheduler.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/host/config"
+	"gooseberrypond/host/node"
+)
+
+// cli is the command line.
+type cli struct {
+	Run   runCmd   `cmd:"" help:"Run one host from a settings file until SIGTERM."`
+	Check checkCmd `cmd:"" help:"Check settings files without starting anything."`
+	Dev   devCmd   `cmd:"" help:"Run control, entry, stand-in workers and an upstream in one process on loopback."`
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("gooseberryd"), kong.Description("One host of the gooseberrypond scheduler."), kong.UsageOnError())
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// checkCmd checks settings files.
+type checkCmd struct {
+	Files []string `arg:"" name:"file" help:"Settings files." type:"path"`
+}
+
+// Run implements the command.
+func (c *checkCmd) Run() error {
+	bad := 0
+	for _, f := range c.Files {
+		s, err := config.Load(f)
+		if err != nil {
+			bad++
+			fmt.Fprintln(os.Stderr, err)
+			continue
+		}
+		fmt.Printf("%s: ok: host %s of cluster %s, %d hosts\n", f, s.HostID, s.ClusterID, len(s.Hosts))
+	}
+	if bad > 0 {
+		return fmt.Errorf("%d of %d files refused", bad, len(c.Files))
+	}
+	return nil
+}
+
+// runCmd runs one host.
+type runCmd struct {
+	Settings string `required:"" help:"Settings file." type:"path"`
+}
+
+// Run implements the command.
+func (c *runCmd) Run() error {
+	s, err := config.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	log := newLog(s.Log.Level)
+	n, err := node.Start(s, log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	select {
+	case <-ctx.Done():
+		stop() // a second signal ends the process at once
+		drain, cancel := context.WithTimeout(context.Background(), time.Duration(s.Limits.DrainTimeout))
+		defer cancel()
+		return n.Drain(drain)
+	case err := <-n.Failed():
+		n.Kill()
+		return err
+	}
+}
+
+// newLog returns a logger that writes JSON lines to standard error.
+func newLog(level string) zerolog.Logger {
+	l, err := zerolog.ParseLevel(level)
+	if err != nil {
+		l = zerolog.InfoLevel
+	}
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	return zerolog.New(os.Stderr).Level(l).With().Timestamp().Logger()
+}
--- a/host/config/tls.go
+++ b/host/config/tls.go
@@ -107,3 +107,15 @@
 	}
 	return cfg, src, nil
 }
+
+// PeerConfig returns a TLS configuration for both directions between hosts, or
+// nil without TLS.
+func (t *TLS) PeerConfig() (*tls.Config, error) {
+	cfg, err := t.ServerConfig()
+	if cfg == nil || err != nil {
+		return nil, err
+	}
+	get := cfg.GetCertificate
+	cfg.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return get(nil) }
+	return cfg, nil
+}
--- /dev/null
+++ b/host/control/batch.go
@@ -0,0 +1,107 @@
+package control
+
+import (
+	"context"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// maxBatchJobs bounds the submissions in one command, so that a burst does
+	// not hold up the commands of the tick behind one large entry.
+	maxBatchJobs = 256
+	// maxBatchBytes bounds the payloads in one command.
+	maxBatchBytes = 1 << 20
+	// submitQueue is the number of submissions that wait for a batch; more are refused.
+	submitQueue = 4096
+	// submitters is the number of batches in flight.
+	submitters = 2
+)
+
+// submission is one waiting job.
+type submission struct {
+	job  structs.SubmitJob
+	done chan submitOutcome
+}
+
+type submitOutcome struct {
+	res structs.SubmitResult
+	err error
+}
+
+// batcher joins concurrent submissions into commands. Whatever arrives while
+// a batch waits for the disk forms the next one.
+type batcher struct {
+	queue   chan submission
+	propose func(ctx context.Context, cmd *structs.Command) (structs.Result, error)
+}
+
+func newBatcher(propose func(context.Context, *structs.Command) (structs.Result, error)) *batcher {
+	return &batcher{queue: make(chan submission, submitQueue), propose: propose}
+}
+
+// submit waits for the outcome of one submission.
+func (b *batcher) submit(ctx context.Context, job structs.SubmitJob) (structs.SubmitResult, error) {
+	s := submission{job: job, done: make(chan submitOutcome, 1)}
+	select {
+	case b.queue <- s:
+	default:
+		return structs.SubmitResult{}, structs.Errorf(structs.CodeQueueFull, "control.submit", "%d submissions are waiting", submitQueue).
+			WithOutcome(structs.OutcomeNotRun).WithRetryAfter(1000)
+	}
+	select {
+	case out := <-s.done:
+		return out.res, out.err
+	case <-ctx.Done():
+		return structs.SubmitResult{}, unknown("control.submit", ctx.Err())
+	}
+}
+
+// run proposes batches until ctx ends.
+func (b *batcher) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-b.queue:
+			b.send(ctx, b.collect(s))
+		}
+	}
+}
+
+// collect takes what is waiting, within the limits of one command.
+func (b *batcher) collect(first submission) []submission {
+	batch, size := []submission{first}, len(first.job.Spec.Payload)
+	for len(batch) < maxBatchJobs && size < maxBatchBytes {
+		select {
+		case s := <-b.queue:
+			batch = append(batch, s)
+			size += len(s.job.Spec.Payload)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// send proposes a batch and hands each submission its own result.
+func (b *batcher) send(ctx context.Context, batch []submission) {
+	jobs := make([]structs.SubmitJob, len(batch))
+	for i, s := range batch {
+		jobs[i] = s.job
+	}
+	res, err := b.propose(ctx, &structs.Command{SubmitJobs: &structs.SubmitJobs{Jobs: jobs}})
+	if err == nil && res.Error != nil {
+		err = res.Error
+	}
+	if err == nil && len(res.Submits) != len(batch) {
+		err = structs.Errorf(structs.CodeInternal, "control.submit", "%d results for %d submissions", len(res.Submits), len(batch)).WithOutcome(structs.OutcomeUnknown)
+	}
+	for i, s := range batch {
+		out := submitOutcome{err: err}
+		if err == nil {
+			out.res = res.Submits[i]
+		}
+		s.done <- out
+	}
+}
--- /dev/null
+++ b/host/control/calls.go
@@ -0,0 +1,252 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"gooseberrypond/core/leader"
+	"gooseberrypond/core/state"
+	"gooseberrypond/core/structs"
+	"gooseberrypond/host/rpc"
+)
+
+// Limits of reads.
+const (
+	// maxWait bounds how long GetJob may be held.
+	maxWait = 30 * time.Second
+	// defaultPage and maxPage bound a page of ListJobs.
+	defaultPage = 100
+	maxPage     = 1000
+	// maxTasksShown bounds the tasks of one JobView.
+	maxTasksShown = 1000
+)
+
+// Sync implements rpc.Control.
+func (h *Host) Sync(_ context.Context, req *structs.EntrySync) (*structs.EntryView, error) {
+	received := time.Now()
+	var view structs.EntryView
+	var refused *structs.Error
+	err := h.lead("control.sync", func(core *leader.Core, _ *state.Tables) {
+		view, refused = core.EntrySync(received, h.machine.term, req)
+	})
+	if refused != nil {
+		return nil, refused
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &view, nil
+}
+
+// Announce implements rpc.Control.
+func (h *Host) Announce(_ context.Context, u structs.Upstream) error {
+	return h.leadCheck("control.announce", func(core *leader.Core) *structs.Error { return core.Announce(time.Now(), u) })
+}
+
+// Leave implements rpc.Control.
+func (h *Host) Leave(_ context.Context, upstream string) error {
+	return h.leadCheck("control.leave", func(core *leader.Core) *structs.Error { return core.Leave(time.Now(), upstream) })
+}
+
+// leadCheck runs fn on the leader's state and returns its refusal.
+func (h *Host) leadCheck(step string, fn func(core *leader.Core) *structs.Error) error {
+	var refused *structs.Error
+	err := h.lead(step, func(core *leader.Core, _ *state.Tables) { refused = fn(core) })
+	if refused != nil {
+		return refused
+	}
+	return err
+}
+
+// Submit implements rpc.Control.
+func (h *Host) Submit(ctx context.Context, job structs.SubmitJob) (structs.SubmitResult, error) {
+	if !h.replica.HoldsLease() {
+		return structs.SubmitResult{}, h.notLeader("control.submit")
+	}
+	res, err := h.batch.submit(ctx, job)
+	if err == nil && res.Error != nil {
+		return structs.SubmitResult{}, res.Error
+	}
+	return res, err
+}
+
+// Cancel implements rpc.Control.
+func (h *Host) Cancel(ctx context.Context, c structs.CancelJob) error {
+	_, err := h.change(ctx, &structs.Command{CancelJob: &c})
+	return err
+}
+
+// Claim implements rpc.Control.
+func (h *Host) Claim(ctx context.Context, c structs.Claim) (structs.Result, error) {
+	return h.change(ctx, &structs.Command{Claim: &c})
+}
+
+// Complete implements rpc.Control.
+func (h *Host) Complete(ctx context.Context, c structs.Complete) error {
+	_, err := h.change(ctx, &structs.Command{Complete: &c})
+	return err
+}
+
+// Catalogue implements rpc.Control.
+func (h *Host) Catalogue(context.Context) (*structs.Catalogue, error) {
+	var c structs.Catalogue
+	err := h.lead("control.catalogue", func(_ *leader.Core, t *state.Tables) { c = *t.Catalogue() })
+	if err != nil {
+		return nil, err
+	}
+	return &c, nil
+}
+
+// ApplyCatalogue implements rpc.Control. A refused change is a result, not an error.
+func (h *Host) ApplyCatalogue(ctx context.Context, c *structs.PutCatalogue) (*structs.ChangeResult, error) {
+	return h.operatorChange(ctx, &structs.Command{PutCatalogue: c})
+}
+
+// SetDomain implements rpc.Control.
+func (h *Host) SetDomain(ctx context.Context, c structs.SetDomain) (*structs.ChangeResult, error) {
+	return h.operatorChange(ctx, &structs.Command{SetDomain: &c})
+}
+
+func (h *Host) operatorChange(ctx context.Context, cmd *structs.Command) (*structs.ChangeResult, error) {
+	res, err := h.propose(ctx, cmd)
+	if err != nil {
+		return nil, err
+	}
+	if res.Change != nil {
+		return res.Change, nil
+	}
+	if res.Error != nil {
+		return nil, res.Error
+	}
+	return nil, structs.Errorf(structs.CodeInternal, "control.change", "%s gave no result", kindOf(cmd)).WithOutcome(structs.OutcomeUnknown)
+}
+
+// Change implements rpc.Control.
+func (h *Host) Change(_ context.Context, id string) (*structs.ChangeStatus, error) {
+	var out *structs.ChangeStatus
+	err := h.lead("control.change", func(core *leader.Core, t *state.Tables) {
+		c := t.Change(id)
+		if c == nil {
+			return
+		}
+		out = &structs.ChangeStatus{Change: *c, InForce: changeInForce(core, c), Complete: c.Accepted}
+		for _, ok := range out.InForce {
+			out.Complete = out.Complete && ok
+		}
+	})
+	if err == nil && out == nil {
+		return nil, structs.Errorf(structs.CodeNotFound, "control.change", "change %q is not known", id)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+// GetJob implements rpc.Control.
+func (h *Host) GetJob(ctx context.Context, q rpc.GetJob) (*structs.JobView, error) {
+	wait := min(time.Duration(q.WaitMS)*time.Millisecond, maxWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for over := wait <= 0; ; {
+		view, changed, stop, err := h.readJob(q)
+		if err != nil {
+			return nil, err
+		}
+		if over || view.Job.Status.Finished() {
+			stop()
+			return view, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			over = true
+		}
+		stop()
+	}
+}
+
+// readJob reads a job and watches it for changes until stop is called.
+func (h *Host) readJob(q rpc.GetJob) (view *structs.JobView, changed chan struct{}, stop func(), err error) {
+	err = h.lead("control.get_job", func(_ *leader.Core, t *state.Tables) {
+		if j := ownedJob(t, q.Owner, q.Job); j != nil {
+			view = jobView(t, j)
+			changed, stop = h.machine.watchJob(q.Job)
+		}
+	})
+	if err != nil && stop != nil {
+		stop()
+	}
+	if err == nil && view == nil {
+		err = noJob("control.get_job", q.Job)
+	}
+	return view, changed, stop, err
+}
+
+// ownedJob returns the job if it belongs to the owner, also after a merge of owners.
+func ownedJob(t *state.Tables, owner string, id structs.JobID) *structs.Job {
+	j := t.Job(id)
+	if j == nil || t.ResolveOwner(j.Owner) != t.ResolveOwner(owner) {
+		return nil
+	}
+	return j
+}
+
+func noJob(step string, id structs.JobID) *structs.Error {
+	return structs.Errorf(structs.CodeNotFound, step, "owner has no job %q", id)
+}
+
+// jobView copies a job with its first tasks.
+func jobView(t *state.Tables, j *structs.Job) *structs.JobView {
+	v := &structs.JobView{Job: *j, Counts: map[structs.JobStatus]int{}}
+	for _, task := range t.TasksOf(j.ID) {
+		v.Counts[task.Status]++
+		if len(v.Tasks) < maxTasksShown {
+			v.Tasks = append(v.Tasks, *task)
+		}
+	}
+	return v
+}
+
+// Explain implements rpc.Control.
+func (h *Host) Explain(_ context.Context, q rpc.Explain) ([]string, error) {
+	var lines []string
+	found := false
+	err := h.lead("control.explain", func(core *leader.Core, t *state.Tables) {
+		if ownedJob(t, q.Owner, q.Job) != nil {
+			found, lines = true, core.Explain(q.Job)
+		}
+	})
+	if err == nil && !found {
+		return nil, noJob("control.explain", q.Job)
+	}
+	return lines, err
+}
+
+// ListJobs implements rpc.Control.
+func (h *Host) ListJobs(_ context.Context, q rpc.ListJobs) ([]structs.Job, error) {
+	limit := q.Limit
+	if limit <= 0 {
+		limit = defaultPage
+	}
+	limit = min(limit, maxPage)
+	var out []structs.Job
+	err := h.lead("control.list_jobs", func(_ *leader.Core, t *state.Tables) {
+		skipping := q.After != ""
+		for j := range t.JobsOf(t.ResolveOwner(q.Owner)) {
+			if skipping {
+				skipping = j.ID != q.After
+				continue
+			}
+			if out = append(out, *j); len(out) == limit {
+				return
+			}
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return out, nil
+}
--- /dev/null
+++ b/host/control/host.go
@@ -0,0 +1,267 @@
+// Package control is the control role of a host: a replica of the log with
+// the scheduler's tables, the leader's tick, and the calls of entry hosts.
+//
+// Only a leader that holds its lease answers calls. Whatever changes the
+// tables goes through the log; a call that changes them is answered after its
+// command has been applied on this replica.
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/core/leader"
+	"gooseberrypond/core/state"
+	"gooseberrypond/core/structs"
+	"gooseberrypond/host/rpc"
+	"gooseberrypond/store/consensus"
+	"gooseberrypond/store/replica"
+)
+
+var _ rpc.Control = (*Host)(nil)
+
+// roleLeader is the role of a leading replica in replica.Status.
+var roleLeader = consensus.Leader.String()
+
+// Config configures a Host.
+type Config struct {
+	Cluster string
+	// HostID is the id of this host.
+	HostID string
+	// EntryHosts are the ids of all hosts with role entry.
+	EntryHosts []string
+	// HostOf maps replica ids to host ids.
+	HostOf map[string]string
+	// Replica configures the log; StateMachine is set by Open.
+	Replica  replica.Config
+	Log      zerolog.Logger
+	Registry prometheus.Registerer
+}
+
+// Host is a running control role.
+type Host struct {
+	cfg     Config
+	machine *machine
+	replica *replica.Replica
+	batch   *batcher
+	metrics *metrics
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// Open starts the replica and the leader's loop.
+func Open(cfg Config) (*Host, error) {
+	h := &Host{cfg: cfg, machine: newMachine()}
+	h.ctx, h.cancel = context.WithCancel(context.Background())
+	h.metrics = newMetrics(cfg.Registry, h)
+	h.machine.applied = h.metrics.applied
+	cfg.Replica.StateMachine = h.machine
+	rep, err := replica.Open(cfg.Replica)
+	if err != nil {
+		h.cancel()
+		return nil, errors.Wrap(err, "open replica")
+	}
+	h.replica = rep
+	h.batch = newBatcher(h.propose)
+	h.spawn(h.loop)
+	for range submitters {
+		h.spawn(func() { h.batch.run(h.ctx) })
+	}
+	return h, nil
+}
+
+func (h *Host) spawn(fn func()) {
+	h.wg.Add(1)
+	go func() {
+		defer h.wg.Done()
+		fn()
+	}()
+}
+
+// Close hands over leadership, if held, and stops. ctx bounds the handover.
+func (h *Host) Close(ctx context.Context) error {
+	if h.replica.HoldsLease() {
+		if err := h.replica.TransferLeadership(ctx); err != nil {
+			h.cfg.Log.Warn().Err(err).Msg("leadership not handed over")
+		}
+	}
+	return h.Kill()
+}
+
+// Kill stops without handover.
+func (h *Host) Kill() error {
+	h.cancel()
+	err := h.replica.Close()
+	h.wg.Wait()
+	return err
+}
+
+// Leading reports whether this replica leads and holds its lease.
+func (h *Host) Leading() bool { return h.replica.HoldsLease() }
+
+// LeaderHost returns the id of the host that leads as far as is known, or "".
+func (h *Host) LeaderHost() string { return h.cfg.HostOf[h.replica.Status().LeaderID] }
+
+// loop runs the leader's tick. The next tick waits for the commands of the
+// last one, because each plan must see the effects of the one before it.
+func (h *Host) loop() {
+	tick := time.NewTicker(structs.TickInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-h.ctx.Done():
+			return
+		case <-tick.C:
+			h.step()
+		}
+	}
+}
+
+// step runs one tick if this replica leads.
+func (h *Host) step() {
+	if !h.takeOffice() {
+		return
+	}
+	start := time.Now()
+	var cmds []*structs.Command
+	err := h.lead("control.tick", func(core *leader.Core, _ *state.Tables) {
+		cmds = core.Tick(time.Now(), time.Now().UnixMilli())
+	})
+	if err != nil {
+		return
+	}
+	h.metrics.tick.Observe(time.Since(start).Seconds())
+	for _, cmd := range cmds {
+		res, err := h.propose(h.ctx, cmd)
+		if err != nil {
+			h.cfg.Log.Warn().Str("command", kindOf(cmd)).Err(err).Msg("command of the tick not committed")
+			return
+		}
+		h.metrics.dropped.Add(float64(res.Dropped))
+	}
+}
+
+// takeOffice makes the leader's state match the replica's role. Each term gets
+// new state, because the old one knows nothing of what another leader did.
+func (h *Host) takeOffice() bool {
+	before := h.replica.Status()
+	holds := h.replica.HoldsLease()
+	after := h.replica.Status()
+	leads := before.Term == after.Term && before.Role == roleLeader && after.Role == roleLeader
+	m := h.machine
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.core != nil && (!leads || m.term != after.Term) {
+		m.core = nil
+		m.wakeAll()
+		h.cfg.Log.Info().Uint64("term", m.term).Msg("leadership ended")
+	}
+	if !leads || !holds {
+		return false
+	}
+	if m.core == nil {
+		m.core, m.term = newCore(time.Now(), m.tables, h.cfg.EntryHosts), after.Term
+		h.cfg.Log.Info().Uint64("term", m.term).Msg("leadership taken")
+	}
+	return true
+}
+
+// lead runs fn on the leader's state and the tables. The lease is checked
+// before and after, so that what fn read was current while it ran.
+func (h *Host) lead(step string, fn func(core *leader.Core, t *state.Tables)) error {
+	if !h.replica.HoldsLease() {
+		return h.notLeader(step)
+	}
+	m := h.machine
+	m.mu.Lock()
+	if m.core == nil {
+		m.mu.Unlock()
+		return h.notLeader(step)
+	}
+	fn(m.core, m.tables)
+	m.mu.Unlock()
+	if !h.replica.HoldsLease() {
+		return h.notLeader(step)
+	}
+	return nil
+}
+
+func (h *Host) notLeader(step string) *structs.Error {
+	return structs.Errorf(structs.CodeNotLeader, step, "this replica does not lead").
+		WithPeer(h.cfg.HostID).WithOutcome(structs.OutcomeNotRun).WithRetryAfter(int64(structs.ElectionTimeoutMax / time.Millisecond))
+}
+
+// unknown returns the error of a command that may still be committed.
+func unknown(step string, err error) *structs.Error {
+	return structs.Errorf(structs.CodeNoLeader, step, "outcome unknown: %v", err).WithOutcome(structs.OutcomeUnknown)
+}
+
+// propose puts a command in the log and returns the result of applying it.
+func (h *Host) propose(ctx context.Context, cmd *structs.Command) (structs.Result, error) {
+	const step = "control.propose"
+	cmd.Version, cmd.NowMS = structs.CommandVersion, time.Now().UnixMilli()
+	data, err := encodeCommand(cmd)
+	if err != nil {
+		return structs.Result{}, structs.Errorf(structs.CodeInternal, step, "%v", err).WithOutcome(structs.OutcomeNotRun)
+	}
+	if !h.replica.HoldsLease() {
+		return structs.Result{}, h.notLeader(step)
+	}
+	start := time.Now()
+	out, err := h.replica.Propose(ctx, data)
+	h.metrics.proposed(cmd, time.Since(start), err)
+	if err == nil {
+		return out.(structs.Result), nil
+	}
+	return structs.Result{}, h.notProposed(err)
+}
+
+// notProposed types an error of the replica. Only ErrLost leaves the outcome open.
+func (h *Host) notProposed(err error) *structs.Error {
+	const step = "control.propose"
+	switch {
+	case errors.Is(err, replica.ErrNotLeader):
+		return h.notLeader(step)
+	case errors.Is(err, replica.ErrLost):
+		return unknown(step, err).WithPeer(h.cfg.HostID)
+	case errors.Is(err, replica.ErrTooLarge):
+		return structs.Errorf(structs.CodeTooLarge, step, "%v", err).WithOutcome(structs.OutcomeNotRun)
+	case errors.Is(err, replica.ErrBusy):
+		return structs.Errorf(structs.CodeQueueFull, step, "%v", err).WithOutcome(structs.OutcomeNotRun).WithRetryAfter(1000)
+	}
+	return structs.Errorf(structs.CodeNoLeader, step, "%v", err).WithPeer(h.cfg.HostID).WithOutcome(structs.OutcomeNotRun)
+}
+
+// memberError types an error of a membership change.
+func (h *Host) memberError(err error) *structs.Error {
+	const step = "control.member_change"
+	for cause, code := range map[error]structs.ErrorCode{
+		consensus.ErrChangePending: structs.CodeConflict,
+		consensus.ErrNotReady:      structs.CodeConflict,
+		consensus.ErrNotCaughtUp:   structs.CodeConflict,
+		consensus.ErrMemberExists:  structs.CodeConflict,
+		consensus.ErrLastVoter:     structs.CodeConflict,
+		consensus.ErrUnknownMember: structs.CodeNotFound,
+	} {
+		if errors.Is(err, cause) {
+			return structs.Errorf(code, step, "%v", err).WithPeer(h.cfg.HostID).WithOutcome(structs.OutcomeNotRun).WithRetryAfter(1000)
+		}
+	}
+	return h.notProposed(err)
+}
+
+// change proposes a command whose result is an error or nothing.
+func (h *Host) change(ctx context.Context, cmd *structs.Command) (structs.Result, error) {
+	res, err := h.propose(ctx, cmd)
+	if err == nil && res.Error != nil {
+		err = res.Error
+	}
+	return res, err
+}
--- /dev/null
+++ b/host/control/worker.go
@@ -0,0 +1,90 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"gooseberrypond/core/leader"
+	"gooseberrypond/core/state"
+	"gooseberrypond/core/structs"
+)
+
+// WorkerRegister implements rpc.Control.
+func (h *Host) WorkerRegister(ctx context.Context, req *structs.WorkerRegister) error {
+	_, err := h.change(ctx, &structs.Command{RegisterWorker: req})
+	return err
+}
+
+// WorkerSync implements rpc.Control. The answer is held until there is a
+// command for the worker or the worker's wait has passed. Events are in the
+// log before the answer acknowledges them.
+func (h *Host) WorkerSync(ctx context.Context, req *structs.WorkerSync) (*structs.WorkerSyncReply, error) {
+	const step = "control.worker_sync"
+	received := time.Now()
+	var events *structs.Command
+	var refused *structs.Error
+	var held *poll
+	stop := func() {}
+	err := h.lead(step, func(core *leader.Core, _ *state.Tables) {
+		_, events, refused = core.WorkerSync(received, req)
+		if refused == nil {
+			held, stop = h.machine.watchWorker(req.ID)
+		}
+	})
+	defer func() { stop() }()
+	if refused != nil {
+		return nil, refused
+	}
+	if err != nil {
+		return nil, err
+	}
+	if events != nil {
+		if _, err := h.change(ctx, events); err != nil {
+			return nil, err
+		}
+	}
+	h.metrics.syncs.Inc()
+	return h.holdSync(ctx, req, received, held)
+}
+
+// holdSync answers at once if there is something to do, and otherwise waits.
+func (h *Host) holdSync(ctx context.Context, req *structs.WorkerSync, received time.Time, held *poll) (*structs.WorkerSyncReply, error) {
+	wait := min(time.Duration(req.WaitMS)*time.Millisecond, structs.WorkerSyncHold)
+	timer := time.NewTimer(time.Until(received.Add(wait)))
+	defer timer.Stop()
+	for over := wait <= 0; ; {
+		reply, err := h.pollSync(req)
+		if err != nil {
+			return nil, err
+		}
+		if over || reply.Reregister || len(reply.Commands) > 0 {
+			h.metrics.commands(reply.Commands)
+			return reply, nil
+		}
+		select {
+		case <-held.wake:
+		case <-timer.C:
+			over = true
+		case <-held.over:
+			return nil, structs.Errorf(structs.CodeConflict, "control.worker_sync", "a newer sync of worker %s has arrived", req.ID).WithOutcome(structs.OutcomeNotRun)
+		case <-ctx.Done():
+			return nil, unknown("control.worker_sync", ctx.Err())
+		}
+	}
+}
+
+// pollSync asks for the commands of a held sync.
+func (h *Host) pollSync(req *structs.WorkerSync) (*structs.WorkerSyncReply, error) {
+	var reply structs.WorkerSyncReply
+	var refused *structs.Error
+	err := h.lead("control.worker_sync", func(core *leader.Core, _ *state.Tables) {
+		reply, refused = core.WorkerPoll(time.Now(), req)
+	})
+	if refused != nil {
+		return nil, refused
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &reply, nil
+}
--- /dev/null
+++ b/host/node/node.go
@@ -0,0 +1,239 @@
+// Package node assembles the roles of one host from its settings: listeners,
+// control role, entry role, health and metrics, and the graceful stop.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"path/filepath"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/host/config"
+	"gooseberrypond/host/control"
+	"gooseberrypond/host/edge/web"
+	"gooseberrypond/host/rpc"
+)
+
+// Node is a running host.
+type Node struct {
+	settings *config.Settings
+	log      zerolog.Logger
+	registry *prometheus.Registry
+
+	listeners map[string]net.Listener
+	servers   []*http.Server
+	control   *control.Host
+	rpcServer *rpc.Server
+	client    *rpc.Client
+	entry     *entryRole
+
+	draining atomic.Bool
+	failed   chan error
+}
+
+// Start opens every listener, then starts the roles. After an error nothing is left running.
+func Start(s *config.Settings, log zerolog.Logger) (*Node, error) {
+	n := &Node{
+		settings:  s,
+		log:       log.With().Str("host", s.HostID).Logger(),
+		registry:  prometheus.NewRegistry(),
+		listeners: map[string]net.Listener{},
+		failed:    make(chan error, 16),
+	}
+	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	err := n.start()
+	if err != nil {
+		n.Kill()
+		return nil, err
+	}
+	n.log.Info().Str("cluster", s.ClusterID).Strs("addresses", n.addresses()).Msg("host started")
+	return n, nil
+}
+
+func (n *Node) start() error {
+	if err := n.listen(); err != nil {
+		return err
+	}
+	if err := n.newClient(); err != nil {
+		return err
+	}
+	if n.settings.Has(config.RoleControl) {
+		if err := n.startControl(); err != nil {
+			return err
+		}
+	}
+	if n.settings.Has(config.RoleEntry) {
+		if err := n.startEntry(); err != nil {
+			return err
+		}
+	}
+	n.serveEdges()
+	return nil
+}
+
+// listen opens the listeners, except that between replicas, which the replica opens.
+func (n *Node) listen() error {
+	l := &n.settings.Listeners
+	for name, listener := range map[string]*config.Listener{
+		"caller": &l.Caller, "upstream": &l.Upstream, "platform": &l.Platform,
+		"operator": &l.Operator, "control": &l.Control, "health": &l.Health,
+	} {
+		if !listener.Enabled() {
+			continue
+		}
+		nl, err := web.Listen(listener)
+		if err != nil {
+			return errors.Wrapf(err, "listeners.%s", name)
+		}
+		n.listeners[name] = nl
+	}
+	return nil
+}
+
+// newClient makes the client for calls to the control hosts.
+func (n *Node) newClient() error {
+	files := n.settings.ControlTLS
+	if !files.Enabled() {
+		files = n.settings.Listeners.Control.TLS
+	}
+	tlsConfig, err := files.ClientConfig()
+	if err != nil {
+		return errors.Wrap(err, "control_tls")
+	}
+	var peers []rpc.Peer
+	for _, h := range n.settings.With(config.RoleControl) {
+		peers = append(peers, rpc.Peer{ID: h.ID, Address: h.Control})
+	}
+	n.client = rpc.NewClient(rpc.ClientConfig{Cluster: n.settings.ClusterID, Host: n.settings.HostID, Peers: peers, TLS: tlsConfig})
+	return nil
+}
+
+// startControl opens the replica and serves entry hosts.
+func (n *Node) startControl() error {
+	rc, err := n.replicaConfig()
+	if err != nil {
+		return err
+	}
+	hostOf := map[string]string{}
+	for _, h := range n.settings.With(config.RoleControl) {
+		hostOf[replicaID(h)] = h.ID
+	}
+	n.control, err = control.Open(control.Config{
+		Cluster:    n.settings.ClusterID,
+		HostID:     n.settings.HostID,
+		EntryHosts: n.settings.EntryHosts(),
+		HostOf:     hostOf,
+		Replica:    rc,
+		Log:        n.log.With().Str("role", "control").Logger(),
+		Registry:   n.registry,
+	})
+	if err != nil {
+		return err
+	}
+	n.rpcServer = rpc.NewServer(n.settings.ClusterID, n.control, n.control.LeaderHost, config.DefaultMaxConnections)
+	go func() { n.fail("control listener", n.rpcServer.Serve(n.listeners["control"], nil)) }()
+	return nil
+}
+
+// replicaID is the id of a host's replica in the log.
+func replicaID(h config.Host) string { return strconv.FormatUint(h.Replica, 10) }
+
+// dataFolder is where the replica keeps its files.
+func (n *Node) dataFolder() string { return filepath.Join(n.settings.DataFolder, "replica") }
+
+// fail reports the end of a listener that was not asked to end.
+func (n *Node) fail(what string, err error) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) || n.draining.Load() {
+		return
+	}
+	n.log.Error().Err(err).Str("step", what).Msg("service ended")
+	select {
+	case n.failed <- errors.Wrap(err, what):
+	default:
+	}
+}
+
+// Failed returns a channel with the error that makes the host unusable.
+func (n *Node) Failed() <-chan error { return n.failed }
+
+// Address returns the address of a listener, or "".
+func (n *Node) Address(name string) string {
+	if l := n.listeners[name]; l != nil {
+		return l.Addr().String()
+	}
+	return ""
+}
+
+// Control returns the control role, or nil.
+func (n *Node) Control() *control.Host { return n.control }
+
+// Client returns the client for calls to the control hosts.
+func (n *Node) Client() *rpc.Client { return n.client }
+
+func (n *Node) addresses() []string {
+	var out []string
+	for name, l := range n.listeners {
+		out = append(out, name+"="+l.Addr().String())
+	}
+	return out
+}
+
+// Drain stops gracefully: readiness fails, the entry role finishes what is in
+// flight and gives back its grants, a leader hands over, and all listeners
+// close. It says what it waits for. ctx bounds the wait.
+func (n *Node) Drain(ctx context.Context) error {
+	start := time.Now()
+	n.draining.Store(true)
+	n.log.Info().Msg("stopping: readiness fails from now on")
+	if n.entry != nil {
+		n.entry.drain(ctx, n.log)
+	}
+	n.log.Info().Msg("stopping: waiting for open answers")
+	for _, s := range n.servers {
+		if err := s.Shutdown(ctx); err != nil {
+			n.log.Warn().Err(err).Msg("connections still open at the end of the drain")
+		}
+	}
+	var err error
+	if n.control != nil {
+		n.log.Info().Bool("leader", n.control.Leading()).Msg("stopping: closing the replica, after handover if it leads")
+		err = n.control.Close(ctx)
+		n.control = nil
+	}
+	n.Kill()
+	n.log.Info().Dur("took", time.Since(start)).Msg("host stopped")
+	return err
+}
+
+// Kill stops at once, as a crash would, but without leaving goroutines behind.
+func (n *Node) Kill() {
+	n.draining.Store(true)
+	for _, s := range n.servers {
+		s.Close()
+	}
+	for _, l := range n.listeners {
+		l.Close()
+	}
+	if n.rpcServer != nil {
+		n.rpcServer.Close()
+	}
+	if n.entry != nil {
+		n.entry.close()
+	}
+	if n.control != nil {
+		if err := n.control.Kill(); err != nil {
+			n.log.Warn().Err(err).Msg("replica closed with an error")
+		}
+	}
+	if n.client != nil {
+		n.client.Close()
+	}
+}
--- /dev/null
+++ b/host/node/replica.go
@@ -0,0 +1,38 @@
+package node
+
+import (
+	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/host/config"
+	"gooseberrypond/store/replica"
+)
+
+// replicaConfig returns the configuration of the log. The founding members are
+// the control hosts that did not join later; a joining replica has none and
+// waits to be added as a learner.
+func (n *Node) replicaConfig() (replica.Config, error) {
+	s, self := n.settings, n.settings.Self()
+	tlsConfig, err := s.Listeners.Peer.TLS.PeerConfig()
+	if err != nil {
+		return replica.Config{}, errors.Wrap(err, "listeners.peer.tls")
+	}
+	cfg := replica.Config{
+		ID:              replicaID(self),
+		ClusterID:       s.ClusterID,
+		Dir:             n.dataFolder(),
+		Listen:          self.Peer,
+		Advertise:       self.Peer,
+		TLS:             tlsConfig,
+		Logger:          n.log.With().Str("part", "replica").Logger(),
+		SnapshotEntries: s.Limits.SnapshotEntries,
+	}
+	if self.Joining {
+		return cfg, nil
+	}
+	for _, h := range s.With(config.RoleControl) {
+		if !h.Joining {
+			cfg.Members = append(cfg.Members, replica.Member{ID: replicaID(h), Address: h.Peer})
+		}
+	}
+	return cfg, nil
+}
--- /dev/null
+++ b/host/standin/upstream.go
@@ -0,0 +1,159 @@
+package standin
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// announceEvery is the period of an upstream's announcements.
+const announceEvery = time.Second
+
+// UpstreamConfig describes a stand-in upstream.
+type UpstreamConfig struct {
+	// Upstream is announced with the address of the listener.
+	Upstream structs.Upstream
+	// Announce lists base URLs of upstream listeners.
+	Announce []string
+	// Delay is how long each request takes.
+	Delay  time.Duration
+	Client *http.Client
+}
+
+// Upstream is a stand-in upstream that echoes bodies after a delay.
+type Upstream struct {
+	cfg    UpstreamConfig
+	call   caller
+	server *http.Server
+
+	mu       sync.Mutex
+	inFlight int
+	peak     int
+	byKey    map[string]int
+	total    int
+}
+
+// NewUpstream returns an upstream; Run starts it.
+func NewUpstream(cfg UpstreamConfig) *Upstream {
+	if cfg.Client == nil {
+		cfg.Client = http.DefaultClient
+	}
+	u := &Upstream{cfg: cfg, call: caller{client: cfg.Client, bases: cfg.Announce}, byKey: map[string]int{}}
+	u.server = &http.Server{Handler: http.HandlerFunc(u.echo), ReadHeaderTimeout: 10 * time.Second}
+	return u
+}
+
+// Run serves on l and announces the upstream until ctx ends, then leaves and
+// finishes the requests in flight.
+func (u *Upstream) Run(ctx context.Context, l net.Listener) error {
+	u.cfg.Upstream.Address = l.Addr().String()
+	served := make(chan error, 1)
+	go func() { served <- u.server.Serve(l) }()
+	tick := time.NewTicker(announceEvery)
+	defer tick.Stop()
+	for u.announce(ctx); ; u.announce(ctx) {
+		select {
+		case <-ctx.Done():
+			return u.leave()
+		case err := <-served:
+			return err
+		case <-tick.C:
+		}
+	}
+}
+
+// announce retries until the announcement is received.
+func (u *Upstream) announce(ctx context.Context) {
+	for ctx.Err() == nil {
+		try, cancel := context.WithTimeout(ctx, announceEvery)
+		err := u.call.post(try, "/v1/upstreams", u.cfg.Upstream, nil)
+		cancel()
+		if err == nil {
+			return
+		}
+		t := time.NewTimer(workerRetry)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// leave withdraws the upstream and waits for requests in flight. New requests
+// end with the views of the entry hosts.
+func (u *Upstream) leave() error {
+	ctx, cancel := context.WithTimeout(context.Background(), structs.ViewMaxAge+5*time.Second)
+	defer cancel()
+	err := u.call.post(ctx, "/v1/upstreams/"+u.cfg.Upstream.Name+"/leave", struct{}{}, nil)
+	if err == nil {
+		t := time.NewTimer(structs.ViewMaxAge)
+		defer t.Stop()
+		<-t.C
+	}
+	if serr := u.server.Shutdown(ctx); err == nil {
+		err = serr
+	}
+	return err
+}
+
+// Counts returns the requests served, the most at once, and those with an
+// idempotency key by key.
+func (u *Upstream) Counts() (total, peak int, byKey map[string]int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	byKey = map[string]int{}
+	for k, n := range u.byKey {
+		byKey[k] = n
+	}
+	return u.total, u.peak, byKey
+}
+
+// enter counts a request.
+func (u *Upstream) enter(key string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.total++
+	u.inFlight++
+	u.peak = max(u.peak, u.inFlight)
+	if key != "" {
+		u.byKey[key]++
+	}
+}
+
+func (u *Upstream) exit() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.inFlight--
+}
+
+// echo answers with the request's body.
+func (u *Upstream) echo(w http.ResponseWriter, r *http.Request) {
+	u.enter(r.Header.Get("Idempotency-Key"))
+	defer u.exit()
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if u.cfg.Delay > 0 {
+		t := time.NewTimer(u.cfg.Delay)
+		defer t.Stop()
+		select {
+		case <-t.C:
+		case <-r.Context().Done():
+			return
+		}
+	}
+	w.Header().Set("X-Upstream", u.cfg.Upstream.Name)
+	if len(body) == 0 {
+		body = []byte("served by " + u.cfg.Upstream.Name + "\n")
+	}
+	// A failed write means that the caller has gone.
+	_, _ = w.Write(body)
+}
