--- /dev/null
+++ b/store/consensus/core.go
@@ -0,0 +1,297 @@
+package consensus
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Core is the state of one replica's part in the agreement. It is not safe for
+// concurrent use.
+type Core struct {
+	cfg   Config
+	epoch time.Time
+	stamp int64
+	rng   *rand.Rand
+
+	term   uint64
+	vote   ID
+	commit uint64
+	// handed is the last committed entry given to the caller.
+	handed uint64
+	log    raftLog
+	snap   SnapshotMeta
+
+	// members is the latest membership in the log, committed or not;
+	// configIndex is its entry.
+	members     Membership
+	configIndex uint64
+
+	role   Role
+	leader ID
+	// heard is when this replica last heard from a leader, or started. It votes
+	// for nobody within ElectionTimeoutMin of it, since a leader may hold a
+	// lease that this replica acknowledged, perhaps before a restart.
+	heard    time.Time
+	deadline time.Time
+	votes    map[ID]bool
+	// instances holds the data folders that voters reported with their votes.
+	instances map[ID]string
+	// transferVote marks a candidacy for a leadership transfer.
+	transferVote bool
+
+	lead     leaderState
+	incoming *incoming
+
+	eff         Effects
+	stateDirty  bool
+	unsavedFrom uint64
+	// stable is the last entry known to be synced.
+	stable uint64
+}
+
+// New returns a replica that starts at now with what is on disk.
+func New(now time.Time, cfg Config, saved Saved) (*Core, error) {
+	c := &Core{
+		cfg: cfg, epoch: now, heard: now,
+		rng:  rand.New(rand.NewPCG(cfg.Seed, 0x9e3779b97f4a7c15)),
+		term: saved.State.Term, vote: saved.State.Vote,
+		commit: max(saved.State.Commit, saved.Snapshot.Last.Index),
+		handed: saved.Snapshot.Last.Index,
+		snap:   saved.Snapshot,
+		log:    raftLog{base: saved.Base, entries: saved.Entries},
+	}
+	if err := c.checkSaved(saved); err != nil {
+		return nil, err
+	}
+	c.stable = c.log.last().Index
+	if err := c.reloadMembers(); err != nil {
+		return nil, err
+	}
+	c.resetDeadline(now)
+	return c, nil
+}
+
+func (c *Core) checkSaved(saved Saved) error {
+	for i, e := range saved.Entries {
+		if want := saved.Base.Index + 1 + uint64(i); e.Index != want {
+			return errors.Newf("saved entry has index %d, want %d", e.Index, want)
+		}
+	}
+	if s := c.snap.Last; s.Index < c.log.base.Index || s.Index > c.log.last().Index {
+		return errors.Newf("snapshot at %d is outside the log, which holds %d to %d",
+			s.Index, c.log.base.Index, c.log.last().Index)
+	}
+	if c.commit > c.log.last().Index {
+		return errors.Newf("commit index %d is past the last entry %d", c.commit, c.log.last().Index)
+	}
+	return nil
+}
+
+// reloadMembers finds the latest membership in the log or the snapshot.
+func (c *Core) reloadMembers() error {
+	for i := len(c.log.entries) - 1; i >= 0; i-- {
+		if e := c.log.entries[i]; e.Kind == EntryConfig {
+			return c.setMembers(e)
+		}
+	}
+	c.members, c.configIndex = c.snap.Membership, c.snap.Last.Index
+	return nil
+}
+
+func (c *Core) setMembers(e Entry) error {
+	m, err := DecodeMembership(e.Data)
+	if err != nil {
+		return errors.Wrapf(err, "entry %d", e.Index)
+	}
+	c.members, c.configIndex = m, e.Index
+	return nil
+}
+
+// Take returns the effects of all calls since the last Take.
+func (c *Core) Take() Effects {
+	e := c.eff
+	c.eff = Effects{}
+	if c.unsavedFrom > 0 {
+		e.Entries = c.log.from(c.unsavedFrom, c.log.last().Index, 1<<62)
+		c.unsavedFrom = 0
+	}
+	if c.stateDirty {
+		e.Messages = append(e.Early, e.Messages...)
+		e.Early = nil
+	}
+	if c.stateDirty || len(e.Entries) > 0 {
+		e.State = &HardState{Term: c.term, Vote: c.vote, Commit: c.commit}
+		c.stateDirty = false
+	}
+	if c.commit > c.handed {
+		e.Committed = c.log.from(c.handed+1, c.commit, 1<<62)
+		c.handed = c.commit
+	}
+	return e
+}
+
+// Persisted records that the log is synced up to the entry.
+func (c *Core) Persisted(now time.Time, last Marker) {
+	if t, ok := c.log.term(last.Index); !ok || t != last.Term || last.Index <= c.stable {
+		return
+	}
+	c.stable = last.Index
+	if c.role == Leader {
+		c.maybeCommit(now)
+	}
+}
+
+// Tick advances time. It should be called several times per heartbeat interval.
+func (c *Core) Tick(now time.Time) {
+	if c.role == Leader {
+		c.tickLeader(now)
+		return
+	}
+	if !now.Before(c.deadline) {
+		c.preCampaign(now)
+	}
+}
+
+// append adds entries at the end of the log.
+func (c *Core) append(es ...Entry) error {
+	if len(es) == 0 {
+		return nil
+	}
+	c.log.entries = append(c.log.entries, es...)
+	if c.unsavedFrom == 0 {
+		c.unsavedFrom = es[0].Index
+	}
+	for _, e := range es {
+		if e.Kind == EntryConfig {
+			if err := c.setMembers(e); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// truncateFrom drops uncommitted entries at and after index.
+func (c *Core) truncateFrom(index uint64) error {
+	if index <= c.commit {
+		return errors.Newf("entry %d conflicts with the leader but is committed", index)
+	}
+	c.log.truncateFrom(index)
+	c.stable = min(c.stable, index-1)
+	if c.unsavedFrom == 0 || index < c.unsavedFrom {
+		c.unsavedFrom = index
+	}
+	if c.configIndex >= index {
+		return c.reloadMembers()
+	}
+	return nil
+}
+
+// Compact records a snapshot and drops log entries up to and including base,
+// which is at or below the snapshot.
+func (c *Core) Compact(meta SnapshotMeta, base uint64) error {
+	if meta.Last.Index > c.handed {
+		return errors.Newf("snapshot at %d is past the last committed entry handed out, %d",
+			meta.Last.Index, c.handed)
+	}
+	if meta.Last.Index <= c.snap.Last.Index {
+		return nil
+	}
+	c.snap = meta
+	if base <= c.log.base.Index {
+		return nil
+	}
+	return c.log.compact(min(base, meta.Last.Index))
+}
+
+func (c *Core) send(m Message) {
+	m.From = c.cfg.ID
+	m.FromInstance = c.cfg.Instance
+	if to, ok := c.members.Get(m.To); ok && to.Voter {
+		m.ToInstance = to.Instance
+	}
+	if m.Term == 0 {
+		m.Term = c.term
+	}
+	if c.role == Leader && (m.Kind == MsgAppend || m.Kind == MsgSnapshot || m.Kind == MsgTimeoutNow) {
+		c.eff.Early = append(c.eff.Early, m)
+		return
+	}
+	c.eff.Messages = append(c.eff.Messages, m)
+}
+
+// nextStamp returns a time in nanoseconds since the start that is larger than
+// every earlier one.
+func (c *Core) nextStamp(now time.Time) int64 {
+	c.stamp = max(c.stamp+1, int64(now.Sub(c.epoch)))
+	return c.stamp
+}
+
+func (c *Core) resetDeadline(now time.Time) {
+	lo, hi := c.cfg.ElectionTimeoutMin, c.cfg.ElectionTimeoutMax
+	c.deadline = now.Add(lo + time.Duration(c.rng.Int64N(int64(hi-lo)+1)))
+}
+
+// Status describes a replica.
+type Status struct {
+	ID         ID
+	Role       Role
+	Term       uint64
+	Leader     ID
+	Commit     uint64
+	Last       uint64
+	Base       uint64
+	Snapshot   uint64
+	Membership Membership
+	// TermStart is the first entry of the leader's term, on the leader.
+	TermStart uint64
+	ElectedAt time.Time
+	// Transferring is set while the leader hands over leadership.
+	Transferring bool
+	// Peers is set on the leader.
+	Peers map[ID]PeerStatus
+}
+
+// PeerStatus is what the leader knows of another replica.
+type PeerStatus struct {
+	Match uint64
+	// Snapshot is set while a snapshot is being sent.
+	Snapshot bool
+	// Contact is when the last answered message was sent; zero if none was.
+	Contact time.Time
+}
+
+// Status returns a copy of the replica's status.
+func (c *Core) Status() Status {
+	s := Status{
+		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader,
+		Commit: c.commit, Last: c.log.last().Index, Base: c.log.base.Index,
+		Snapshot: c.snap.Last.Index, Membership: c.members,
+	}
+	if c.role != Leader {
+		return s
+	}
+	s.TermStart, s.ElectedAt = c.lead.termStart, c.lead.electedAt
+	s.Transferring = c.lead.transfer != nil
+	s.Peers = make(map[ID]PeerStatus, len(c.lead.peers))
+	for id, p := range c.lead.peers {
+		ps := PeerStatus{Match: p.match, Snapshot: p.state == stateSnapshot}
+		if p.contact > 0 {
+			ps.Contact = c.epoch.Add(time.Duration(p.contact))
+		}
+		s.Peers[id] = ps
+	}
+	return s
+}
+
+// Log returns the hard state, the position before the first entry, and the
+// entries, as they are to be kept on disk.
+func (c *Core) Log() (HardState, Marker, []Entry) {
+	n := len(c.log.entries)
+	return HardState{Term: c.term, Vote: c.vote, Commit: c.commit}, c.log.base, c.log.entries[:n:n]
+}
+
+// Members returns the latest membership, committed or not.
+func (c *Core) Members() Membership { return c.members }
--- /dev/null
+++ b/store/consensus/election.go
@@ -0,0 +1,135 @@
+package consensus
+
+import "time"
+
+// sticky reports whether this replica must not vote, because a leader may hold
+// a lease that counts on it.
+func (c *Core) sticky(now time.Time) bool {
+	return c.role == Leader || now.Before(c.heard.Add(c.cfg.ElectionTimeoutMin))
+}
+
+func (c *Core) becomeFollower(now time.Time, term uint64, leader ID) {
+	if c.role == Leader {
+		c.endLeadership()
+	}
+	if c.role != Follower {
+		c.resetDeadline(now)
+	}
+	if term != c.term {
+		c.term, c.vote = term, ""
+		c.stateDirty = true
+	}
+	c.role, c.leader = Follower, leader
+	c.transferVote = false
+}
+
+// preCampaign asks whether an election could be won, without raising the term.
+func (c *Core) preCampaign(now time.Time) {
+	c.resetDeadline(now)
+	c.leader = ""
+	if !c.members.IsVoter(c.cfg.ID) {
+		return
+	}
+	c.role = PreCandidate
+	c.votes = map[ID]bool{c.cfg.ID: true}
+	if c.wonVotes() {
+		c.campaign(now, false)
+		return
+	}
+	c.askVotes(Message{Kind: MsgPreVote, Term: c.term + 1})
+}
+
+// campaign starts an election.
+func (c *Core) campaign(now time.Time, transfer bool) {
+	c.resetDeadline(now)
+	c.role, c.leader = Candidate, ""
+	c.term++
+	c.vote = c.cfg.ID
+	c.stateDirty = true
+	c.transferVote = transfer
+	c.votes = map[ID]bool{c.cfg.ID: true}
+	c.instances = map[ID]string{c.cfg.ID: c.cfg.Instance}
+	if c.wonVotes() {
+		c.becomeLeader(now)
+		return
+	}
+	c.askVotes(Message{Kind: MsgVote, Term: c.term, Transfer: transfer})
+}
+
+func (c *Core) askVotes(m Message) {
+	last := c.log.last()
+	m.Index, m.LogTerm = last.Index, last.Term
+	for _, x := range c.members.Members {
+		if x.Voter && x.ID != c.cfg.ID {
+			m.To = x.ID
+			c.send(m)
+		}
+	}
+}
+
+func (c *Core) wonVotes() bool {
+	n := 0
+	for id, granted := range c.votes {
+		if granted && c.members.IsVoter(id) {
+			n++
+		}
+	}
+	return n >= c.quorum()
+}
+
+func (c *Core) quorum() int { return c.members.Voters()/2 + 1 }
+
+func (c *Core) handlePreVote(now time.Time, m Message) {
+	grant := m.Term > c.term && !c.sticky(now) && c.log.upToDate(Marker{m.Index, m.LogTerm})
+	reply := Message{Kind: MsgPreVoteReply, To: m.From, Reject: !grant, Term: c.term}
+	if grant {
+		reply.Term = m.Term
+	}
+	c.send(reply)
+}
+
+func (c *Core) handlePreVoteReply(now time.Time, m Message) {
+	if c.role != PreCandidate || m.Reject || m.Term != c.term+1 {
+		return
+	}
+	c.votes[m.From] = true
+	if c.wonVotes() {
+		c.campaign(now, false)
+	}
+}
+
+// handleVote handles a vote request of this replica's term. A learner answers
+// too: only voters are asked, so it was promoted by an entry it lacks so far.
+func (c *Core) handleVote(now time.Time, m Message) {
+	if !m.Transfer && c.sticky(now) {
+		return
+	}
+	free := c.vote == m.From || c.vote == "" && c.leader == ""
+	grant := free && c.role == Follower && c.log.upToDate(Marker{m.Index, m.LogTerm})
+	if grant {
+		c.vote = m.From
+		c.stateDirty = true
+		c.resetDeadline(now)
+	}
+	c.send(Message{Kind: MsgVoteReply, To: m.From, Reject: !grant})
+}
+
+func (c *Core) handleVoteReply(now time.Time, m Message) error {
+	if c.role != Candidate || m.Reject {
+		return nil
+	}
+	c.votes[m.From] = true
+	c.instances[m.From] = m.FromInstance
+	if c.wonVotes() {
+		return c.becomeLeader(now)
+	}
+	return nil
+}
+
+// handleTimeoutNow starts an election at once, on request of the leader.
+func (c *Core) handleTimeoutNow(now time.Time, m Message) {
+	if c.role != Follower || c.leader != m.From || !c.members.IsVoter(c.cfg.ID) {
+		return
+	}
+	c.campaign(now, true)
+}
--- /dev/null
+++ b/store/consensus/follower.go
@@ -0,0 +1,146 @@
+package consensus
+
+import "time"
+
+// incoming is a snapshot being received.
+type incoming struct {
+	from ID
+	last Marker
+	next int64
+	// installing is set once all chunks were handed out; until the caller
+	// reports the result, messages of the leader are not processed.
+	installing bool
+}
+
+// follow records contact with the leader of the current term.
+func (c *Core) follow(now time.Time, leader ID) {
+	if c.role != Follower || c.leader != leader {
+		c.becomeFollower(now, c.term, leader)
+	}
+	c.heard = now
+	c.resetDeadline(now)
+}
+
+func (c *Core) handleAppend(now time.Time, m Message) error {
+	if c.role == Leader {
+		return nil // only this replica leads this term
+	}
+	c.follow(now, m.From)
+	if c.incoming != nil && c.incoming.installing {
+		return nil
+	}
+	reply := Message{Kind: MsgAppendReply, To: m.From, Sent: m.Sent}
+	if m.Index < c.commit {
+		reply.Index = c.commit
+		c.send(reply)
+		return nil
+	}
+	if t, ok := c.log.term(m.Index); !ok || t != m.LogTerm {
+		reply.Reject, reply.Index, reply.Hint = true, m.Index, c.agreeHint(m)
+		c.send(reply)
+		return nil
+	}
+	if err := c.merge(m.Entries); err != nil {
+		return err
+	}
+	reply.Index = m.Index + uint64(len(m.Entries))
+	c.commit = max(c.commit, min(m.Commit, reply.Index))
+	c.send(reply)
+	return nil
+}
+
+// agreeHint returns the last index at which the logs may agree.
+func (c *Core) agreeHint(m Message) uint64 {
+	i := min(m.Index-1, c.log.last().Index)
+	for i > c.log.base.Index {
+		if t, _ := c.log.term(i); t <= m.LogTerm {
+			break
+		}
+		i--
+	}
+	return i
+}
+
+// merge adds the entries that the log lacks. Entries that conflict are replaced;
+// an entry that is present already does not cut off what follows it.
+func (c *Core) merge(es []Entry) error {
+	for i, e := range es {
+		t, ok := c.log.term(e.Index)
+		if ok && t == e.Term {
+			continue
+		}
+		if ok {
+			if err := c.truncateFrom(e.Index); err != nil {
+				return err
+			}
+		}
+		return c.append(es[i:]...)
+	}
+	return nil
+}
+
+func (c *Core) handleSnapshot(now time.Time, m Message) error {
+	if c.role == Leader {
+		return nil
+	}
+	c.follow(now, m.From)
+	if c.incoming != nil && c.incoming.installing {
+		return nil
+	}
+	last := Marker{m.Index, m.LogTerm}
+	reply := Message{Kind: MsgSnapshotReply, To: m.From, Sent: m.Sent, Index: m.Index}
+	if t, ok := c.log.term(last.Index); last.Index <= c.commit || ok && t == last.Term {
+		c.commit = max(c.commit, last.Index)
+		c.incoming = nil
+		reply.Done = true
+		c.send(reply)
+		return nil
+	}
+	c.receiveChunk(m, last, &reply)
+	c.send(reply)
+	return nil
+}
+
+func (c *Core) receiveChunk(m Message, last Marker, reply *Message) {
+	in := c.incoming
+	if in == nil || in.from != m.From || in.last != last {
+		if m.Offset != 0 {
+			reply.Reject = true
+			return
+		}
+		in = &incoming{from: m.From, last: last}
+		c.incoming = in
+	}
+	reply.Offset = in.next
+	if m.Offset != in.next {
+		return // a duplicate, or a chunk after one that was lost
+	}
+	in.next += int64(len(m.Data))
+	in.installing = m.Done
+	reply.Offset = in.next
+	c.eff.Chunks = append(c.eff.Chunks, Chunk{From: m.From, Last: last, Offset: m.Offset, Data: m.Data, Done: m.Done})
+}
+
+// SnapshotInstalled records that the received snapshot is synced and that the
+// log on disk now starts after it.
+func (c *Core) SnapshotInstalled(meta SnapshotMeta) {
+	in := c.incoming
+	c.incoming = nil
+	c.snap = meta
+	c.log = raftLog{base: meta.Last}
+	c.commit, c.handed, c.stable = meta.Last.Index, meta.Last.Index, meta.Last.Index
+	c.unsavedFrom = 0
+	c.members, c.configIndex = meta.Membership, meta.Last.Index
+	if in != nil && c.role == Follower && c.leader == in.from {
+		c.send(Message{Kind: MsgSnapshotReply, To: in.from, Index: meta.Last.Index, Done: true})
+	}
+}
+
+// SnapshotFailed records that the received snapshot was damaged; the transfer starts again.
+func (c *Core) SnapshotFailed() {
+	in := c.incoming
+	c.incoming = nil
+	if in != nil {
+		c.send(Message{Kind: MsgSnapshotReply, To: in.from, Index: in.last.Index, Reject: true})
+	}
+}
--- /dev/null
+++ b/store/consensus/leader.go
@@ -0,0 +1,259 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// leaderState is valid while the role is Leader.
+type leaderState struct {
+	peers     map[ID]*progress
+	termStart uint64
+	electedAt time.Time
+	nextBeat  time.Time
+	reads     []pendingRead
+	transfer  *transfer
+}
+
+type pendingRead struct {
+	id uint64
+	// after is a stamp taken when the read arrived.
+	after int64
+}
+
+func (c *Core) becomeLeader(now time.Time) error {
+	c.role, c.leader = Leader, c.cfg.ID
+	first := c.log.last().Index + 1
+	c.lead = leaderState{peers: map[ID]*progress{}, termStart: first, electedAt: now, nextBeat: now}
+	for _, x := range c.members.Members {
+		c.addPeer(x.ID, first)
+	}
+	e := Entry{Index: first, Term: c.term, Kind: EntryEmpty}
+	if m, changed := c.bind(c.instances); changed {
+		e.Kind, e.Data = EntryConfig, m.Encode()
+	}
+	if err := c.append(e); err != nil {
+		return err
+	}
+	c.beat(now)
+	return nil
+}
+
+func (c *Core) addPeer(id ID, next uint64) {
+	if id != c.cfg.ID && c.lead.peers[id] == nil {
+		c.lead.peers[id] = &progress{next: next}
+	}
+}
+
+// bind records the data folders of voters that have none recorded. From then
+// on a replica that lost its folder cannot act under its old id.
+func (c *Core) bind(found map[ID]string) (Membership, bool) {
+	m, changed := c.members, false
+	for _, x := range c.members.Members {
+		if inst := found[x.ID]; x.Voter && x.Instance == "" && inst != "" {
+			x.Instance = inst
+			m, changed = m.With(x), true
+		}
+	}
+	return m, changed
+}
+
+// endLeadership fails what only a leader can finish.
+func (c *Core) endLeadership() {
+	for _, r := range c.lead.reads {
+		c.eff.Reads = append(c.eff.Reads, ReadState{ID: r.id})
+	}
+	c.lead = leaderState{}
+}
+
+func (c *Core) stepDown(now time.Time) { c.becomeFollower(now, c.term, "") }
+
+func (c *Core) tickLeader(now time.Time) {
+	contact := max(c.quorumContact(now), int64(c.lead.electedAt.Sub(c.epoch)))
+	if c.sinceStamp(now, contact) > c.cfg.ElectionTimeoutMax {
+		c.stepDown(now)
+		return
+	}
+	c.advanceTransfer(now)
+	if c.role == Leader && !now.Before(c.lead.nextBeat) {
+		c.beat(now)
+	}
+}
+
+func (c *Core) sinceStamp(now time.Time, stamp int64) time.Duration {
+	return now.Sub(c.epoch) - time.Duration(stamp)
+}
+
+// beat sends to every peer, with entries where there are any to send.
+func (c *Core) beat(now time.Time) {
+	c.lead.nextBeat = now.Add(c.cfg.Heartbeat)
+	for _, x := range c.members.Members {
+		p := c.lead.peers[x.ID]
+		if p == nil {
+			continue
+		}
+		p.waiting = false
+		if !c.sendEntries(now, x.ID, p) {
+			c.sendHeartbeat(now, x.ID, p)
+		}
+		if p.state == stateSnapshot && now.Sub(p.sentAt) > c.cfg.ElectionTimeoutMin {
+			c.sendChunk(now, x.ID, p)
+		}
+	}
+}
+
+func (c *Core) sendHeartbeat(now time.Time, id ID, p *progress) {
+	m := Message{Kind: MsgAppend, To: id, Sent: c.nextStamp(now), Commit: c.commit}
+	if t, ok := c.log.term(p.next - 1); ok && p.state != stateSnapshot {
+		m.Index, m.LogTerm = p.next-1, t
+	}
+	c.send(m)
+}
+
+// sendEntries sends new entries as far as flow control permits. It reports
+// whether it sent anything.
+func (c *Core) sendEntries(now time.Time, id ID, p *progress) bool {
+	sent := false
+	for p.next <= c.log.last().Index && p.state != stateSnapshot {
+		if p.waiting || len(p.inflight) >= c.cfg.MaxInflight {
+			break
+		}
+		t, ok := c.log.term(p.next - 1)
+		if !ok {
+			c.startSnapshot(now, id, p)
+			break
+		}
+		es := c.log.from(p.next, c.log.last().Index, c.cfg.MaxBatchBytes)
+		c.send(Message{
+			Kind: MsgAppend, To: id, Index: p.next - 1, LogTerm: t,
+			Entries: es, Commit: c.commit, Sent: c.nextStamp(now),
+		})
+		sent = true
+		last := es[len(es)-1].Index
+		if p.state == stateProbe {
+			p.waiting = true
+			break
+		}
+		p.inflight = append(p.inflight, last)
+		p.next = last + 1
+	}
+	return sent
+}
+
+func (c *Core) replicateAll(now time.Time) {
+	for _, x := range c.members.Members {
+		if p := c.lead.peers[x.ID]; p != nil {
+			c.sendEntries(now, x.ID, p)
+		}
+	}
+}
+
+func (c *Core) handleAppendReply(now time.Time, m Message) error {
+	p := c.peerFor(m)
+	if p == nil {
+		return nil
+	}
+	p.contact = max(p.contact, m.Sent)
+	if err := c.bindPeer(now, m); err != nil {
+		return err
+	}
+	if m.Reject {
+		c.handleReject(m, p)
+	} else {
+		c.handleMatch(m, p)
+		c.maybeCommit(now)
+	}
+	if c.role != Leader {
+		return nil
+	}
+	c.sendEntries(now, m.From, p)
+	c.confirmReads(now)
+	c.advanceTransfer(now)
+	return nil
+}
+
+// peerFor returns the progress of the sender of a reply. A learner that comes
+// back with another data folder starts again from nothing.
+func (c *Core) peerFor(m Message) *progress {
+	if c.role != Leader || m.Term != c.term {
+		return nil
+	}
+	p := c.lead.peers[m.From]
+	if p == nil {
+		return nil
+	}
+	if p.instance != m.FromInstance && p.instance != "" {
+		*p = progress{next: c.log.last().Index + 1}
+	}
+	p.instance = m.FromInstance
+	return p
+}
+
+// bindPeer records the data folder of an initial voter that did not vote in the election.
+func (c *Core) bindPeer(now time.Time, m Message) error {
+	if c.configIndex > c.commit || c.lead.transfer != nil {
+		return nil // a later reply does it
+	}
+	next, changed := c.bind(map[ID]string{m.From: m.FromInstance})
+	if !changed {
+		return nil
+	}
+	return c.appendConfig(now, next)
+}
+
+func (c *Core) handleReject(m Message, p *progress) {
+	if p.state == stateSnapshot || m.Index <= p.match {
+		return // of an older append
+	}
+	if p.state == stateProbe && m.Index != p.next-1 {
+		return
+	}
+	p.probe(max(min(m.Hint, m.Index-1), p.match) + 1)
+}
+
+func (c *Core) handleMatch(m Message, p *progress) {
+	p.match = max(p.match, m.Index)
+	p.acked(m.Index)
+	switch {
+	case p.state == stateSnapshot:
+		if _, ok := c.log.term(p.match); ok {
+			p.replicate()
+		}
+	case p.state == stateProbe:
+		p.replicate()
+	case p.next <= p.match:
+		p.next = p.match + 1
+	}
+}
+
+// maybeCommit commits what a quorum has synced. Nothing below an uncommitted
+// membership is committed alone: a voter whose data folder that entry records
+// counts only together with it.
+func (c *Core) maybeCommit(now time.Time) {
+	var matches []uint64
+	for _, x := range c.members.Members {
+		if !x.Voter || x.Instance == "" {
+			continue
+		}
+		if x.ID == c.cfg.ID {
+			matches = append(matches, c.stable)
+		} else {
+			matches = append(matches, c.lead.peers[x.ID].match)
+		}
+	}
+	q := c.quorum()
+	if len(matches) < q {
+		return
+	}
+	slices.Sort(matches)
+	n := matches[len(matches)-q]
+	if t, ok := c.log.term(n); n <= c.commit || !ok || t != c.term || n < c.configIndex {
+		return
+	}
+	c.commit = n
+	c.confirmReads(now)
+	if _, member := c.members.Get(c.cfg.ID); !member {
+		c.beat(now) // tells the others of the commit before leadership ends
+		c.stepDown(now)
+	}
+}
--- /dev/null
+++ b/store/consensus/log.go
@@ -0,0 +1,74 @@
+package consensus
+
+import "github.com/cockroachdb/errors"
+
+// raftLog holds the entries after base in memory.
+type raftLog struct {
+	base    Marker
+	entries []Entry
+}
+
+func (l *raftLog) last() Marker {
+	if n := len(l.entries); n > 0 {
+		return Marker{l.entries[n-1].Index, l.entries[n-1].Term}
+	}
+	return l.base
+}
+
+// term returns the term of the entry at index; ok is false if the entry is not held.
+func (l *raftLog) term(index uint64) (term uint64, ok bool) {
+	if index == l.base.Index {
+		return l.base.Term, true
+	}
+	if index < l.base.Index || index > l.last().Index {
+		return 0, false
+	}
+	return l.entries[index-l.base.Index-1].Term, true
+}
+
+// from returns the entries in [lo, hi], limited to maxBytes but at least one.
+func (l *raftLog) from(lo, hi uint64, maxBytes int) []Entry {
+	hi = min(hi, l.last().Index)
+	if lo > hi || lo <= l.base.Index {
+		return nil
+	}
+	es := l.entries[lo-l.base.Index-1 : hi-l.base.Index]
+	size := 0
+	for i := range es {
+		size += len(es[i].Data) + entryOverhead
+		if size > maxBytes && i > 0 {
+			es = es[:i]
+			break
+		}
+	}
+	return es[:len(es):len(es)]
+}
+
+// entryOverhead is the assumed size of an entry without its data, in bytes.
+const entryOverhead = 32
+
+// truncateFrom drops the entries at and after index. The remaining slice is
+// clipped so that later appends cannot overwrite entries handed out before.
+func (l *raftLog) truncateFrom(index uint64) {
+	n := index - l.base.Index - 1
+	l.entries = l.entries[:n:n]
+}
+
+// compact drops the entries up to and including index.
+func (l *raftLog) compact(index uint64) error {
+	term, ok := l.term(index)
+	if !ok {
+		return errors.Newf("compact to index %d: log holds %d to %d", index, l.base.Index, l.last().Index)
+	}
+	rest := l.entries[index-l.base.Index:]
+	l.entries = append([]Entry(nil), rest...)
+	l.base = Marker{index, term}
+	return nil
+}
+
+// upToDate reports whether a log that ends at other holds everything a
+// committed log that ends like this one could hold.
+func (l *raftLog) upToDate(other Marker) bool {
+	last := l.last()
+	return other.Term > last.Term || other.Term == last.Term && other.Index >= last.Index
+}
--- /dev/null
+++ b/store/consensus/step.go
@@ -0,0 +1,82 @@
+package consensus
+
+import "time"
+
+// Step handles a message. An error means that the replica must stop: its state
+// contradicts the group's.
+func (c *Core) Step(now time.Time, m Message) error {
+	if m.To != c.cfg.ID {
+		return nil
+	}
+	if m.ToInstance != "" && m.ToInstance != c.cfg.Instance {
+		return ErrLostDisk
+	}
+	if from, ok := c.members.Get(m.From); ok && from.Instance != "" && from.Instance != m.FromInstance {
+		return nil // the sender lost its disk
+	}
+	if m.Term < c.term {
+		c.refuseOldTerm(m)
+		return nil
+	}
+	if m.Term > c.term && !c.adoptTerm(now, m) {
+		return nil
+	}
+	return c.dispatch(now, m)
+}
+
+// refuseOldTerm tells the sender of a request the current term.
+func (c *Core) refuseOldTerm(m Message) {
+	switch m.Kind {
+	case MsgAppend, MsgSnapshot:
+		c.send(Message{Kind: MsgAppendReply, To: m.From, Reject: true})
+	case MsgPreVote:
+		c.send(Message{Kind: MsgPreVoteReply, To: m.From, Reject: true})
+	case MsgVote:
+		c.send(Message{Kind: MsgVoteReply, To: m.From, Reject: true})
+	}
+}
+
+// adoptTerm handles a term above this replica's. It reports whether the message
+// is to be processed further.
+func (c *Core) adoptTerm(now time.Time, m Message) bool {
+	switch m.Kind {
+	case MsgPreVote:
+		return true
+	case MsgPreVoteReply:
+		if !m.Reject {
+			return true // its term is the one asked for
+		}
+	case MsgVote:
+		if !m.Transfer && c.sticky(now) {
+			return false
+		}
+	case MsgTimeoutNow:
+		return false
+	}
+	c.becomeFollower(now, m.Term, "")
+	return true
+}
+
+func (c *Core) dispatch(now time.Time, m Message) error {
+	switch m.Kind {
+	case MsgPreVote:
+		c.handlePreVote(now, m)
+	case MsgPreVoteReply:
+		c.handlePreVoteReply(now, m)
+	case MsgVote:
+		c.handleVote(now, m)
+	case MsgVoteReply:
+		return c.handleVoteReply(now, m)
+	case MsgAppend:
+		return c.handleAppend(now, m)
+	case MsgAppendReply:
+		return c.handleAppendReply(now, m)
+	case MsgSnapshot:
+		return c.handleSnapshot(now, m)
+	case MsgSnapshotReply:
+		c.handleSnapshotReply(now, m)
+	case MsgTimeoutNow:
+		c.handleTimeoutNow(now, m)
+	}
+	return nil
+}
--- /dev/null
+++ b/store/consensus/transfer.go
@@ -0,0 +1,61 @@
+package consensus
+
+import "time"
+
+// startSnapshot begins to send the latest snapshot, because entries that the
+// peer lacks have been dropped.
+func (c *Core) startSnapshot(now time.Time, id ID, p *progress) {
+	p.state, p.snap, p.offset, p.inflight = stateSnapshot, c.snap, 0, nil
+	c.sendChunk(now, id, p)
+}
+
+// sendChunk asks the caller to send the chunk of the snapshot file at the
+// offset: it fills in Data and Done.
+func (c *Core) sendChunk(now time.Time, id ID, p *progress) {
+	p.sentAt = now
+	c.send(Message{
+		Kind: MsgSnapshot, To: id, Index: p.snap.Last.Index, LogTerm: p.snap.Last.Term,
+		Offset: p.offset, Sent: c.nextStamp(now),
+	})
+}
+
+func (c *Core) handleSnapshotReply(now time.Time, m Message) {
+	p := c.peerFor(m)
+	if p == nil {
+		return
+	}
+	p.contact = max(p.contact, m.Sent)
+	if p.state == stateSnapshot && m.Index == p.snap.Last.Index {
+		c.advanceSnapshot(now, m, p)
+	}
+	c.confirmReads(now)
+}
+
+func (c *Core) advanceSnapshot(now time.Time, m Message, p *progress) {
+	switch {
+	case m.Done:
+		p.match = max(p.match, m.Index)
+		p.replicate()
+		c.maybeCommit(now)
+		if c.role == Leader {
+			c.sendEntries(now, m.From, p)
+		}
+	case m.Reject:
+		c.startSnapshot(now, m.From, p)
+	case m.Offset > p.offset:
+		p.offset = m.Offset
+		c.sendChunk(now, m.From, p)
+	}
+}
+
+// SnapshotMissing tells that the snapshot being sent to a replica cannot be
+// read any more; the transfer starts again with the latest one.
+func (c *Core) SnapshotMissing(now time.Time, to ID, index uint64) {
+	p := c.lead.peers[to]
+	if c.role != Leader || p == nil || p.state != stateSnapshot || p.snap.Last.Index != index {
+		return
+	}
+	if c.snap.Last.Index != index {
+		c.startSnapshot(now, to, p)
+	}
+}
--- /dev/null
+++ b/store/disk/disk.go
@@ -0,0 +1,164 @@
+// Package disk is the file access of the log and the snapshots. It is small so
+// that tests can replace it by one that fails.
+package disk
+
+import (
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+// File is a file open for appending.
+type File interface {
+	io.WriteCloser
+	// Sync returns once all data written is on the disk. After an error the
+	// state of the file is unknown and it must not be written again.
+	Sync() error
+}
+
+// FS gives access to files by path.
+type FS interface {
+	MkdirAll(dir string) error
+	// Create creates or empties a file.
+	Create(path string) (File, error)
+	ReadFile(path string) ([]byte, error)
+	// ReadAt fills p from the offset. It returns io.EOF if the file ends first.
+	ReadAt(path string, p []byte, offset int64) (int, error)
+	// List returns the names in a directory, sorted.
+	List(dir string) ([]string, error)
+	Rename(from, to string) error
+	Remove(path string) error
+	// SyncDir makes creations, renames and removals in a directory durable.
+	SyncDir(dir string) error
+	// Lock takes a lock that ends with the process or with Close.
+	Lock(path string) (io.Closer, error)
+}
+
+// OS is the operating system's file system.
+type OS struct{}
+
+// MkdirAll implements FS.
+func (OS) MkdirAll(dir string) error { return os.MkdirAll(dir, 0o750) }
+
+// Create implements FS.
+func (OS) Create(path string) (File, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o640)
+}
+
+// ReadFile implements FS.
+func (OS) ReadFile(path string) ([]byte, error) { return os.ReadFile(path) }
+
+// ReadAt implements FS.
+func (OS) ReadAt(path string, p []byte, offset int64) (int, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return 0, err
+	}
+	defer f.Close()
+	return f.ReadAt(p, offset)
+}
+
+// List implements FS.
+func (OS) List(dir string) ([]string, error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(entries))
+	for i, e := range entries {
+		names[i] = e.Name()
+	}
+	return names, nil
+}
+
+// Rename implements FS.
+func (OS) Rename(from, to string) error { return os.Rename(from, to) }
+
+// Remove implements FS.
+func (OS) Remove(path string) error { return os.Remove(path) }
+
+// SyncDir implements FS.
+func (OS) SyncDir(dir string) error {
+	f, err := os.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	return f.Sync()
+}
+
+// Lock implements FS.
+func (OS) Lock(path string) (io.Closer, error) {
+	f, err := os.OpenFile(path, os.O_CREATE|os.O_RDWR, 0o640)
+	if err != nil {
+		return nil, err
+	}
+	if err := syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		f.Close()
+		return nil, errors.Wrapf(err, "%s is locked by another process", path)
+	}
+	return f, nil
+}
+
+// WriteFile replaces a file so that after a crash it has either the old or the
+// whole new content.
+func WriteFile(fs FS, path string, data []byte) error {
+	f, err := CreateTemp(fs, path, data)
+	if err != nil {
+		return err
+	}
+	if err := f.Close(); err != nil {
+		return errors.Wrapf(err, "close %s", path)
+	}
+	return Publish(fs, path)
+}
+
+// TempSuffix ends the names of files that are not complete.
+const TempSuffix = ".tmp"
+
+// CreateTemp creates the temporary file of path with synced content and leaves it open.
+func CreateTemp(fs FS, path string, data []byte) (File, error) {
+	f, err := fs.Create(path + TempSuffix)
+	if err != nil {
+		return nil, errors.Wrapf(err, "create %s", path+TempSuffix)
+	}
+	if _, err := f.Write(data); err != nil {
+		f.Close()
+		return nil, errors.Wrapf(err, "write %s", path+TempSuffix)
+	}
+	if err := f.Sync(); err != nil {
+		f.Close()
+		return nil, errors.Wrapf(err, "sync %s", path+TempSuffix)
+	}
+	return f, nil
+}
+
+// Publish gives the synced temporary file of path its name.
+func Publish(fs FS, path string) error {
+	if err := fs.Rename(path+TempSuffix, path); err != nil {
+		return errors.Wrapf(err, "rename %s", path)
+	}
+	if err := fs.SyncDir(filepath.Dir(path)); err != nil {
+		return errors.Wrapf(err, "sync directory of %s", path)
+	}
+	return nil
+}
+
+// RemoveTemp removes incomplete files from a directory.
+func RemoveTemp(fs FS, dir string) error {
+	names, err := fs.List(dir)
+	if err != nil {
+		return err
+	}
+	for _, name := range names {
+		if filepath.Ext(name) == TempSuffix {
+			if err := fs.Remove(filepath.Join(dir, name)); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- a/store/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package store groups the replicated log: consensus, files and replicas.
-package store
--- /dev/null
+++ b/store/replica/apply.go
@@ -0,0 +1,213 @@
+package replica
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/store/consensus"
+)
+
+// applier applies committed entries in order, in its own goroutine.
+type applier struct {
+	r       *Replica
+	applied atomic.Uint64
+
+	mu      sync.Mutex
+	cond    *sync.Cond
+	queue   []applyItem
+	stopped bool
+
+	// Used by run only.
+	last       consensus.Marker
+	membership consensus.Membership
+	entries    int
+	bytes      int64
+
+	// snapshotting is set while a snapshot is encoded and written.
+	snapshotting atomic.Bool
+	background   sync.WaitGroup
+}
+
+// applyItem has one of its fields set.
+type applyItem struct {
+	entries []consensus.Entry
+	restore *restore
+	read    *readRequest
+}
+
+type restore struct {
+	meta consensus.SnapshotMeta
+	data []byte
+}
+
+func newApplier(r *Replica, meta consensus.SnapshotMeta) *applier {
+	a := &applier{r: r, last: meta.Last, membership: meta.Membership}
+	a.cond = sync.NewCond(&a.mu)
+	a.applied.Store(meta.Last.Index)
+	return a
+}
+
+func (a *applier) push(item applyItem) {
+	a.mu.Lock()
+	a.queue = append(a.queue, item)
+	a.mu.Unlock()
+	a.cond.Signal()
+}
+
+func (a *applier) stop() {
+	a.mu.Lock()
+	a.stopped = true
+	a.mu.Unlock()
+	a.cond.Signal()
+}
+
+func (a *applier) next() ([]applyItem, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for len(a.queue) == 0 && !a.stopped {
+		a.cond.Wait()
+	}
+	items := a.queue
+	a.queue = nil
+	return items, !a.stopped
+}
+
+func (a *applier) run() {
+	for {
+		items, ok := a.next()
+		for _, item := range items {
+			if ok {
+				ok = a.handleOrFail(item)
+			} else if item.read != nil {
+				item.read.done <- ErrStopped
+			}
+		}
+		if !ok {
+			a.drain()
+			return
+		}
+	}
+}
+
+func (a *applier) handleOrFail(item applyItem) bool {
+	err := a.handle(item)
+	if err != nil {
+		a.r.fail(err)
+	}
+	return err == nil
+}
+
+// drain answers what arrives until the loop has stopped, without applying it.
+func (a *applier) drain() {
+	for ok := true; ok; {
+		var items []applyItem
+		items, ok = a.next()
+		for _, item := range items {
+			if item.read != nil {
+				item.read.done <- ErrStopped
+			}
+		}
+	}
+}
+
+func (a *applier) handle(item applyItem) error {
+	switch {
+	case item.restore != nil:
+		return a.restore(item.restore)
+	case item.read != nil:
+		item.read.done <- nil
+		return nil
+	}
+	for _, e := range item.entries {
+		if err := a.applyEntry(e); err != nil {
+			return err
+		}
+	}
+	return a.maybeSnapshot()
+}
+
+func (a *applier) applyEntry(e consensus.Entry) error {
+	var result any
+	switch e.Kind {
+	case consensus.EntryNormal:
+		result = a.r.cfg.StateMachine.Apply(e.Index, e.Data)
+	case consensus.EntryConfig:
+		m, err := consensus.DecodeMembership(e.Data)
+		if err != nil {
+			return errors.Wrapf(err, "entry %d", e.Index)
+		}
+		a.membership = m
+	}
+	a.last = consensus.Marker{Index: e.Index, Term: e.Term}
+	a.entries++
+	a.bytes += int64(len(e.Data))
+	a.applied.Store(e.Index)
+	a.r.waiters.applied(e, result)
+	return nil
+}
+
+func (a *applier) restore(x *restore) error {
+	if err := a.r.cfg.StateMachine.Restore(x.data); err != nil {
+		return errors.Wrapf(err, "restore snapshot at %d", x.meta.Last.Index)
+	}
+	a.last, a.membership = x.meta.Last, x.meta.Membership
+	a.entries, a.bytes = 0, 0
+	a.applied.Store(x.meta.Last.Index)
+	return nil
+}
+
+// maybeSnapshot starts a snapshot when enough was applied since the last one.
+func (a *applier) maybeSnapshot() error {
+	cfg := &a.r.cfg
+	if a.entries < cfg.SnapshotEntries && a.bytes < cfg.SnapshotBytes {
+		return nil
+	}
+	if !a.snapshotting.CompareAndSwap(false, true) {
+		return nil
+	}
+	a.entries, a.bytes = 0, 0
+	meta := consensus.SnapshotMeta{Last: a.last, Membership: a.membership}
+	encode, err := a.encoder()
+	if err != nil {
+		return errors.Wrapf(err, "snapshot at %d", meta.Last.Index)
+	}
+	a.background.Add(1)
+	go func() {
+		defer a.background.Done()
+		defer a.snapshotting.Store(false)
+		if err := a.save(meta, encode); err != nil {
+			a.r.fail(errors.Wrapf(err, "snapshot at %d", meta.Last.Index))
+		}
+	}()
+	return nil
+}
+
+// encoder returns a function that encodes the present state, from a copy if the
+// state machine offers one.
+func (a *applier) encoder() (func() ([]byte, error), error) {
+	if f, ok := a.r.cfg.StateMachine.(Forker); ok {
+		return f.Fork(), nil
+	}
+	data, err := a.r.cfg.StateMachine.Snapshot()
+	return func() ([]byte, error) { return data, nil }, err
+}
+
+func (a *applier) save(meta consensus.SnapshotMeta, encode func() ([]byte, error)) error {
+	start := a.r.cfg.Now()
+	data, err := encode()
+	if err != nil {
+		return err
+	}
+	if err := a.r.snaps.Save(meta, data); err != nil {
+		return err
+	}
+	a.r.cfg.Logger.Info().Str("replica", a.r.cfg.ID).Uint64("index", meta.Last.Index).Int("bytes", len(data)).
+		Dur("took", a.r.cfg.Now().Sub(start)).Msg("wrote snapshot")
+	_ = a.r.in.add(func(t *turnInputs) { // a stopped replica reads the snapshot when it starts
+		t.calls = append(t.calls, func(time.Time) error { return a.r.compact(meta) })
+	})
+	return nil
+}
--- /dev/null
+++ b/store/replica/member.go
@@ -0,0 +1,117 @@
+package replica
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/store/consensus"
+)
+
+// AddLearner adds a replica that receives the log but does not vote. It returns
+// once the change is committed. The id must never have been used before.
+func (r *Replica) AddLearner(ctx context.Context, id, address string) error {
+	return r.change(ctx, func(now time.Time) (consensus.Marker, error) {
+		return r.core.AddLearner(now, id, address)
+	})
+}
+
+// Promote makes a learner a voter. It returns consensus.ErrNotCaughtUp, and
+// changes nothing, while the learner lacks committed entries.
+func (r *Replica) Promote(ctx context.Context, id string) error {
+	return r.change(ctx, func(now time.Time) (consensus.Marker, error) {
+		return r.core.Promote(now, id)
+	})
+}
+
+// Remove removes a replica. A leader that removes itself steps down.
+func (r *Replica) Remove(ctx context.Context, id string) error {
+	return r.change(ctx, func(now time.Time) (consensus.Marker, error) {
+		return r.core.Remove(now, id)
+	})
+}
+
+// change runs a membership change in the loop and waits until it is applied.
+func (r *Replica) change(ctx context.Context, f func(now time.Time) (consensus.Marker, error)) error {
+	if err := r.checkLeader(); err != nil {
+		return err
+	}
+	p := &proposal{done: make(chan outcome, 1), release: func() {}}
+	call := func(now time.Time) error {
+		if !p.taken.CompareAndSwap(false, true) {
+			return nil
+		}
+		at, err := f(now)
+		if err != nil {
+			p.finish(nil, r.refusal(err))
+			return nil
+		}
+		p.term = at.Term
+		r.waiters.add(at.Index, p)
+		return nil
+	}
+	return r.callAndWait(ctx, p, call)
+}
+
+func (r *Replica) callAndWait(ctx context.Context, p *proposal, call func(now time.Time) error) error {
+	if err := r.in.add(func(t *turnInputs) { t.calls = append(t.calls, call) }); err != nil {
+		return err
+	}
+	select {
+	case o := <-p.done:
+		return o.err
+	case <-r.stopped:
+		return errors.Wrap(ErrLost, "replica stopped")
+	case <-ctx.Done():
+	}
+	if p.taken.CompareAndSwap(false, true) {
+		return errors.Wrap(ctx.Err(), "not started")
+	}
+	return errors.Wrapf(ErrLost, "stopped waiting: %v", ctx.Err())
+}
+
+// TransferLeadership hands leadership to the voter with the longest log and
+// returns once this replica does not lead any more. Proposals are refused
+// meanwhile.
+func (r *Replica) TransferLeadership(ctx context.Context) error {
+	if err := r.checkLeader(); err != nil {
+		return err
+	}
+	term := r.status.Load().Term
+	p := &proposal{done: make(chan outcome, 1), release: func() {}}
+	call := func(now time.Time) error {
+		if p.taken.CompareAndSwap(false, true) {
+			p.finish(nil, r.refusal(r.core.TransferLeadership(now, "")))
+		}
+		return nil
+	}
+	if err := r.callAndWait(ctx, p, call); err != nil {
+		return err
+	}
+	return r.awaitEndOfTerm(ctx, term)
+}
+
+// ErrTransferFailed says that no other voter took over in time.
+var ErrTransferFailed = errors.New("leadership was not taken over")
+
+func (r *Replica) awaitEndOfTerm(ctx context.Context, term uint64) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		s := r.status.Load()
+		if s.Role != consensus.Leader || s.Term != term {
+			return nil
+		}
+		if !s.Transferring {
+			return ErrTransferFailed
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "transfer leadership")
+		case <-r.stopped:
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
--- /dev/null
+++ b/store/replica/propose.go
@@ -0,0 +1,243 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/store/consensus"
+)
+
+// proposal is a proposal whose caller waits.
+type proposal struct {
+	data []byte
+	term uint64
+	// taken is set by whoever comes first: the loop, which then appends the
+	// proposal, or the caller, which then stops waiting knowing that it was not.
+	taken atomic.Bool
+	done  chan outcome
+	// size is released from the waiters' total when the proposal is finished.
+	release func()
+}
+
+type outcome struct {
+	result any
+	err    error
+}
+
+func (p *proposal) finish(result any, err error) {
+	if p.release != nil {
+		p.release()
+	}
+	p.done <- outcome{result, err}
+}
+
+// waiters holds the proposals that are in the log, by index.
+type waiters struct {
+	mu      sync.Mutex
+	byIndex map[uint64]*proposal
+	bytes   atomic.Int64
+}
+
+func newWaiters() *waiters { return &waiters{byIndex: map[uint64]*proposal{}} }
+
+func (w *waiters) add(index uint64, p *proposal) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byIndex[index] = p
+}
+
+func (w *waiters) remove(index uint64) *proposal {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	p := w.byIndex[index]
+	delete(w.byIndex, index)
+	return p
+}
+
+// applied answers the proposal at the entry's index.
+func (w *waiters) applied(e consensus.Entry, result any) {
+	p := w.remove(e.Index)
+	if p == nil {
+		return
+	}
+	if p.term != e.Term {
+		p.finish(nil, errors.Wrap(ErrLost, "another leader's entry took its place"))
+		return
+	}
+	p.finish(result, nil)
+}
+
+// failAbove answers all proposals after the commit index.
+func (w *waiters) failAbove(commit uint64, err error) {
+	w.mu.Lock()
+	var ps []*proposal
+	for i, p := range w.byIndex {
+		if i > commit {
+			ps = append(ps, p)
+			delete(w.byIndex, i)
+		}
+	}
+	w.mu.Unlock()
+	for _, p := range ps {
+		p.finish(nil, err)
+	}
+}
+
+// Propose appends data to the log and returns the state machine's result once
+// the entry is committed, synced and applied here. ErrNotLeader, ErrBusy,
+// ErrTooLarge, ErrStopped and a context's error mean that it was not appended;
+// ErrLost means that the outcome is unknown.
+func (r *Replica) Propose(ctx context.Context, data []byte) (any, error) {
+	if len(data) > MaxProposalBytes {
+		return nil, errors.Wrapf(ErrTooLarge, "%d bytes, limit %d", len(data), MaxProposalBytes)
+	}
+	if err := r.checkLeader(); err != nil {
+		return nil, err
+	}
+	size := int64(len(data))
+	if r.waiters.bytes.Add(size) > r.cfg.MaxUncommittedBytes {
+		r.waiters.bytes.Add(-size)
+		return nil, ErrBusy
+	}
+	p := &proposal{
+		data: data, done: make(chan outcome, 1),
+		release: func() { r.waiters.bytes.Add(-size) },
+	}
+	if err := r.in.add(func(t *turnInputs) { t.proposals = append(t.proposals, p) }); err != nil {
+		p.release()
+		return nil, err
+	}
+	return p.wait(ctx)
+}
+
+func (p *proposal) wait(ctx context.Context) (any, error) {
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	case <-ctx.Done():
+	}
+	if p.taken.CompareAndSwap(false, true) {
+		p.release()
+		return nil, errors.Wrap(ctx.Err(), "not proposed")
+	}
+	return nil, errors.Wrapf(ErrLost, "stopped waiting: %v", ctx.Err())
+}
+
+// checkLeader refuses early on a replica that does not lead.
+func (r *Replica) checkLeader() error {
+	select {
+	case <-r.stopping:
+		return r.stopError()
+	default:
+	}
+	if r.status.Load().Role != consensus.Leader {
+		return r.notLeader()
+	}
+	return nil
+}
+
+func (r *Replica) notLeader() error {
+	s := r.status.Load()
+	e := &NotLeaderError{}
+	if s.Leader != "" && s.Leader != r.cfg.ID {
+		e.LeaderID = s.Leader
+		x, _ := s.Membership.Get(s.Leader)
+		e.LeaderAddress = x.Address
+	}
+	return e
+}
+
+// propose appends the proposals of one turn; they share a sync.
+func (r *Replica) propose(now time.Time, ps []*proposal) {
+	live := ps[:0]
+	var data [][]byte
+	for _, p := range ps {
+		if p.taken.CompareAndSwap(false, true) {
+			live = append(live, p)
+			data = append(data, p.data)
+		}
+	}
+	if len(live) == 0 {
+		return
+	}
+	first, err := r.core.Propose(now, data...)
+	if err != nil {
+		err = r.refusal(err)
+		for _, p := range live {
+			p.finish(nil, err)
+		}
+		return
+	}
+	for i, p := range live {
+		p.term = first.Term
+		r.waiters.add(first.Index+uint64(i), p)
+	}
+}
+
+// refusal adds the leader to a consensus error.
+func (r *Replica) refusal(err error) error {
+	if errors.Is(err, consensus.ErrNotLeader) || errors.Is(err, consensus.ErrTransferring) {
+		return r.notLeader()
+	}
+	return err
+}
+
+// readRequest is a read whose caller waits.
+type readRequest struct{ done chan error }
+
+// ReadBarrier returns once this replica, the leader, has applied every entry
+// that was committed before the call. A read of the state machine after it is
+// linearizable.
+func (r *Replica) ReadBarrier(ctx context.Context) error {
+	if err := r.checkLeader(); err != nil {
+		return err
+	}
+	q := &readRequest{done: make(chan error, 1)}
+	if err := r.in.add(func(t *turnInputs) { t.reads = append(t.reads, q) }); err != nil {
+		return err
+	}
+	select {
+	case err := <-q.done:
+		return err
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "read barrier")
+	}
+}
+
+// startReads begins the reads of one turn; they share a round of heartbeats.
+func (r *Replica) startReads(now time.Time, qs []*readRequest) {
+	if len(qs) == 0 {
+		return
+	}
+	ids := make([]uint64, len(qs))
+	for i, q := range qs {
+		r.readID++
+		ids[i] = r.readID
+		r.readWait[r.readID] = q
+	}
+	if err := r.core.ReadIndex(now, ids...); err != nil {
+		for i, q := range qs {
+			delete(r.readWait, ids[i])
+			q.done <- r.refusal(err)
+		}
+	}
+}
+
+func (r *Replica) finishReads(reads []consensus.ReadState) {
+	for _, x := range reads {
+		q := r.readWait[x.ID]
+		delete(r.readWait, x.ID)
+		switch {
+		case !x.OK:
+			q.done <- r.notLeader()
+		case r.apply.applied.Load() >= x.Index:
+			q.done <- nil
+		default:
+			r.apply.push(applyItem{read: q})
+		}
+	}
+}
--- /dev/null
+++ b/store/replica/replica.go
@@ -0,0 +1,244 @@
+package replica
+
+import (
+	"io"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/store/consensus"
+	"gooseberrypond/store/snapshot"
+	"gooseberrypond/store/transport"
+	"gooseberrypond/store/wal"
+)
+
+// Replica is one replica of the log. Its methods are safe for concurrent use.
+type Replica struct {
+	cfg      Config
+	lock     io.Closer
+	net      transport.Transport
+	instance string
+
+	// Owned by the loop.
+	core  *consensus.Core
+	log   *wal.Log
+	snaps *snapshot.Store
+	// led is the term that this replica led when its status was last published.
+	led      uint64
+	leader   LeaderChange
+	readID   uint64
+	readWait map[uint64]*readRequest
+
+	in      *inputs
+	waiters *waiters
+	apply   *applier
+
+	status  atomic.Pointer[consensus.Status]
+	lease   atomic.Pointer[lease]
+	changes chan LeaderChange
+
+	stopOnce sync.Once
+	stopping chan struct{}
+	stopped  chan struct{}
+	err      error // why the replica stopped; read after stopping is closed
+}
+
+// lease is the leader lease as last published.
+type lease struct {
+	until     time.Time
+	termStart uint64
+}
+
+// LeaderChange tells of a change of leader or term.
+type LeaderChange struct {
+	// LeaderID is empty while no leader is known.
+	LeaderID string
+	Term     uint64
+	// Leading is set if this replica leads.
+	Leading bool
+	// ElectedAt is when this replica was elected, if it leads.
+	ElectedAt time.Time
+}
+
+// Open starts a replica. It returns once the data folder has been read; the
+// entries after the snapshot may still be being applied.
+func Open(cfg Config) (*Replica, error) {
+	if err := cfg.setDefaults(); err != nil {
+		return nil, err
+	}
+	if err := cfg.FS.MkdirAll(cfg.Dir); err != nil {
+		return nil, errors.Wrapf(err, "create %s", cfg.Dir)
+	}
+	lock, err := cfg.FS.Lock(filepath.Join(cfg.Dir, lockName))
+	if err != nil {
+		return nil, err
+	}
+	r, err := open(cfg)
+	if err != nil {
+		lock.Close()
+		return nil, errors.Wrapf(err, "open replica %s", cfg.ID)
+	}
+	r.lock = lock
+	if err := r.net.Start(r.deliver); err != nil {
+		r.Close()
+		return nil, err
+	}
+	return r, nil
+}
+
+func open(cfg Config) (*Replica, error) {
+	f, err := openFolder(&cfg)
+	if err != nil {
+		return nil, err
+	}
+	if f.state != nil {
+		if err := cfg.StateMachine.Restore(f.state); err != nil {
+			return nil, errors.Wrapf(err, "restore snapshot at %d", f.saved.Snapshot.Last.Index)
+		}
+	}
+	core, err := consensus.New(cfg.Now(), cfg.core(f.Instance, rand.Uint64()), f.saved)
+	if err != nil {
+		return nil, errors.CombineErrors(err, f.log.Close())
+	}
+	net, err := cfg.openTransport()
+	if err != nil {
+		return nil, errors.CombineErrors(err, f.log.Close())
+	}
+	r := &Replica{
+		cfg: cfg, net: net, instance: f.Instance, core: core, log: f.log, snaps: f.snaps,
+		readWait: map[uint64]*readRequest{},
+		in:       newInputs(), waiters: newWaiters(),
+		changes:  make(chan LeaderChange, 1),
+		stopping: make(chan struct{}), stopped: make(chan struct{}),
+	}
+	r.apply = newApplier(r, f.saved.Snapshot)
+	r.publish(cfg.Now())
+	cfg.Logger.Info().Str("replica", cfg.ID).Uint64("term", f.saved.State.Term).
+		Uint64("snapshot", f.saved.Snapshot.Last.Index).Int("entries", len(f.saved.Entries)).
+		Msg("replica started")
+	go r.run()
+	return r, nil
+}
+
+// deliver takes messages from the transport.
+func (r *Replica) deliver(from string, ms []consensus.Message) { r.in.addMessages(from, ms) }
+
+// run is the loop.
+func (r *Replica) run() {
+	defer close(r.stopped)
+	applied := make(chan struct{})
+	go func() {
+		defer close(applied)
+		r.apply.run()
+	}()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for r.running() {
+		select {
+		case <-r.stopping:
+		case <-ticker.C:
+			r.turnOrFail()
+		case <-r.in.wake:
+			r.turnOrFail()
+		}
+	}
+	r.shutDown(applied)
+}
+
+func (r *Replica) running() bool {
+	select {
+	case <-r.stopping:
+		return false
+	default:
+		return true
+	}
+}
+
+func (r *Replica) turnOrFail() {
+	if err := r.turn(); err != nil {
+		r.fail(err)
+	}
+}
+
+// turn handles all inputs that have arrived and carries out the effects. The
+// time is read after the inputs were taken: a leader's lease relies on no
+// message being noted as received before it was sent.
+func (r *Replica) turn() error {
+	in := r.in.take()
+	now := r.cfg.Now()
+	for id, address := range in.addresses {
+		r.in.learned[id] = address
+	}
+	for _, m := range in.messages {
+		if err := r.core.Step(now, m); err != nil {
+			return errors.Wrapf(err, "message from replica %s", m.From)
+		}
+	}
+	r.core.Tick(now)
+	for _, f := range in.calls {
+		if err := f(now); err != nil {
+			return err
+		}
+	}
+	r.startReads(now, in.reads)
+	r.propose(now, in.proposals)
+	return r.carryOut(now)
+}
+
+// fail stops the replica because of an error. Callers waiting are told.
+func (r *Replica) fail(err error) {
+	r.stopOnce.Do(func() {
+		r.cfg.Logger.Error().Err(err).Str("replica", r.cfg.ID).Msg("replica stops")
+		r.err = err // published by closing the channel
+		close(r.stopping)
+	})
+}
+
+// Close stops the replica.
+func (r *Replica) Close() error {
+	r.stopOnce.Do(func() { close(r.stopping) })
+	<-r.stopped
+	return nil
+}
+
+// Done is closed when the replica has begun to stop, because of Close or an error.
+func (r *Replica) Done() <-chan struct{} { return r.stopping }
+
+// Err returns the error that stopped the replica; nil if it runs or was closed.
+func (r *Replica) Err() error {
+	select {
+	case <-r.stopping:
+		return r.err
+	default:
+		return nil
+	}
+}
+
+func (r *Replica) shutDown(applied <-chan struct{}) {
+	r.lease.Store(&lease{})
+	r.net.Close()
+	r.apply.stop()
+	<-applied
+	r.apply.background.Wait()
+	r.waiters.failAbove(0, errors.Wrap(ErrLost, "replica stopped"))
+	r.in.close(r.stopError())
+	for _, q := range r.readWait {
+		q.done <- r.stopError()
+	}
+	r.snaps.Abandon()
+	r.log.Close()
+	if r.lock != nil {
+		r.lock.Close()
+	}
+}
+
+func (r *Replica) stopError() error {
+	if r.err != nil {
+		return errors.Wrapf(ErrStopped, "after: %v", r.err)
+	}
+	return ErrStopped
+}
--- /dev/null
+++ b/store/replica/replica_test.go
@@ -0,0 +1,108 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// hangLimit ends a test that would hang; no verdict depends on it otherwise.
+const hangLimit = 60 * time.Second
+
+func testContext(t testing.TB) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func freeAddresses(t testing.TB, n int) []string {
+	var out []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		out = append(out, ln.Addr().String())
+	}
+	return out
+}
+
+func rpcGroup(t testing.TB, n int) []*Replica {
+	dir := t.TempDir()
+	var members []Member
+	for i, a := range freeAddresses(t, n) {
+		members = append(members, Member{ID: fmt.Sprint("c", i+1), Address: a})
+	}
+	var rs []*Replica
+	for _, m := range members {
+		r, err := Open(Config{
+			ID: m.ID, ClusterID: "test", Dir: filepath.Join(dir, m.ID),
+			Members: members, StateMachine: newRegister(),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { r.Close() })
+		rs = append(rs, r)
+	}
+	return rs
+}
+
+// awaitLeader returns a replica that holds the lease.
+func awaitLeader(ctx context.Context, t testing.TB, rs []*Replica) *Replica {
+	for ctx.Err() == nil {
+		for _, r := range rs {
+			if r.HoldsLease() {
+				return r
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("no leader")
+	return nil
+}
+
+// Guards against a proposal that is answered before it is applied, or that does
+// not reach every member.
+func TestProposeReachesAllMembers(t *testing.T) {
+	for _, n := range []int{1, 3} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			ctx := testContext(t)
+			rs := rpcGroup(t, n)
+			l := awaitLeader(ctx, t, rs)
+			for i := range 20 {
+				res, err := l.Propose(ctx, write(i))
+				if err != nil {
+					t.Fatal(err)
+				}
+				if res != i {
+					t.Fatalf("result %v, want %d", res, i)
+				}
+			}
+			if err := l.ReadBarrier(ctx); err != nil {
+				t.Fatal(err)
+			}
+			applied := l.AppliedIndex()
+			for _, r := range rs {
+				await(ctx, t, "apply on "+r.cfg.ID, func() bool { return r.AppliedIndex() >= applied })
+				if got := r.cfg.StateMachine.(*register).get(); got != 19 {
+					t.Fatalf("%s holds %d, want 19", r.cfg.ID, got)
+				}
+			}
+		})
+	}
+}
+
+func await(ctx context.Context, t testing.TB, what string, cond func() bool) {
+	t.Helper()
+	for !cond() {
+		if ctx.Err() != nil {
+			t.Fatalf("%s: did not happen", what)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
--- /dev/null
+++ b/store/snapshot/snapshot.go
@@ -0,0 +1,234 @@
+// Package snapshot keeps snapshots of the state machine in files. A file has a
+// header with the format version, the position and membership, and CRC-32Cs
+// over the header and the data. It gets its name only once it is synced. The
+// last two are kept, so that a damaged one does not stop a replica.
+package snapshot
+
+import (
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"gooseberrypond/store/consensus"
+	"gooseberrypond/store/disk"
+)
+
+// FormatVersion is the version in each file.
+const FormatVersion = 1
+
+const (
+	fileMagic = "GBPSNAP\n"
+	suffix    = ".snap"
+	// incomingName is the file that a received snapshot is written to.
+	incomingName = "incoming" + disk.TempSuffix
+	// kept is the number of snapshots kept.
+	kept = 2
+	// fixedSize is the magic, the version, the lengths of the meta data and of
+	// the data, and the CRC over all of these and the meta data.
+	fixedSize = len(fileMagic) + 4 + 4 + 8 + 4
+)
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+// ErrNone says that there is no valid snapshot.
+var ErrNone = errors.New("no snapshot")
+
+// Store is a directory of snapshots. Save may run concurrently with reading.
+type Store struct {
+	fs  disk.FS
+	dir string
+	// mu guards removal of old files.
+	mu sync.Mutex
+	// in is the received snapshot being written.
+	in disk.File
+}
+
+// NewStore returns the store in a directory, which must exist.
+func NewStore(fs disk.FS, dir string) *Store { return &Store{fs: fs, dir: dir} }
+
+func (s *Store) path(last consensus.Marker) string {
+	return filepath.Join(s.dir, fmt.Sprintf("%020d-%020d%s", last.Index, last.Term, suffix))
+}
+
+// Save writes a snapshot and removes all but the last two.
+func (s *Store) Save(meta consensus.SnapshotMeta, data []byte) error {
+	file, err := encode(meta, data)
+	if err != nil {
+		return err
+	}
+	if err := disk.WriteFile(s.fs, s.path(meta.Last), file); err != nil {
+		return err
+	}
+	return s.removeOld()
+}
+
+func (s *Store) removeOld() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	names, err := s.names()
+	if err != nil {
+		return err
+	}
+	for i := 0; i < len(names)-kept; i++ {
+		if err := s.fs.Remove(filepath.Join(s.dir, names[i])); err != nil {
+			return errors.Wrap(err, "remove old snapshot")
+		}
+	}
+	return nil
+}
+
+func (s *Store) names() ([]string, error) {
+	names, err := s.fs.List(s.dir)
+	if err != nil {
+		return nil, errors.Wrapf(err, "list %s", s.dir)
+	}
+	return slices.DeleteFunc(names, func(n string) bool { return !strings.HasSuffix(n, suffix) }), nil
+}
+
+// Latest returns the newest valid snapshot; ErrNone if there is no file.
+// Damaged holds the errors of newer ones that were passed over.
+func (s *Store) Latest() (meta consensus.SnapshotMeta, data []byte, damaged []error, err error) {
+	names, err := s.names()
+	if err != nil {
+		return meta, nil, nil, err
+	}
+	for i := len(names) - 1; i >= 0; i-- {
+		meta, data, err := s.load(filepath.Join(s.dir, names[i]))
+		if err == nil {
+			return meta, data, damaged, nil
+		}
+		if errors.Is(err, errVersion) {
+			return meta, nil, damaged, err
+		}
+		damaged = append(damaged, err)
+	}
+	if len(damaged) > 0 {
+		return meta, nil, damaged, errors.Wrap(damaged[0], "no valid snapshot")
+	}
+	return meta, nil, nil, ErrNone
+}
+
+func (s *Store) load(path string) (consensus.SnapshotMeta, []byte, error) {
+	file, err := s.fs.ReadFile(path)
+	if err != nil {
+		return consensus.SnapshotMeta{}, nil, errors.Wrapf(err, "read %s", path)
+	}
+	meta, data, err := decode(file)
+	return meta, data, errors.Wrapf(err, "%s", path)
+}
+
+// Chunk reads up to size bytes of a snapshot file at the offset. Done is set
+// if the chunk ends the file.
+func (s *Store) Chunk(last consensus.Marker, offset int64, size int) (data []byte, done bool, err error) {
+	data = make([]byte, size)
+	n, err := s.fs.ReadAt(s.path(last), data, offset)
+	if errors.Is(err, io.EOF) {
+		return data[:n], true, nil
+	}
+	return data[:n], false, errors.Wrap(err, "read snapshot chunk")
+}
+
+// Receive writes a chunk of a snapshot from another replica. Offset 0 starts anew.
+func (s *Store) Receive(offset int64, data []byte) error {
+	if offset == 0 {
+		s.Abandon()
+		f, err := s.fs.Create(filepath.Join(s.dir, incomingName))
+		if err != nil {
+			return errors.Wrap(err, "create received snapshot")
+		}
+		s.in = f
+	}
+	if s.in == nil {
+		return errors.New("chunk of a snapshot that was not begun")
+	}
+	_, err := s.in.Write(data)
+	return errors.Wrap(err, "write received snapshot")
+}
+
+// Abandon drops a partly received snapshot.
+func (s *Store) Abandon() {
+	if s.in != nil {
+		s.in.Close()
+		s.in = nil
+	}
+}
+
+// ErrDamaged marks a received snapshot that does not pass its checks.
+var ErrDamaged = errors.New("snapshot is damaged")
+
+// Install checks the received snapshot, syncs it and gives it its name.
+func (s *Store) Install(last consensus.Marker) (meta consensus.SnapshotMeta, data []byte, err error) {
+	if s.in == nil {
+		return meta, nil, errors.New("no snapshot was received")
+	}
+	if err := s.in.Sync(); err != nil {
+		return meta, nil, errors.Wrap(err, "sync received snapshot")
+	}
+	s.Abandon()
+	path := filepath.Join(s.dir, incomingName)
+	meta, data, err = s.load(path)
+	if err != nil {
+		return meta, nil, errors.Mark(err, ErrDamaged)
+	}
+	if meta.Last != last {
+		return meta, nil, errors.Mark(errors.Newf("received snapshot is at %v, want %v", meta.Last, last), ErrDamaged)
+	}
+	if err := s.fs.Rename(path, s.path(last)); err != nil {
+		return meta, nil, errors.Wrap(err, "rename received snapshot")
+	}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return meta, nil, errors.Wrapf(err, "sync %s", s.dir)
+	}
+	return meta, data, s.removeOld()
+}
+
+func encode(meta consensus.SnapshotMeta, data []byte) ([]byte, error) {
+	m, err := cbor.Marshal(meta)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode snapshot meta data")
+	}
+	b := make([]byte, 0, fixedSize+len(m)+len(data)+4)
+	b = append(b, fileMagic...)
+	b = binary.LittleEndian.AppendUint32(b, FormatVersion)
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(m)))
+	b = binary.LittleEndian.AppendUint64(b, uint64(len(data)))
+	b = binary.LittleEndian.AppendUint32(b, crc32.Update(crc32.Checksum(b, castagnoli), castagnoli, m))
+	b = append(b, m...)
+	b = append(b, data...)
+	return binary.LittleEndian.AppendUint32(b, crc32.Checksum(data, castagnoli)), nil
+}
+
+var errVersion = errors.New("snapshot format version is not supported")
+
+func decode(b []byte) (meta consensus.SnapshotMeta, data []byte, err error) {
+	n := len(fileMagic)
+	if len(b) < fixedSize || string(b[:n]) != fileMagic {
+		return meta, nil, errors.New("not a snapshot file")
+	}
+	if v := binary.LittleEndian.Uint32(b[n:]); v != FormatVersion {
+		return meta, nil, errors.Wrapf(errVersion, "version %d, want %d", v, FormatVersion)
+	}
+	ml := uint64(binary.LittleEndian.Uint32(b[n+4:]))
+	dl := binary.LittleEndian.Uint64(b[n+8:])
+	if uint64(len(b)) != uint64(fixedSize)+ml+dl+4 {
+		return meta, nil, errors.Newf("snapshot file has %d bytes, want %d", len(b), uint64(fixedSize)+ml+dl+4)
+	}
+	m, rest := b[fixedSize:uint64(fixedSize)+ml], b[uint64(fixedSize)+ml:]
+	crc := crc32.Update(crc32.Checksum(b[:fixedSize-4], castagnoli), castagnoli, m)
+	if crc != binary.LittleEndian.Uint32(b[fixedSize-4:]) {
+		return meta, nil, errors.New("snapshot header is damaged")
+	}
+	data = rest[:dl]
+	if crc32.Checksum(data, castagnoli) != binary.LittleEndian.Uint32(rest[dl:]) {
+		return meta, nil, errors.New("snapshot data is damaged")
+	}
+	return meta, data, errors.Wrap(cbor.Unmarshal(m, &meta), "decode snapshot meta data")
+}
--- /dev/null
+++ b/store/transport/peer.go
@@ -0,0 +1,139 @@
+package transport
+
+import (
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/store/consensus"
+)
+
+// peer sends to one replica over one connection, in order.
+type peer struct {
+	t    *RPC
+	id   consensus.ID
+	wake chan struct{}
+
+	mu      sync.Mutex
+	address string
+	queue   []consensus.Message
+
+	// conn and client are used by run only.
+	conn   net.Conn
+	client *rpc.Client
+	dialed string
+	// failing suppresses repeated log lines for the same outage.
+	failing bool
+}
+
+func (p *peer) add(address string, ms []consensus.Message) {
+	p.mu.Lock()
+	p.address = address
+	p.queue = append(p.queue, ms...)
+	if n := len(p.queue) - queueLimit; n > 0 {
+		p.queue = p.queue[n:] // the oldest are of least use
+	}
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (p *peer) take() (string, []consensus.Message) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := min(len(p.queue), batchLimit)
+	ms := p.queue[:n:n]
+	p.queue = p.queue[n:]
+	return p.address, ms
+}
+
+func (p *peer) run() {
+	defer p.t.wg.Done()
+	defer p.hangUp()
+	for {
+		select {
+		case <-p.t.done:
+			return
+		case <-p.wake:
+		}
+		for address, ms := p.take(); len(ms) > 0; address, ms = p.take() {
+			if err := p.call(address, ms); err != nil && !p.failed(address, err) {
+				return
+			}
+		}
+	}
+}
+
+// failed handles a failed call; it reports false when the transport is closed.
+func (p *peer) failed(address string, err error) bool {
+	p.hangUp()
+	if !p.failing {
+		p.t.cfg.Logger.Warn().Err(err).Str("peer", p.id).Str("address", address).Msg("cannot send to replica")
+	}
+	p.failing = true
+	select {
+	case <-p.t.done:
+		return false
+	case <-time.After(redialDelay):
+		return true
+	}
+}
+
+func (p *peer) call(address string, ms []consensus.Message) error {
+	if err := p.connect(address); err != nil {
+		return err
+	}
+	e := &Envelope{Version: FormatVersion, ClusterID: p.t.cfg.ClusterID, FromAddress: p.t.cfg.Advertise, Messages: ms}
+	ack := new(Ack)
+	call := p.client.Go(methodName, e, ack, make(chan *rpc.Call, 1))
+	timer := time.NewTimer(callTimeout)
+	defer timer.Stop()
+	select {
+	case <-call.Done:
+	case <-timer.C:
+		return errors.Newf("call did not return within %s", callTimeout)
+	case <-p.t.done:
+		return errors.New("transport is closed")
+	}
+	if call.Error != nil {
+		return errors.Wrap(call.Error, "call")
+	}
+	if ack.Refused != "" {
+		return errors.Newf("replica refused the message: %s", ack.Refused)
+	}
+	p.failing = false
+	return nil
+}
+
+func (p *peer) connect(address string) error {
+	if p.client != nil && p.dialed == address {
+		return nil
+	}
+	p.hangUp()
+	d := &net.Dialer{Timeout: dialTimeout}
+	var conn net.Conn
+	var err error
+	if p.t.cfg.TLS != nil {
+		conn, err = tls.DialWithDialer(d, "tcp", address, p.t.cfg.TLS)
+	} else {
+		conn, err = d.Dial("tcp", address)
+	}
+	if err != nil {
+		return errors.Wrap(err, "connect")
+	}
+	p.conn, p.client, p.dialed = conn, rpc.NewClient(conn), address
+	return nil
+}
+
+func (p *peer) hangUp() {
+	if p.client != nil {
+		p.client.Close()
+		p.conn, p.client = nil, nil
+	}
+}
--- /dev/null
+++ b/store/transport/rpc.go
@@ -0,0 +1,189 @@
+package transport
+
+import (
+	"crypto/tls"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/store/consensus"
+)
+
+const (
+	// dialTimeout bounds connecting to another replica.
+	dialTimeout = 500 * time.Millisecond
+	// callTimeout bounds one call; a connection that exceeds it is closed.
+	callTimeout = time.Second
+	// redialDelay is the pause after a failed call before the next attempt.
+	// It is shorter than the heartbeat interval by enough that a replica that
+	// returns is reached within an election timeout.
+	redialDelay = 50 * time.Millisecond
+	// queueLimit is the number of messages kept for one replica.
+	queueLimit = 1024
+	// batchLimit is the number of messages in one call.
+	batchLimit = 128
+
+	serviceName = "Replica"
+	methodName  = serviceName + ".Deliver"
+)
+
+// RPCConfig holds the settings of an RPC transport.
+type RPCConfig struct {
+	ClusterID string
+	// Listen is the address to listen on, Advertise the one told to others;
+	// empty means the listener's address.
+	Listen, Advertise string
+	// TLS is optional. It is used for both directions.
+	TLS    *tls.Config
+	Logger zerolog.Logger
+}
+
+// RPC is a Transport over net/rpc.
+type RPC struct {
+	cfg      RPCConfig
+	listener net.Listener
+	deliver  func(from string, ms []consensus.Message)
+
+	mu     sync.Mutex
+	peers  map[consensus.ID]*peer
+	conns  map[net.Conn]bool
+	closed bool
+	done   chan struct{}
+	wg     sync.WaitGroup
+}
+
+// NewRPC listens and returns a transport; Start begins to serve.
+func NewRPC(cfg RPCConfig) (*RPC, error) {
+	ln, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen on %s", cfg.Listen)
+	}
+	if cfg.TLS != nil {
+		ln = tls.NewListener(ln, cfg.TLS)
+	}
+	if cfg.Advertise == "" {
+		cfg.Advertise = ln.Addr().String()
+	}
+	return &RPC{
+		cfg: cfg, listener: ln, done: make(chan struct{}),
+		peers: map[consensus.ID]*peer{}, conns: map[net.Conn]bool{},
+	}, nil
+}
+
+// Address returns the address told to other replicas.
+func (t *RPC) Address() string { return t.cfg.Advertise }
+
+// Start implements Transport.
+func (t *RPC) Start(deliver func(from string, ms []consensus.Message)) error {
+	t.deliver = deliver
+	srv := rpc.NewServer()
+	if err := srv.RegisterName(serviceName, &service{t}); err != nil {
+		return errors.Wrap(err, "register replica service")
+	}
+	t.wg.Add(1)
+	go t.accept(srv)
+	return nil
+}
+
+func (t *RPC) accept(srv *rpc.Server) {
+	defer t.wg.Done()
+	for {
+		conn, err := t.listener.Accept()
+		if err != nil {
+			select {
+			case <-t.done:
+				return
+			case <-time.After(redialDelay):
+			}
+			t.cfg.Logger.Error().Err(err).Str("step", "accept").Msg("replica transport")
+			continue
+		}
+		if !t.track(conn) {
+			conn.Close()
+			return
+		}
+		t.wg.Add(1)
+		go func() {
+			defer t.wg.Done()
+			defer t.untrack(conn)
+			srv.ServeConn(conn)
+		}()
+	}
+}
+
+func (t *RPC) track(conn net.Conn) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.closed {
+		t.conns[conn] = true
+	}
+	return !t.closed
+}
+
+func (t *RPC) untrack(conn net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.conns, conn)
+	conn.Close()
+}
+
+// service is the net/rpc receiver.
+type service struct{ t *RPC }
+
+// Deliver takes messages from another replica.
+func (s *service) Deliver(e *Envelope, ack *Ack) error {
+	t := s.t
+	switch {
+	case e.Version != FormatVersion:
+		ack.Refused = errors.Newf("message version %d, want %d", e.Version, FormatVersion).Error()
+	case e.ClusterID != t.cfg.ClusterID:
+		ack.Refused = errors.Newf("message of cluster %q, this is %q", e.ClusterID, t.cfg.ClusterID).Error()
+	default:
+		t.deliver(e.FromAddress, e.Messages)
+		return nil
+	}
+	t.cfg.Logger.Error().Str("peer", e.FromAddress).Str("reason", ack.Refused).Msg("refused message from replica")
+	return nil
+}
+
+// Send implements Transport.
+func (t *RPC) Send(to consensus.ID, address string, ms []consensus.Message) {
+	if len(ms) == 0 || address == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return
+	}
+	p := t.peers[to]
+	if p == nil {
+		p = &peer{t: t, id: to, wake: make(chan struct{}, 1)}
+		t.peers[to] = p
+		t.wg.Add(1)
+		go p.run()
+	}
+	p.add(address, ms)
+}
+
+// Close implements Transport.
+func (t *RPC) Close() error {
+	t.mu.Lock()
+	if t.closed {
+		t.mu.Unlock()
+		return nil
+	}
+	t.closed = true
+	close(t.done)
+	for conn := range t.conns {
+		conn.Close()
+	}
+	t.mu.Unlock()
+	err := t.listener.Close()
+	t.wg.Wait()
+	return err
+}
--- /dev/null
+++ b/store/wal/wal.go
@@ -0,0 +1,260 @@
+// Package wal keeps a replica's log and hard state in files.
+//
+// A segment starts with a header that names the format version and a frame that
+// holds the whole state at that time; each later frame holds what one Save
+// added. A segment gets its name only once its first frame is synced, so the
+// newest segment alone is enough to start from. A frame carries a CRC-32C over
+// its length, sequence number and content.
+//
+// Save syncs before it returns. After a failed write or sync the file's state
+// is unknown, so the log refuses all further use. Open copies the state to a
+// new segment instead of appending to one that a failed sync may have left
+// different on disk than in the page cache.
+package wal
+
+import (
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/store/consensus"
+	"gooseberrypond/store/disk"
+)
+
+// ErrFailed marks errors after which the log must not be used.
+var ErrFailed = errors.New("log has failed")
+
+const suffix = ".wal"
+
+// Contents is what a log holds.
+type Contents struct {
+	State   consensus.HardState
+	Base    consensus.Marker
+	Entries []consensus.Entry
+}
+
+// Log is an open log. It is not safe for concurrent use.
+type Log struct {
+	fs   disk.FS
+	dir  string
+	file disk.File
+	path string
+	// segment and seq number the current segment and the last frame.
+	segment, seq uint64
+	size         int64
+	buf          []byte
+	failed       error
+	// torn is the number of bytes of an incomplete last frame dropped by Open.
+	torn int
+}
+
+// Exists reports whether the directory holds a log.
+func Exists(fs disk.FS, dir string) (bool, error) {
+	names, err := segments(fs, dir)
+	return len(names) > 0, err
+}
+
+// Create starts a log with the contents in a directory that has none.
+func Create(fs disk.FS, dir string, c Contents) (*Log, error) {
+	l := &Log{fs: fs, dir: dir}
+	if err := l.Rewrite(c); err != nil {
+		return nil, err
+	}
+	return l, nil
+}
+
+// Open reads the log in a directory. An incomplete last frame, which no Save
+// had returned for, is dropped; any other damage is an error that names the
+// file and the offset.
+func Open(fs disk.FS, dir string) (*Log, Contents, error) {
+	names, err := segments(fs, dir)
+	if err != nil {
+		return nil, Contents{}, errors.Wrapf(err, "list %s", dir)
+	}
+	if len(names) == 0 {
+		return nil, Contents{}, errors.Newf("%s: no log segment", dir)
+	}
+	l := &Log{fs: fs, dir: dir}
+	name := names[len(names)-1]
+	if _, err := fmt.Sscanf(name, "%d"+suffix, &l.segment); err != nil {
+		return nil, Contents{}, errors.Wrapf(err, "segment name %s", name)
+	}
+	c, err := l.replay(filepath.Join(dir, name))
+	if err != nil {
+		return nil, Contents{}, err
+	}
+	if err := l.Rewrite(c); err != nil {
+		return nil, Contents{}, err
+	}
+	return l, c, nil
+}
+
+func segments(fs disk.FS, dir string) ([]string, error) {
+	names, err := fs.List(dir)
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(names, func(n string) bool { return !strings.HasSuffix(n, suffix) }), nil
+}
+
+// replay reads the frames of a segment.
+func (l *Log) replay(path string) (Contents, error) {
+	var c Contents
+	data, err := l.fs.ReadFile(path)
+	if err != nil {
+		return c, errors.Wrapf(err, "read %s", path)
+	}
+	if err := checkHeader(path, data); err != nil {
+		return c, err
+	}
+	first := true
+	for at := headerSize; at < len(data) || first; first = false {
+		seq, payload, ok := readFrame(data[at:])
+		if !ok {
+			if err := tornTail(path, data, at, l.seq+1, first); err != nil {
+				return c, err
+			}
+			l.torn = len(data) - at
+			return c, nil
+		}
+		if !first && seq != l.seq+1 {
+			return c, errors.Newf("%s: offset %d: record has number %d, want %d", path, at, seq, l.seq+1)
+		}
+		l.seq = seq
+		if err := c.add(payload, first); err != nil {
+			return c, errors.Wrapf(err, "%s: offset %d", path, at)
+		}
+		at += frameHeader + len(payload)
+	}
+	return c, nil
+}
+
+// tornTail returns an error unless the damaged frame at the offset can be the
+// last one that a crash interrupted.
+func tornTail(path string, data []byte, at int, minSeq uint64, first bool) error {
+	if first {
+		// The first frame is synced before the segment gets its name.
+		return errors.Newf("%s: offset %d: first record is damaged", path, at)
+	}
+	if i := findFrame(data[at:], minSeq); i >= 0 {
+		return errors.Newf("%s: offset %d: record is damaged but a valid one follows at offset %d",
+			path, at, at+i)
+	}
+	return nil
+}
+
+// add applies the content of a frame.
+func (c *Contents) add(payload []byte, first bool) error {
+	var b batch
+	if err := decMode.Unmarshal(payload, &b); err != nil {
+		return errors.Wrap(err, "decode log record")
+	}
+	if first != (b.Base != nil) {
+		return errors.New("whole state expected in the first record of a segment and only there")
+	}
+	if first {
+		c.Base = *b.Base
+	}
+	if b.State != nil {
+		c.State = *b.State
+	}
+	if len(b.Entries) == 0 {
+		return nil
+	}
+	from := b.Entries[0].Index
+	if from <= c.Base.Index || from > c.Base.Index+uint64(len(c.Entries))+1 {
+		return errors.Newf("entry %d does not follow the log, which holds %d to %d",
+			from, c.Base.Index, c.Base.Index+uint64(len(c.Entries)))
+	}
+	c.Entries = append(c.Entries[:from-c.Base.Index-1], b.Entries...)
+	return nil
+}
+
+// Save adds to the log and syncs it. Entries replace those at and after the
+// first of them.
+func (l *Log) Save(state *consensus.HardState, entries []consensus.Entry) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	buf, err := appendFrame(l.buf[:0], l.seq+1, &batch{State: state, Entries: entries})
+	if err != nil {
+		return l.fail(err, "encode")
+	}
+	l.buf = buf
+	if _, err := l.file.Write(buf); err != nil {
+		return l.fail(err, "write")
+	}
+	if err := l.file.Sync(); err != nil {
+		return l.fail(err, "sync")
+	}
+	l.seq++
+	l.size += int64(len(buf))
+	return nil
+}
+
+// Size returns the size of the current segment in bytes.
+func (l *Log) Size() int64 { return l.size }
+
+// Torn returns the number of bytes of an incomplete last record that Open dropped.
+func (l *Log) Torn() int { return l.torn }
+
+func (l *Log) fail(err error, step string) error {
+	l.failed = errors.Mark(errors.Wrapf(err, "%s %s", step, l.path), ErrFailed)
+	return l.failed
+}
+
+// Rewrite replaces the log by the contents, in a new segment, and removes the
+// older segments.
+func (l *Log) Rewrite(c Contents) error {
+	if l.failed != nil {
+		return l.failed
+	}
+	l.segment++
+	path := filepath.Join(l.dir, fmt.Sprintf("%016d%s", l.segment, suffix))
+	buf, err := appendFrame(appendHeader(nil), l.seq+1, &batch{State: &c.State, Base: &c.Base, Entries: c.Entries})
+	if err != nil {
+		return l.fail(err, "encode")
+	}
+	f, err := disk.CreateTemp(l.fs, path, buf)
+	if err != nil {
+		return l.fail(err, "start")
+	}
+	if l.file != nil {
+		l.file.Close()
+	}
+	l.file, l.path = f, path
+	if err := disk.Publish(l.fs, path); err != nil {
+		return l.fail(err, "start")
+	}
+	l.seq++
+	l.size = int64(len(buf))
+	return l.removeOlder()
+}
+
+func (l *Log) removeOlder() error {
+	names, err := segments(l.fs, l.dir)
+	if err != nil {
+		return l.fail(err, "list segments before")
+	}
+	for _, name := range names {
+		path := filepath.Join(l.dir, name)
+		if path >= l.path {
+			continue
+		}
+		if err := l.fs.Remove(path); err != nil {
+			return l.fail(err, "remove segment before")
+		}
+	}
+	return nil
+}
+
+// Close closes the log.
+func (l *Log) Close() error {
+	if l.failed == nil {
+		l.failed = errors.Mark(errors.New("log is closed"), ErrFailed)
+	}
+	return l.file.Close()
+}
