--- a/host/control/reads.go
+++ b/host/control/reads.go
@@ -79,6 +79,7 @@
 		Cluster: h.cfg.Cluster, Leader: h.cfg.HostID, Term: st.Term, Commit: st.Commit,
 		Replicas: replicas(&st, time.Now()),
 		Jobs:     map[structs.JobStatus]int{}, Tasks: map[structs.JobStatus]int{},
+		EntryHosts: []structs.EntryHostInfo{}, Owners: []structs.OwnerInfo{},
 	}
 	err := h.lead("control.status", func(core *leader.Core, t *state.Tables) { fillStatus(out, core, t) })
 	if err != nil {
--- a/host/node/entry.go
+++ b/host/node/entry.go
@@ -13,7 +13,7 @@
 
 // startEntry starts the entry role and serves callers and upstreams.
 func (n *Node) startEntry() error {
-	log := n.log.With().Str("role", "entry").Logger()
+	log := n.base.With().Str("role", "entry").Logger() // the role adds the host
 	h := entry.New(entry.Config{Host: n.settings.HostID, Control: n.client, Log: log})
 	n.entry = &entryRole{host: h}
 	h.Start()
--- a/host/node/node.go
+++ b/host/node/node.go
@@ -20,11 +20,23 @@
 	"gooseberrypond/host/control"
 	"gooseberrypond/host/edge/web"
 	"gooseberrypond/host/rpc"
+	"gooseberrypond/store/replica"
+	"gooseberrypond/store/transport"
 )
 
+// Hooks replace parts of a host that reach other hosts.
+type Hooks struct {
+	// Transport replaces the transport between replicas.
+	Transport func(cfg replica.Config) (transport.Transport, error)
+	// Dial replaces the connections to control hosts.
+	Dial rpc.Dialer
+}
+
 // Node is a running host.
 type Node struct {
 	settings *config.Settings
+	hooks    Hooks
+	base     zerolog.Logger
 	log      zerolog.Logger
 	registry *prometheus.Registry
 
@@ -41,8 +53,15 @@
 
 // Start opens every listener, then starts the roles. After an error nothing is left running.
 func Start(s *config.Settings, log zerolog.Logger) (*Node, error) {
+	return StartWith(s, log, Hooks{})
+}
+
+// StartWith is Start with hooks.
+func StartWith(s *config.Settings, log zerolog.Logger, hooks Hooks) (*Node, error) {
 	n := &Node{
 		settings:  s,
+		hooks:     hooks,
+		base:      log,
 		log:       log.With().Str("host", s.HostID).Logger(),
 		registry:  prometheus.NewRegistry(),
 		listeners: map[string]net.Listener{},
@@ -112,7 +131,7 @@
 	for _, h := range n.settings.With(config.RoleControl) {
 		peers = append(peers, rpc.Peer{ID: h.ID, Address: h.Control})
 	}
-	n.client = rpc.NewClient(rpc.ClientConfig{Cluster: n.settings.ClusterID, Host: n.settings.HostID, Peers: peers, TLS: tlsConfig})
+	n.client = rpc.NewClient(rpc.ClientConfig{Cluster: n.settings.ClusterID, Host: n.settings.HostID, Peers: peers, TLS: tlsConfig, Dial: n.hooks.Dial})
 	return nil
 }
 
--- a/host/node/replica.go
+++ b/host/node/replica.go
@@ -26,6 +26,11 @@
 		Logger:          n.log.With().Str("part", "replica").Logger(),
 		SnapshotEntries: s.Limits.SnapshotEntries,
 	}
+	if n.hooks.Transport != nil {
+		if cfg.Transport, err = n.hooks.Transport(cfg); err != nil {
+			return replica.Config{}, err
+		}
+	}
 	if self.Joining {
 		return cfg, nil
 	}
