Check histories of edits, reads and submissions for linearizability

Cause: a leader that is cut off from the other replicas can still be reached by clients and must not answer with old state.

--- /dev/null
+++ b/host/node/history_test.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"gooseberrypond/core/structs"
+)
+
+// input is one operation on the control hosts. Operations on the catalogue and
+// on each submission key are checked apart.
+type input struct {
+	key  string // a submission; empty for the catalogue
+	edit string // change id; empty for a read
+	base uint64
+}
+
+// output is what the operation answered.
+type output struct {
+	job      structs.JobID
+	accepted bool
+	version  uint64
+	winner   string
+}
+
+// registry is the state of the catalogue or of one key.
+type registry struct {
+	version uint64
+	winner  string
+	job     structs.JobID
+}
+
+var model = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byKey := map[string][]porcupine.Operation{}
+		for _, op := range history {
+			key := op.Input.(input).key
+			byKey[key] = append(byKey[key], op)
+		}
+		var out [][]porcupine.Operation
+		for _, ops := range byKey {
+			out = append(out, ops)
+		}
+		return out
+	},
+	Init: func() any { return registry{} },
+	Step: func(state, in, out any) (bool, any) {
+		s, i, o := state.(registry), in.(input), out.(output)
+		switch {
+		case i.key != "":
+			ok := s.job == "" || s.job == o.job
+			s.job = o.job
+			return ok, s
+		case i.edit == "":
+			return s.version == o.version, s
+		case s.version == i.base:
+			return o.accepted && o.version == i.base+1, registry{version: i.base + 1, winner: i.edit}
+		}
+		return !o.accepted && o.version == s.version && o.winner == s.winner, s
+	},
+}
+
+// historian records operations of concurrent clients.
+type historian struct {
+	start time.Time
+	mu    sync.Mutex
+	ops   []porcupine.Operation
+	done  atomic.Int64
+}
+
+func (h *historian) record(client int, in input, fn func() output) output {
+	call := time.Since(h.start).Nanoseconds()
+	out := fn()
+	op := porcupine.Operation{ClientId: client, Input: in, Call: call, Output: out, Return: time.Since(h.start).Nanoseconds()}
+	h.mu.Lock()
+	h.ops = append(h.ops, op)
+	h.mu.Unlock()
+	h.done.Add(1)
+	return out
+}
+
+// await waits until n more operations are done.
+func (h *historian) await(ctx context.Context, n int64) {
+	for until := h.done.Load() + n; h.done.Load() < until && ctx.Err() == nil; {
+		wait(ctx)
+	}
+}
+
+// Guards against stale reads, lost edits and doubled jobs while the leader is
+// cut off from the other replicas, though still reachable for clients, and
+// while leaders are killed.
+func TestHistoryIsLinearizable(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	c := newCluster(t, 3)
+	c.leader(ctx)
+	h := &historian{start: time.Now()}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for n := range 7 {
+		// Clients that only read stay with a leader for as long as it answers.
+		wg.Go(func() { runClient(ctx, t, c, h, n, n >= 5, stop) })
+	}
+	for range 2 {
+		h.await(ctx, 60)
+		cut := c.leader(ctx)
+		c.cut[cut].Store(true)
+		c.leader(ctx) // of the others
+		h.await(ctx, 60)
+		c.cut[cut].Store(false)
+		h.await(ctx, 60)
+		killed := c.leader(ctx)
+		c.kill(killed)
+		c.leader(ctx)
+		h.await(ctx, 60)
+		c.start(killed)
+	}
+	close(stop)
+	wg.Wait()
+	if res := porcupine.CheckOperationsTimeout(model, h.ops, testLimit); res != porcupine.Ok {
+		t.Errorf("history of %d operations is %v", len(h.ops), res)
+	}
+}
+
+// runClient mixes reads, edits on the version last seen, and submissions of
+// keys that it shares with the other clients.
+func runClient(ctx context.Context, t *testing.T, c *cluster, h *historian, n int, readOnly bool, stop chan struct{}) {
+	cl := c.client()
+	var version uint64
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return
+		default:
+		}
+		if readOnly {
+			i = 0
+			wait(ctx) // keeps the history small
+		}
+		switch i % 3 {
+		case 0:
+			version = h.record(n, input{}, func() output {
+				cat := ask(ctx, t, func() (*structs.Catalogue, error) { return cl.Catalogue(ctx) })
+				return output{version: cat.Version}
+			}).version
+		case 1:
+			in := input{edit: fmt.Sprintf("c%d-%d", n, i), base: version}
+			h.record(n, in, func() output {
+				put := &structs.PutCatalogue{ChangeID: in.edit, BaseVersion: in.base, Catalogue: testCatalogue()}
+				res := ask(ctx, t, func() (*structs.ChangeResult, error) { return cl.ApplyCatalogue(ctx, put) })
+				return output{accepted: res.Accepted, version: res.Version, winner: res.Winner}
+			})
+		case 2:
+			if version == 0 {
+				continue // the entry is not in the catalogue yet
+			}
+			in := input{key: fmt.Sprintf("key-%d", i/6)}
+			h.record(n, in, func() output {
+				job := structs.SubmitJob{Owner: "dev", Key: in.key, Spec: structs.JobSpec{Entry: "report", Kind: structs.KindBatch}}
+				res := ask(ctx, t, func() (structs.SubmitResult, error) { return cl.Submit(ctx, job) })
+				return output{job: res.Job}
+			})
+		}
+	}
+}
