--- a/core/grant/sync.go
+++ b/core/grant/sync.go
@@ -45,6 +45,7 @@
 	if h.known && req.Incarnation > h.incarnation {
 		g.retire(index)
 		h.seq = 0
+		h.lost = !h.confirmed
 	}
 	if req.Seq <= h.seq {
 		return 0, structs.Errorf(structs.CodeConflict, step, "sync %d is not above %d", req.Seq, h.seq).WithPeer(req.Host)
@@ -54,6 +55,7 @@
 	h.seq = req.Seq
 	h.lastSync = now
 	h.stopping = req.Stopping
+	h.confirm(req)
 	return index, nil
 }
 
--- a/core/grant/table.go
+++ b/core/grant/table.go
@@ -40,7 +40,15 @@
 
 // holder is one configured entry host.
 type holder struct {
-	known       bool // has synced with this table
+	known bool // has synced with this table
+	// confirmed is set once the host has put an answer of this leader in force.
+	// Before that its report may be an old one, delayed since an earlier
+	// leader's time, that does not cover what the earlier leader granted later.
+	confirmed bool
+	answered  []uint64 // numbers of the last syncs answered before that
+	// lost is set when the host restarted before that, so that what it held
+	// under an earlier leader is unknown for good.
+	lost        bool
 	incarnation uint64
 	seq         uint64
 	lastSync    time.Time
@@ -119,20 +127,36 @@
 }
 
 // Settled reports whether every configured entry host has reported its
-// holdings, or GrantReclaim has passed since the election, so that new shares
-// may be granted.
+// holdings after it put an answer of this leader in force, or GrantReclaim has
+// passed since the election, so that new shares may be granted.
 func (g *Table) Settled(now time.Time) bool {
 	if now.Sub(g.electedAt) > structs.GrantReclaim {
 		return true
 	}
 	for i := range g.holders {
-		if !g.holders[i].known {
+		if !g.holders[i].confirmed {
 			return false
 		}
 	}
 	return true
 }
 
+// maxAnswered bounds holder.answered. A host that has not confirmed one of so
+// many answers confirms a later one.
+const maxAnswered = 16
+
+// confirm notes whether the report follows an answer of this leader.
+func (h *holder) confirm(req *structs.EntrySync) {
+	if h.confirmed || h.lost {
+		return
+	}
+	h.confirmed = slices.Contains(h.answered, req.AppliedSeq)
+	if len(h.answered) == maxAnswered {
+		h.answered = slices.Delete(h.answered, 0, 1)
+	}
+	h.answered = append(h.answered, req.Seq)
+}
+
 // limit returns the limit of key, creating one without capacity.
 func (g *Table) limit(key structs.GrantKey) *limit {
 	l, ok := g.limits[key]
