Add in-process cluster, control rpc tests and measuring commands

Cause: tests and measurements need the same cluster of real hosts, and the control path had no figures.

--- /dev/null
+++ b/bench/cmd/control/urgent.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"gooseberrypond/core/structs"
+	"gooseberrypond/host/localcluster"
+	"gooseberrypond/host/rpc"
+)
+
+// urgentCmd measures urgent starts.
+type urgentCmd struct {
+	Workers int           `help:"Stand-in workers." default:"60"`
+	Jobs    int           `help:"Batch jobs of the burst." default:"12000"`
+	Over    time.Duration `help:"Time over which the burst is submitted." default:"60s"`
+	Urgent  int           `help:"Urgent jobs, spread over the burst." default:"1200"`
+	Entry   int           `help:"Entry hosts without a replica, besides 3 with one." default:"5"`
+}
+
+// starts records when tasks start.
+type starts struct {
+	mu sync.Mutex
+	at map[structs.JobID]time.Time
+}
+
+func (s *starts) note(id structs.TaskID, at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, again := s.at[id.Job]; !again {
+		s.at[id.Job] = at
+	}
+}
+
+func (s *starts) get(id structs.JobID) (time.Time, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at, ok := s.at[id]
+	return at, ok
+}
+
+// Run implements the command.
+func (u *urgentCmd) Run(c *cli) error {
+	ctx, cancel := context.WithTimeout(context.Background(), u.Over+5*time.Minute)
+	defer cancel()
+	cl, stop, err := c.start(ctx, localcluster.Options{Control: 3, Entry: u.Entry})
+	if err != nil {
+		return err
+	}
+	defer stop()
+	s := &starts{at: map[structs.JobID]time.Time{}}
+	cl.Ledger.OnStart(s.note)
+	cl.Workers(u.Workers)
+	if err := liveWorkers(ctx, cl.Client(), u.Workers); err != nil {
+		return err
+	}
+	submits, latency := newTimes(), newTimes()
+	var wg sync.WaitGroup
+	errs := make(chan error, 2)
+	wg.Go(func() {
+		errs <- u.submit(ctx, cl.Client(), "report", u.Jobs, func(structs.JobID, time.Time, time.Duration) error { return nil })
+	})
+	wg.Go(func() {
+		errs <- u.submit(ctx, cl.Client(), "urgent", u.Urgent, func(id structs.JobID, sent time.Time, took time.Duration) error {
+			if err := submits.add(took); err != nil {
+				return err
+			}
+			return u.awaitStart(ctx, s, id, sent, latency)
+		})
+	})
+	wg.Wait()
+	for range 2 {
+		if err := <-errs; err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%d workers, 3 replicas, %d entry hosts; %d batch jobs over %s\n", u.Workers, u.Entry+3, u.Jobs, u.Over)
+	submits.print("urgent submit answered")
+	latency.print("urgent submit to start on the worker")
+	if v := cl.Ledger.Violations(); len(v) > 0 {
+		return fmt.Errorf("broken guarantees: %v", v)
+	}
+	return nil
+}
+
+// submit submits n jobs spread evenly, each on its own goroutine.
+func (u *urgentCmd) submit(ctx context.Context, cl *rpc.Client, entry string, n int, done func(structs.JobID, time.Time, time.Duration) error) error {
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var first error
+	begun := time.Now()
+	for i := range n {
+		time.Sleep(time.Until(begun.Add(u.Over * time.Duration(i) / time.Duration(n))))
+		wg.Go(func() {
+			sent := time.Now()
+			job := structs.SubmitJob{Owner: "dev", Key: fmt.Sprintf("%s-%d", entry, i), Spec: structs.JobSpec{Entry: entry, Kind: structs.KindBatch, Payload: []byte(`{"run_ms":500}`)}}
+			res, err := cl.Submit(ctx, job)
+			if err == nil {
+				err = done(res.Job, sent, time.Since(sent))
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if first == nil {
+				first = err
+			}
+		})
+	}
+	wg.Wait()
+	return first
+}
+
+// awaitStart waits for the start of a job and records its latency.
+func (u *urgentCmd) awaitStart(ctx context.Context, s *starts, id structs.JobID, sent time.Time, latency times) error {
+	for {
+		if at, ok := s.get(id); ok {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return latency.add(at.Sub(sent))
+		}
+		if err := localcluster.Pause(ctx); err != nil {
+			return err
+		}
+	}
+}
+
+// liveWorkers waits until all workers are registered.
+func liveWorkers(ctx context.Context, cl *rpc.Client, want int) error {
+	for {
+		st, err := cl.Status(ctx)
+		if err == nil && st.LiveWorkers >= want {
+			return nil
+		}
+		if err := localcluster.Pause(ctx); err != nil {
+			return err
+		}
+	}
+}
--- a/host/control/host.go
+++ b/host/control/host.go
@@ -265,3 +265,6 @@
 	}
 	return res, err
 }
+
+// Applied returns the last log entry applied on this replica.
+func (h *Host) Applied() uint64 { return h.replica.AppliedIndex() }
--- /dev/null
+++ b/host/localcluster/cluster.go
@@ -0,0 +1,235 @@
+// Package localcluster runs the hosts of a cluster in one process, each on a
+// loopback address of its own, with stand-in workers. It is used by tests and
+// measuring commands, which kill hosts and cut replicas off.
+package localcluster
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/core/structs"
+	"gooseberrypond/host/config"
+	"gooseberrypond/host/node"
+	"gooseberrypond/host/rpc"
+	"gooseberrypond/host/standin"
+	"gooseberrypond/store/consensus"
+	"gooseberrypond/store/replica"
+	"gooseberrypond/store/transport"
+)
+
+// Cluster is a running cluster. Its methods are called from one goroutine.
+type Cluster struct {
+	// Settings are the settings of each host.
+	Settings []*config.Settings
+	// Nodes are the running hosts; nil where a host is down.
+	Nodes  []*node.Node
+	Ledger *standin.Ledger
+
+	log     zerolog.Logger
+	cut     []*atomic.Bool
+	clients []*rpc.Client
+	ctx     context.Context
+	stop    context.CancelFunc
+	workers sync.WaitGroup
+}
+
+// Options configure a cluster.
+type Options struct {
+	Folder string
+	// Control hosts come first and are entry hosts too; Entry counts the others.
+	Control, Entry int
+	// SnapshotEntries is the number of log entries between snapshots; 0 means the default.
+	SnapshotEntries int
+	Log             zerolog.Logger
+}
+
+// Start starts all hosts.
+func Start(o Options) (*Cluster, error) {
+	c := &Cluster{Nodes: make([]*node.Node, o.Control+o.Entry), Ledger: standin.NewLedger(), log: o.Log}
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	c.settings(o)
+	for i := range c.Settings {
+		c.cut = append(c.cut, new(atomic.Bool))
+		if err := c.StartHost(i); err != nil {
+			c.Close()
+			return nil, err
+		}
+	}
+	return c, nil
+}
+
+// settings makes the settings of all hosts. Addresses outside 127.0.0.x with
+// fixed ports cannot meet ports that the system hands out to other programs.
+func (c *Cluster) settings(o Options) {
+	net := fmt.Sprintf("127.%d.%d", 64+rand.IntN(64), rand.IntN(256))
+	both := []config.Role{config.RoleControl, config.RoleEntry}
+	var hosts []config.Host
+	for i := range o.Control + o.Entry {
+		h := config.Host{ID: fmt.Sprintf("h%d", i+1), Roles: []config.Role{config.RoleEntry}}
+		if i < o.Control {
+			h.Roles, h.Replica = both, uint64(i+1)
+			h.Peer, h.Control = fmt.Sprintf("%s.%d:7405", net, i+1), fmt.Sprintf("%s.%d:7406", net, i+1)
+		}
+		hosts = append(hosts, h)
+	}
+	for i, h := range hosts {
+		l := func(port int) config.Listener {
+			return config.Listener{Address: fmt.Sprintf("%s.%d:%d", net, i+1, port)}
+		}
+		s := &config.Settings{
+			ClusterID: "local", HostID: h.ID, Roles: h.Roles, FailureDomain: fmt.Sprintf("d%d", i%3+1), Region: "r",
+			Hosts: hosts, Limits: config.DefaultLimits(),
+			Listeners: config.Listeners{Caller: l(7401), Upstream: l(7402), Platform: l(7403), Operator: l(7404), Health: l(7407)},
+		}
+		if i < o.Control {
+			s.DataFolder = filepath.Join(o.Folder, h.ID)
+			s.Listeners.Peer, s.Listeners.Control = l(7405), l(7406)
+		}
+		if o.SnapshotEntries > 0 {
+			s.Limits.SnapshotEntries = o.SnapshotEntries
+		}
+		c.Settings = append(c.Settings, s)
+	}
+}
+
+// StartHost starts a host, also again after Kill.
+func (c *Cluster) StartHost(i int) error {
+	hooks := node.Hooks{Transport: func(cfg replica.Config) (transport.Transport, error) {
+		tr, err := transport.NewRPC(transport.RPCConfig{ClusterID: cfg.ClusterID, Listen: cfg.Listen, Advertise: cfg.Advertise})
+		if err != nil {
+			return nil, err
+		}
+		return &cutTransport{tr, c.cut[i]}, nil
+	}}
+	n, err := node.StartWith(c.Settings[i], c.log, hooks)
+	if err != nil {
+		return errors.Wrapf(err, "start %s", c.Settings[i].HostID)
+	}
+	c.Nodes[i] = n
+	return nil
+}
+
+// Kill ends a host as a crash would.
+func (c *Cluster) Kill(i int) {
+	c.Nodes[i].Kill()
+	c.Nodes[i] = nil
+}
+
+// Cut cuts the replica of a host off from the others, or ends that. Clients
+// still reach the host.
+func (c *Cluster) Cut(i int, on bool) { c.cut[i].Store(on) }
+
+// Close ends everything.
+func (c *Cluster) Close() {
+	c.stop()
+	c.workers.Wait()
+	for _, cl := range c.clients {
+		cl.Close()
+	}
+	for i, n := range c.Nodes {
+		if n != nil {
+			c.Kill(i)
+		}
+	}
+}
+
+// Client returns a client of its own, closed with the cluster.
+func (c *Cluster) Client() *rpc.Client {
+	var peers []rpc.Peer
+	for _, h := range c.Settings[0].With(config.RoleControl) {
+		peers = append(peers, rpc.Peer{ID: h.ID, Address: h.Control})
+	}
+	cl := rpc.NewClient(rpc.ClientConfig{Cluster: "local", Host: "client", Peers: peers})
+	c.clients = append(c.clients, cl)
+	return cl
+}
+
+// Leader waits for a leader that holds its lease and is not cut off.
+func (c *Cluster) Leader(ctx context.Context) (int, error) {
+	for {
+		for i, n := range c.Nodes {
+			if n != nil && n.Control() != nil && !c.cut[i].Load() && n.Control().Leading() {
+				return i, nil
+			}
+		}
+		if err := Pause(ctx); err != nil {
+			return 0, errors.Wrap(err, "no leader")
+		}
+	}
+}
+
+// Workers starts stand-in workers that use the platform listeners of all hosts.
+func (c *Cluster) Workers(count int) []*standin.Worker {
+	var platform []string
+	for _, s := range c.Settings {
+		platform = append(platform, "http://"+s.Listeners.Platform.Address)
+	}
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * count}}
+	var out []*standin.Worker
+	for i := range count {
+		w := standin.NewWorker(standin.WorkerConfig{
+			ID: structs.WorkerID(fmt.Sprintf("w%d", i+1)), Rack: fmt.Sprintf("r%d", i/8+1), Domain: fmt.Sprintf("d%d", i%3+1),
+			Capacity: structs.Resources{CPUMilli: 32_000, MemoryMB: 125 << 10},
+			Platform: platform, Client: client, Ledger: c.Ledger,
+		})
+		out = append(out, w)
+		c.workers.Go(func() { w.Run(c.ctx) })
+	}
+	return out
+}
+
+// Pause waits between two looks at a condition.
+func Pause(ctx context.Context) error {
+	t := time.NewTimer(5 * time.Millisecond)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
+
+// Catalogue returns a small catalogue with the owner "dev", the batch entry
+// "report" and the urgent batch entry "urgent".
+func Catalogue() structs.Catalogue {
+	size := structs.Resources{CPUMilli: 500, MemoryMB: 512}
+	return structs.Catalogue{
+		Owners: map[string]structs.Owner{"dev": {}},
+		Entries: map[string]structs.Entry{
+			"report": {Owner: "dev", Class: structs.ClassBatch, Resources: size},
+			"urgent": {Owner: "dev", Class: structs.ClassBatch, Resources: size, Urgent: true, Priority: 100},
+		},
+	}
+}
+
+// cutTransport loses all messages of a replica while it is cut off.
+type cutTransport struct {
+	transport.Transport
+	cut *atomic.Bool
+}
+
+// Send implements transport.Transport.
+func (c *cutTransport) Send(to consensus.ID, address string, ms []consensus.Message) {
+	if !c.cut.Load() {
+		c.Transport.Send(to, address, ms)
+	}
+}
+
+// Start implements transport.Transport.
+func (c *cutTransport) Start(deliver func(from string, ms []consensus.Message)) error {
+	return c.Transport.Start(func(from string, ms []consensus.Message) {
+		if !c.cut.Load() {
+			deliver(from, ms)
+		}
+	})
+}
--- /dev/null
+++ b/host/localcluster/cluster_test.go
@@ -0,0 +1,88 @@
+package localcluster
+
+import (
+	"context"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/core/structs"
+	"gooseberrypond/host/rpc"
+)
+
+// testLimit ends a test that hangs; no verdict depends on it.
+const testLimit = 2 * time.Minute
+
+// bed is a cluster whose failures end the test.
+type bed struct {
+	*Cluster
+	t   *testing.T
+	ctx context.Context
+}
+
+func newBed(t *testing.T, control, entry int) *bed {
+	t.Helper()
+	log := zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.WarnLevel)
+	c, err := Start(Options{Folder: t.TempDir(), Control: control, Entry: entry, SnapshotEntries: 200, Log: log})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	t.Cleanup(cancel)
+	return &bed{c, t, ctx}
+}
+
+func (b *bed) leader() int {
+	b.t.Helper()
+	i, err := b.Leader(b.ctx)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return i
+}
+
+func (b *bed) start(i int) {
+	b.t.Helper()
+	if err := b.StartHost(i); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+// put puts the catalogue in force.
+func (b *bed) put(cl *rpc.Client) {
+	b.t.Helper()
+	put := &structs.PutCatalogue{ChangeID: "first", Catalogue: Catalogue()}
+	res := ask(b, func() (*structs.ChangeResult, error) { return cl.ApplyCatalogue(b.ctx, put) })
+	if !res.Accepted {
+		b.t.Fatalf("first catalogue: %+v", res)
+	}
+}
+
+// ask repeats a call until it is answered.
+func ask[R any](b *bed, fn func() (R, error)) R {
+	for {
+		r, err := fn()
+		if err == nil {
+			return r
+		}
+		if Pause(b.ctx) != nil {
+			b.t.Errorf("no answer: %v", err)
+			runtime.Goexit()
+		}
+	}
+}
+
+// finished waits until the job has finished.
+func (b *bed) finished(cl *rpc.Client, id structs.JobID) *structs.JobView {
+	for {
+		view := ask(b, func() (*structs.JobView, error) {
+			return cl.GetJob(b.ctx, rpc.GetJob{Owner: "dev", Job: id, WaitMS: 1000})
+		})
+		if view.Job.Status.Finished() {
+			return view
+		}
+	}
+}
--- a/host/node/history_test.go
+++ b/host/localcluster/history_test.go
@@ -1,4 +1,4 @@
-package node
+package localcluster
 
 import (
 	"context"
@@ -11,6 +11,7 @@
 	"github.com/anishathalye/porcupine"
 
 	"gooseberrypond/core/structs"
+	"gooseberrypond/host/rpc"
 )
 
 // input is one operation on the control hosts. Operations on the catalogue and
@@ -87,8 +88,10 @@
 
 // await waits until n more operations are done.
 func (h *historian) await(ctx context.Context, n int64) {
-	for until := h.done.Load() + n; h.done.Load() < until && ctx.Err() == nil; {
-		wait(ctx)
+	for until := h.done.Load() + n; h.done.Load() < until; {
+		if Pause(ctx) != nil {
+			return
+		}
 	}
 }
 
@@ -96,30 +99,29 @@
 // cut off from the other replicas, though still reachable for clients, and
 // while leaders are killed.
 func TestHistoryIsLinearizable(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
-	defer cancel()
-	c := newCluster(t, 3)
-	c.leader(ctx)
+	b := newBed(t, 3, 0)
+	b.leader()
 	h := &historian{start: time.Now()}
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for n := range 7 {
+		cl := b.Client()
 		// Clients that only read stay with a leader for as long as it answers.
-		wg.Go(func() { runClient(ctx, t, c, h, n, n >= 5, stop) })
+		wg.Go(func() { runClient(b, cl, h, n, n >= 5, stop) })
 	}
 	for range 2 {
-		h.await(ctx, 60)
-		cut := c.leader(ctx)
-		c.cut[cut].Store(true)
-		c.leader(ctx) // of the others
-		h.await(ctx, 60)
-		c.cut[cut].Store(false)
-		h.await(ctx, 60)
-		killed := c.leader(ctx)
-		c.kill(killed)
-		c.leader(ctx)
-		h.await(ctx, 60)
-		c.start(killed)
+		h.await(b.ctx, 60)
+		cut := b.leader()
+		b.Cut(cut, true)
+		b.leader() // of the others
+		h.await(b.ctx, 60)
+		b.Cut(cut, false)
+		h.await(b.ctx, 60)
+		killed := b.leader()
+		b.Kill(killed)
+		b.leader()
+		h.await(b.ctx, 60)
+		b.start(killed)
 	}
 	close(stop)
 	wg.Wait()
@@ -130,8 +132,7 @@
 
 // runClient mixes reads, edits on the version last seen, and submissions of
 // keys that it shares with the other clients.
-func runClient(ctx context.Context, t *testing.T, c *cluster, h *historian, n int, readOnly bool, stop chan struct{}) {
-	cl := c.client()
+func runClient(b *bed, cl *rpc.Client, h *historian, n int, readOnly bool, stop chan struct{}) {
 	var version uint64
 	for i := 0; ; i++ {
 		select {
@@ -141,19 +142,19 @@
 		}
 		if readOnly {
 			i = 0
-			wait(ctx) // keeps the history small
+			_ = Pause(b.ctx) // keeps the history small
 		}
 		switch i % 3 {
 		case 0:
 			version = h.record(n, input{}, func() output {
-				cat := ask(ctx, t, func() (*structs.Catalogue, error) { return cl.Catalogue(ctx) })
+				cat := ask(b, func() (*structs.Catalogue, error) { return cl.Catalogue(b.ctx) })
 				return output{version: cat.Version}
 			}).version
 		case 1:
 			in := input{edit: fmt.Sprintf("c%d-%d", n, i), base: version}
 			h.record(n, in, func() output {
-				put := &structs.PutCatalogue{ChangeID: in.edit, BaseVersion: in.base, Catalogue: testCatalogue()}
-				res := ask(ctx, t, func() (*structs.ChangeResult, error) { return cl.ApplyCatalogue(ctx, put) })
+				put := &structs.PutCatalogue{ChangeID: in.edit, BaseVersion: in.base, Catalogue: Catalogue()}
+				res := ask(b, func() (*structs.ChangeResult, error) { return cl.ApplyCatalogue(b.ctx, put) })
 				return output{accepted: res.Accepted, version: res.Version, winner: res.Winner}
 			})
 		case 2:
@@ -163,7 +164,7 @@
 			in := input{key: fmt.Sprintf("key-%d", i/6)}
 			h.record(n, in, func() output {
 				job := structs.SubmitJob{Owner: "dev", Key: in.key, Spec: structs.JobSpec{Entry: "report", Kind: structs.KindBatch}}
-				res := ask(ctx, t, func() (structs.SubmitResult, error) { return cl.Submit(ctx, job) })
+				res := ask(b, func() (structs.SubmitResult, error) { return cl.Submit(b.ctx, job) })
 				return output{job: res.Job}
 			})
 		}
--- a/host/node/node.go
+++ b/host/node/node.go
@@ -194,6 +194,16 @@
 // Control returns the control role, or nil.
 func (n *Node) Control() *control.Host { return n.control }
 
+// Versions returns the versions of the catalogue and of the domain states in
+// force on the entry role; 0 without that role.
+func (n *Node) Versions() (catalogue, domains uint64) {
+	if n.entry == nil {
+		return 0, 0
+	}
+	d := n.entry.host.Dump()
+	return d.CatalogueVersion, d.DomainsVersion
+}
+
 // Client returns the client for calls to the control hosts.
 func (n *Node) Client() *rpc.Client { return n.client }
 
--- a/host/rpc/client.go
+++ b/host/rpc/client.go
@@ -281,8 +281,11 @@
 		c.setLeader(c.cfg.Peers[peer].ID)
 		return rep.Body, nil
 	}
-	if rep.Error.Code == structs.CodeNotLeader {
+	switch rep.Error.Code {
+	case structs.CodeNotLeader:
 		c.setLeader(rep.Leader)
+	case structs.CodeNoLeader:
+		c.forget(peer)
 	}
 	if rep.Error.Peer == "" {
 		return zero, rep.Error.WithPeer(address)
--- /dev/null
+++ b/host/rpc/rpc_test.go
@@ -0,0 +1,145 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// testLimit ends a test that hangs.
+const testLimit = 30 * time.Second
+
+// fake answers the calls that the tests make; others panic.
+type fake struct {
+	Control
+	leads  atomic.Bool
+	calls  atomic.Int64
+	submit func(ctx context.Context) (structs.SubmitResult, error)
+	sync   func(ctx context.Context) (*structs.EntryView, error)
+}
+
+func (f *fake) Submit(ctx context.Context, _ structs.SubmitJob) (structs.SubmitResult, error) {
+	f.calls.Add(1)
+	if !f.leads.Load() {
+		return structs.SubmitResult{}, structs.Errorf(structs.CodeNotLeader, "test", "follower").WithOutcome(structs.OutcomeNotRun)
+	}
+	return f.submit(ctx)
+}
+
+func (f *fake) Sync(ctx context.Context, _ *structs.EntrySync) (*structs.EntryView, error) {
+	f.calls.Add(1)
+	return f.sync(ctx)
+}
+
+// serveFakes runs a server for each fake; hint is the leader that followers name.
+func serveFakes(t *testing.T, hint string, fakes ...*fake) []Peer {
+	t.Helper()
+	var peers []Peer
+	for i, f := range fakes {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := NewServer("c", f, func() string { return hint }, 100)
+		go s.Serve(l, nil)
+		t.Cleanup(func() { l.Close(); s.Close() })
+		peers = append(peers, Peer{ID: string(rune('a' + i)), Address: l.Addr().String()})
+	}
+	return peers
+}
+
+func dial(t *testing.T, cluster string, peers []Peer) (*Client, context.Context) {
+	c := NewClient(ClientConfig{Cluster: cluster, Host: "h", Peers: peers})
+	t.Cleanup(func() { c.Close() })
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	t.Cleanup(cancel)
+	return c, ctx
+}
+
+// Guards against calls that stay with followers or leave the leader once found.
+func TestLeaderIsFoundAndKept(t *testing.T) {
+	a, b, c := &fake{}, &fake{}, &fake{}
+	c.leads.Store(true)
+	c.submit = func(context.Context) (structs.SubmitResult, error) { return structs.SubmitResult{Job: "j"}, nil }
+	client, ctx := dial(t, "c", serveFakes(t, "c", a, b, c))
+	for range 5 {
+		if res, err := client.Submit(ctx, structs.SubmitJob{}); err != nil || res.Job != "j" {
+			t.Fatalf("%+v, %v", res, err)
+		}
+	}
+	if n := a.calls.Load() + b.calls.Load(); n > 1 {
+		t.Errorf("followers were called %d times after a hint", n)
+	}
+}
+
+// Guards against an answer that is lost for good: a call with a key is made
+// again when its connection breaks, and a numbered sync is not.
+func TestOnlyKeyedCallsAreRepeated(t *testing.T) {
+	a := &fake{}
+	a.leads.Store(true)
+	var client *Client
+	broken := func(ctx context.Context) { // the connection breaks while the call runs
+		client.mu.Lock()
+		conn := client.conns[0]
+		client.mu.Unlock()
+		conn.rpc.Close()
+		<-ctx.Done()
+	}
+	a.submit = func(ctx context.Context) (structs.SubmitResult, error) {
+		if a.calls.Load() == 1 {
+			broken(ctx)
+		}
+		return structs.SubmitResult{Job: "j"}, nil
+	}
+	a.sync = func(ctx context.Context) (*structs.EntryView, error) {
+		broken(ctx)
+		return &structs.EntryView{}, nil
+	}
+	client, ctx := dial(t, "c", serveFakes(t, "a", a))
+	if res, err := client.Submit(ctx, structs.SubmitJob{}); err != nil || res.Job != "j" || a.calls.Load() != 2 {
+		t.Errorf("submit: %+v, %v after %d calls", res, err, a.calls.Load())
+	}
+	a.calls.Store(0)
+	_, err := client.Sync(ctx, &structs.EntrySync{})
+	var e *structs.Error
+	if !errors.As(err, &e) || e.Outcome != structs.OutcomeUnknown || e.Step == "" || e.Peer == "" || a.calls.Load() != 1 {
+		t.Errorf("sync: %v after %d calls", err, a.calls.Load())
+	}
+}
+
+// Guards against hosts of two clusters or formats changing each other's state.
+func TestOtherClusterIsRefused(t *testing.T) {
+	a := &fake{}
+	a.leads.Store(true)
+	peers := serveFakes(t, "a", a)
+	client, ctx := dial(t, "other", peers)
+	_, err := client.Submit(ctx, structs.SubmitJob{})
+	var e *structs.Error
+	if !errors.As(err, &e) || e.Code != structs.CodeVersionMismatch || e.Outcome != structs.OutcomeNotRun {
+		t.Errorf("other cluster: %v", err)
+	}
+	s := NewServer("c", a, func() string { return "" }, 1)
+	if err := s.check(Header{Cluster: "c", Format: FormatVersion + 1}); err == nil {
+		t.Error("other format is accepted")
+	}
+	if a.calls.Load() != 0 {
+		t.Error("the call was made")
+	}
+}
+
+// Guards against an outcome reported as "not run" although a call was sent.
+func TestNoLeaderOutcome(t *testing.T) {
+	client, _ := dial(t, "c", serveFakes(t, "", &fake{}, &fake{}))
+	ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+	defer cancel()
+	_, err := client.Submit(ctx, structs.SubmitJob{})
+	var e *structs.Error
+	if !errors.As(err, &e) || e.Code != structs.CodeNoLeader || e.Outcome != structs.OutcomeNotRun || e.RetryAfterMS == 0 {
+		t.Errorf("only followers: %v", err)
+	}
+}
--- a/host/standin/ledger.go
+++ b/host/standin/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"gooseberrypond/core/structs"
 )
@@ -15,6 +16,14 @@
 	starts     map[structs.TaskID]int
 	finished   map[structs.TaskID]int
 	violations []string
+	onStart    func(id structs.TaskID, at time.Time)
+}
+
+// OnStart sets a function that is called at each start of a task.
+func (l *Ledger) OnStart(fn func(id structs.TaskID, at time.Time)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.onStart = fn
 }
 
 // NewLedger returns an empty ledger.
@@ -34,6 +43,9 @@
 	}
 	l.running[id] = place
 	l.starts[id]++
+	if l.onStart != nil {
+		l.onStart(id, time.Now())
+	}
 }
 
 // end records that a task no longer runs at place.
