Synchronize the lost edit in a test of gooseberryctl

Cause: the handler that aborts the connection appended to a slice that the test read without synchronization; the race detector reported it in one of two runs.

Conclusion: the edit goes through a channel.

--- a/ctl/command/command_test.go
+++ b/ctl/command/command_test.go
@@ -82,7 +82,7 @@
 // Guards against an edit that is resent after a lost answer counting as a second edit.
 func TestApplyResendsSameChangeID(t *testing.T) {
 	good, puts := operator(t, http.StatusOK, structs.ChangeResult{Accepted: true, Version: 8})
-	var lost []structs.PutCatalogueRequest
+	lost := make(chan structs.PutCatalogueRequest, 8)
 	broken := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet {
 			answer(w, http.StatusOK, structs.Catalogue{Version: 7})
@@ -90,7 +90,7 @@
 		}
 		var req structs.PutCatalogueRequest
 		json.NewDecoder(r.Body).Decode(&req)
-		lost = append(lost, req)
+		lost <- req
 		panic(http.ErrAbortHandler)
 	}))
 	defer broken.Close()
@@ -98,8 +98,9 @@
 	if err := (&ApplyCmd{Path: catalogueFile(t, doc)}).Run(env); err != nil {
 		t.Fatal(err)
 	}
-	if len(lost) == 0 || len(*puts) != 1 || lost[0].ChangeID != (*puts)[0].ChangeID {
-		t.Fatalf("lost = %+v, received = %+v", lost, *puts)
+	first := <-lost
+	if len(*puts) != 1 || first.ChangeID != (*puts)[0].ChangeID {
+		t.Fatalf("lost = %+v, received = %+v", first, *puts)
 	}
 	if (*puts)[0].BaseVersion != 7 || !strings.Contains(out.String(), "version 8") {
 		t.Errorf("base = %d, output = %q", (*puts)[0].BaseVersion, out)
