--- /dev/null
+++ b/core/leader/sim_worker_test.go
@@ -0,0 +1,160 @@
+package leader
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// simWorker is a worker with its own clock, which may run 1% fast or slow.
+type simWorker struct {
+	id          structs.WorkerID
+	domain      string
+	rate        float64
+	incarnation uint64
+	registered  bool
+	cut         bool
+
+	seq, eventSeq uint64
+	session       uint64
+	leaseFrom     time.Duration
+	sentAt        time.Duration
+	open          bool
+	running       map[structs.TaskID]*simTask
+	events        []structs.TaskEvent
+}
+
+type simTask struct {
+	run  structs.RunningTask
+	size structs.Resources
+	hold time.Duration
+}
+
+// clock is the worker's own time since the start of the test.
+func (w *simWorker) clock(now time.Time) time.Duration {
+	return time.Duration(float64(now.Sub(epoch)) * w.rate)
+}
+
+func (w *simWorker) restart() {
+	w.incarnation++
+	w.registered, w.open = false, false
+	w.seq, w.eventSeq, w.session = 0, 0, 0
+	w.running = map[structs.TaskID]*simTask{}
+	w.events = nil
+}
+
+// expire stops the tasks whose lease and hold have ended by the worker's clock.
+func (w *simWorker) expire(now time.Time) {
+	for _, id := range w.ids() {
+		if w.clock(now)-w.leaseFrom >= structs.WorkerLease+w.running[id].hold {
+			w.end(id, structs.EventStopped)
+		}
+	}
+}
+
+// ids returns the running tasks in a fixed order.
+func (w *simWorker) ids() []structs.TaskID {
+	return slices.SortedFunc(maps.Keys(w.running), func(a, b structs.TaskID) int {
+		return cmp.Compare(a.String(), b.String())
+	})
+}
+
+func (w *simWorker) end(id structs.TaskID, kind structs.EventType) {
+	run := w.running[id].run
+	delete(w.running, id)
+	ev := w.event(run, kind)
+	if kind == structs.EventCheckpointed {
+		ev.Checkpoint = fmt.Sprintf("%s@%d", id, run.Epoch)
+	}
+	w.events = append(w.events, ev)
+}
+
+func (w *simWorker) event(run structs.RunningTask, kind structs.EventType) structs.TaskEvent {
+	w.eventSeq++
+	return structs.TaskEvent{Seq: w.eventSeq, Type: kind, Task: run.Task, Attempt: run.Attempt, Epoch: run.Epoch}
+}
+
+// report returns the next sync; an earlier one without an answer is given up.
+func (w *simWorker) report(now time.Time) *structs.WorkerSync {
+	w.seq++
+	w.open, w.sentAt = true, w.clock(now)
+	req := &structs.WorkerSync{ID: w.id, Incarnation: w.incarnation, Seq: w.seq, Session: w.session}
+	for _, id := range w.ids() {
+		req.Running = append(req.Running, w.running[id].run)
+	}
+	req.Events = append(req.Events, w.events...)
+	return req
+}
+
+// take handles the reply to sync seq of an incarnation.
+func (s *sim) take(w *simWorker, m simReply) {
+	if !w.open || m.seq != w.seq || m.incarnation != w.incarnation {
+		return
+	}
+	w.open = false
+	if m.reply.Reregister {
+		w.restart()
+		return
+	}
+	w.leaseFrom, w.session = w.sentAt, m.reply.Session
+	w.expire(s.now)
+	for len(w.events) > 0 && w.events[0].Seq <= m.reply.AckedSeq {
+		w.events = w.events[1:]
+	}
+	late := w.clock(s.now)-w.sentAt > structs.StartWindow
+	for _, cmd := range m.reply.Commands {
+		task := w.running[cmd.Task]
+		same := task != nil && task.run.Epoch == cmd.Epoch
+		switch {
+		case cmd.Type == structs.CommandStart && !same && !late:
+			s.start(w, cmd)
+		case cmd.Type == structs.CommandCheckpoint && same:
+			w.end(cmd.Task, structs.EventCheckpointed)
+		case cmd.Type == structs.CommandStop && same:
+			w.end(cmd.Task, structs.EventStopped)
+		}
+	}
+}
+
+// start runs a task and judges the start by what all workers really run.
+func (s *sim) start(w *simWorker, cmd structs.WorkerCommand) {
+	for _, o := range s.workers {
+		if o.running[cmd.Task] != nil {
+			s.rt.Fatalf("task %s starts on %s while it runs on %s", cmd.Task, w.id, o.id)
+		}
+	}
+	if out := s.outSince[w.domain]; !out.IsZero() && s.now.Sub(out) > 3*time.Second {
+		s.rt.Fatalf("task %s starts in domain %s, %v after it went out", cmd.Task, w.domain, s.now.Sub(out))
+	}
+	if s.startedEpoch[cmd.Epoch] == nil {
+		s.startedEpoch[cmd.Epoch] = map[structs.TaskID]bool{}
+	}
+	if s.startedEpoch[cmd.Epoch][cmd.Task] {
+		s.rt.Fatalf("task %s attempt %d starts twice", cmd.Task, cmd.Attempt)
+	}
+	s.startedEpoch[cmd.Epoch][cmd.Task] = true
+	if cmd.Checkpoint != s.checkpoint[cmd.Task] {
+		s.rt.Fatalf("task %s resumes from %q, want %q", cmd.Task, cmd.Checkpoint, s.checkpoint[cmd.Task])
+	}
+	if s.fresh[cmd.Task]++; cmd.Checkpoint != "" {
+		s.fresh[cmd.Task]--
+	}
+	if job := s.t.Job(cmd.Task.Job); job.Spec.NonIdempotent && job.Spec.Kind != structs.KindService && s.fresh[cmd.Task] > 1 {
+		s.rt.Fatalf("non-idempotent task %s runs from the beginning twice", cmd.Task)
+	}
+	run := structs.RunningTask{Task: cmd.Task, Attempt: cmd.Attempt, Epoch: cmd.Epoch}
+	hold := time.Duration(cmd.LeaseHoldMS) * time.Millisecond
+	w.running[cmd.Task] = &simTask{run, cmd.Reserved, hold}
+	w.events = append(w.events, w.event(run, structs.EventStarted))
+	var sum structs.Resources
+	for _, task := range w.running {
+		sum = sum.Add(task.size)
+	}
+	if !sum.Fits(simCapacity) {
+		s.rt.Fatalf("worker %s runs %v of %v", w.id, sum, simCapacity)
+	}
+}
--- a/core/state/attempt.go
+++ b/core/state/attempt.go
@@ -175,17 +175,12 @@
 		return
 	}
 	t.addReason(r, ev.Message)
-	if r.job.Spec.NonIdempotent {
-		r.Failures++
-		t.setStatus(r, structs.StatusFailed)
-		return
-	}
 	if r.job.Spec.Kind == structs.KindService {
 		t.restartService(r)
 		return
 	}
 	r.Failures++
-	if r.Failures >= t.maxAttempts(r.job) {
+	if r.job.Spec.NonIdempotent || r.Failures >= t.maxAttempts(r.job) {
 		t.setStatus(r, structs.StatusFailed)
 		return
 	}
