Add the policy bench with stand-in workers and two baselines

The policy needs a measurement against first-fit and least-loaded placement before it is tuned.

Tests run: none yet for the bench.

--- /dev/null
+++ b/bench/cmd/policybench/main.go
@@ -0,0 +1,94 @@
+// Command policybench measures the scheduling policy against first-fit and
+// least-loaded placement at both users' sizes, and prints one table. Equal
+// arguments give equal output.
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"sync"
+
+	"github.com/alecthomas/kong"
+
+	"gooseberrypond/bench/policy"
+	"gooseberrypond/core/sched"
+)
+
+var cli struct {
+	Seeds    int    `default:"5" help:"Number of seeds, from 1."`
+	First    int    `default:"1" help:"First seed."`
+	Size     string `default:"" help:"Only this size; empty means all."`
+	Variants bool   `help:"Also measure variants of the policy."`
+}
+
+// contender is one policy of the comparison.
+type contender struct {
+	name string
+	make func(seed uint64) policy.Policy
+}
+
+func contenders() []contender {
+	list := []contender{
+		{"first-fit", func(uint64) policy.Policy { return &policy.Baseline{} }},
+		{"least-loaded", func(uint64) policy.Policy { return &policy.Baseline{LeastLoaded: true} }},
+		{"gooseberrypond", func(seed uint64) policy.Policy { return sched.New(sched.Options{Seed: seed}) }},
+	}
+	if cli.Variants {
+		list = append(list, contender{"plain-mean", func(seed uint64) policy.Policy {
+			return sched.New(sched.Options{Seed: seed, PlainMean: true})
+		}})
+	}
+	return list
+}
+
+func main() {
+	kong.Parse(&cli, kong.Description("Measures scheduling policies on a virtual clock."))
+	if err := compare(); err != nil {
+		fmt.Fprintln(os.Stderr, "policybench:", err)
+		os.Exit(1)
+	}
+}
+
+// compare runs every policy at every size and seed, a few at a time.
+func compare() error {
+	policy.Header(os.Stdout)
+	for _, size := range policy.Sizes {
+		if cli.Size != "" && cli.Size != size.Name {
+			continue
+		}
+		for _, c := range contenders() {
+			results, err := runSeeds(size, c)
+			if err != nil {
+				return err
+			}
+			for _, r := range results {
+				policy.Write(os.Stdout, size.Name, fmt.Sprint(r.Seed), r)
+			}
+			policy.Write(os.Stdout, size.Name, "mean", policy.Mean(results))
+		}
+	}
+	return nil
+}
+
+func runSeeds(size policy.Size, c contender) ([]policy.Result, error) {
+	results := make([]policy.Result, cli.Seeds)
+	errs := make([]error, cli.Seeds)
+	slots := make(chan struct{}, max(1, runtime.GOMAXPROCS(0)/3))
+	var wg sync.WaitGroup
+	for i := range results {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			seed := uint64(cli.First + i)
+			results[i], errs[i] = policy.Run(size, seed, c.name, c.make(seed))
+		})
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return nil, err
+		}
+	}
+	return results, nil
+}
--- /dev/null
+++ b/bench/policy/standin.go
@@ -0,0 +1,250 @@
+package policy
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// throttledSpeed is the speed, and the noise, of a throttled task.
+	throttledSpeed = 0.4
+	// restartSeconds is the time to load a checkpoint.
+	restartSeconds = 3.0
+	// autoCheckpoint is the period of a task's own checkpoints, in seconds.
+	autoCheckpoint = 120.0
+	// usageDelay and usageEvery are the age and the period of usage reports, in seconds.
+	usageDelay = 15
+	usageEvery = 10
+)
+
+// process is one running attempt on a stand-in worker.
+type process struct {
+	ref   structs.AttemptRef
+	entry int
+	// reserved bounds the memory: the worker's guard stops a task above it.
+	reserved structs.Resources
+	memoryMB int64
+	// total and done are seconds of work alone; saved is what a checkpoint holds.
+	total, done, saved float64
+	loading            float64
+	slowdown           float64
+	throttled          bool
+	checkpoint         bool
+	started            float64
+}
+
+// worker is a stand-in worker. It is a row of numbers, not a model of a host.
+type worker struct {
+	id          structs.WorkerID
+	number      int
+	incarnation uint64
+	domain      string
+	up          bool
+	failing     bool
+	running     []*process
+	events      []structs.TaskEvent
+	usage       []structs.Usage
+	reports     [][]structs.Usage
+}
+
+// world is all stand-in workers and the progress kept in checkpoints.
+type world struct {
+	s       *scenario
+	rng     *rand.Rand
+	workers []*worker
+	// saved is the progress in checkpoints by task; totals the true run times.
+	saved  map[structs.TaskID]float64
+	totals map[structs.TaskID]float64
+	m      *measures
+}
+
+// start begins an attempt; a failing worker fails it at once.
+func (w *world) start(wk *worker, task *structs.Task, entry int, at float64) {
+	t := &w.s.truths[entry]
+	ref := structs.AttemptRef{Task: task.ID, Attempt: task.Attempt, Epoch: task.Epoch}
+	if wk.failing {
+		wk.event(structs.EventFailed, ref, "")
+		return
+	}
+	total, known := w.totals[task.ID]
+	if !known {
+		total = t.runtime * (0.5 + w.rng.Float64())
+		w.totals[task.ID] = total
+	}
+	p := &process{
+		ref: ref, entry: entry, reserved: task.Reserved, total: total, slowdown: 1, started: at,
+		memoryMB: int64(float64(t.use.MemoryMB) * (0.85 + 0.3*hashUnit(task.ID))),
+		done:     w.saved[task.ID], saved: w.saved[task.ID],
+	}
+	if p.done > 0 {
+		p.loading = restartSeconds
+	}
+	wk.running = append(wk.running, p)
+	wk.event(structs.EventStarted, ref, "")
+}
+
+// hashUnit is a number in [0, 1) that depends on the task only.
+func hashUnit(id structs.TaskID) float64 {
+	h := uint64(14695981039346656037)
+	for _, c := range []byte(id.String()) {
+		h = (h ^ uint64(c)) * 1099511628211
+	}
+	return float64(h>>11) / (1 << 53)
+}
+
+func (wk *worker) event(kind structs.EventType, ref structs.AttemptRef, checkpoint string) {
+	wk.events = append(wk.events, structs.TaskEvent{
+		Type: kind, Task: ref.Task, Attempt: ref.Attempt, Epoch: ref.Epoch, Checkpoint: checkpoint,
+	})
+}
+
+// step runs one second on a worker.
+func (w *world) step(wk *worker, at float64) {
+	overload := w.overload(wk, at)
+	for _, p := range wk.running {
+		p.slowdown = w.slowdown(wk, p, at, overload)
+	}
+	kept := wk.running[:0]
+	for _, p := range wk.running {
+		if w.advance(wk, p, at) {
+			kept = append(kept, p)
+		}
+	}
+	clear(wk.running[len(kept):])
+	wk.running = kept
+	if (int(at)+wk.number)%usageEvery == 0 {
+		w.report(wk, at)
+	}
+}
+
+// use is the processors a process takes now, in thousandths of a core.
+func (w *world) use(p *process, at float64) float64 {
+	t := &w.s.truths[p.entry]
+	use := float64(t.use.CPUMilli)
+	if t.Class == structs.ClassLatency {
+		use *= w.s.load(at)
+	}
+	if p.throttled {
+		use *= throttledSpeed
+	}
+	return use
+}
+
+// overload is the wanted processors over the capacity, at least 1.
+func (w *world) overload(wk *worker, at float64) float64 {
+	sum := 0.0
+	for _, p := range wk.running {
+		sum += w.use(p, at)
+	}
+	return max(1, sum/float64(hostCapacity.CPUMilli))
+}
+
+// slowdown adds up what the neighbours cause now. Guards keep most of an
+// overload away from latency-critical tasks.
+func (w *world) slowdown(wk *worker, p *process, at, overload float64) float64 {
+	t := &w.s.truths[p.entry]
+	x := 0.0
+	for _, q := range wk.running {
+		if q == p {
+			continue
+		}
+		noise := w.s.pairs[p.entry][q.entry] * w.s.intensity(q.entry, at) * noiseScale
+		if q.throttled {
+			noise *= throttledSpeed
+		}
+		x += noise
+	}
+	if t.Class == structs.ClassLatency {
+		return 1 + x*w.s.load(at) + (overload-1)*0.5
+	}
+	return (1 + x) * overload
+}
+
+// noiseScale sets the size of interference; a worker runs about 10 to 20 tasks.
+const noiseScale = 0.06
+
+// advance runs a process for one second; false when it has ended.
+func (w *world) advance(wk *worker, p *process, at float64) bool {
+	if p.checkpoint {
+		w.saved[p.ref.Task] = p.done
+		wk.event(structs.EventCheckpointed, p.ref, "c")
+		return false
+	}
+	if p.memoryMB > p.reserved.MemoryMB && at-p.started > 10 {
+		w.m.guardStops++
+		wk.event(structs.EventFailed, p.ref, "")
+		return false
+	}
+	if p.loading > 0 {
+		p.loading--
+		return true
+	}
+	t := &w.s.truths[p.entry]
+	if t.kind == structs.KindService {
+		w.m.serviceSecond(at, p, t)
+		return true
+	}
+	speed := 1 / p.slowdown
+	if p.throttled {
+		speed *= throttledSpeed
+	}
+	p.done += speed
+	if p.done-p.saved >= autoCheckpoint {
+		p.saved = p.done
+		w.saved[p.ref.Task] = p.done
+	}
+	if p.done < p.total {
+		return true
+	}
+	w.m.finished(at, t, p.total)
+	wk.event(structs.EventFinished, p.ref, "")
+	return false
+}
+
+// report measures every task; the report arrives usageDelay later.
+func (w *world) report(wk *worker, at float64) {
+	var usage []structs.Usage
+	for _, p := range wk.running {
+		var neighbours []string
+		for _, q := range wk.running {
+			if q != p {
+				neighbours = append(neighbours, w.s.truths[q.entry].name)
+			}
+		}
+		noisy := 1 + 0.05*w.rng.NormFloat64()
+		usage = append(usage, structs.Usage{
+			Task: p.ref.Task, AgeMS: usageDelay * 1000, Slowdown: max(1, p.slowdown*noisy), Neighbours: neighbours,
+			Used: structs.Resources{CPUMilli: int64(w.use(p, at) * noisy), MemoryMB: p.memoryMB},
+		})
+	}
+	wk.reports = append(wk.reports, usage)
+	if len(wk.reports) > usageDelay/usageEvery {
+		wk.usage = append(wk.usage, wk.reports[0]...)
+		wk.reports = wk.reports[1:]
+	}
+}
+
+// sync does what a worker does with the reply to its sync: it starts what is
+// assigned, checkpoints what is evicted and sets throttles.
+func (w *world) sync(wk *worker, desired []*structs.Task, throttled []structs.TaskID, at float64, entryOf func(*structs.Task) int) {
+	for _, task := range desired {
+		i := slices.IndexFunc(wk.running, func(p *process) bool { return p.ref.Task == task.ID })
+		switch {
+		case i >= 0:
+			wk.running[i].checkpoint = task.State == structs.AttemptEvicting || task.State == structs.AttemptStopping
+			wk.running[i].throttled = slices.Contains(throttled, task.ID)
+		case task.State == structs.AttemptAssigned:
+			w.start(wk, task, entryOf(task), at)
+		case len(wk.events) == 0:
+			wk.event(structs.EventStopped, structs.AttemptRef{Task: task.ID, Attempt: task.Attempt, Epoch: task.Epoch}, "")
+		}
+	}
+}
+
+// powerOff loses what runs on the worker; work since the last checkpoint is lost.
+func (w *world) powerOff(wk *worker) {
+	w.m.lost += len(wk.running)
+	wk.up, wk.running, wk.events, wk.usage, wk.reports = false, nil, nil, nil, nil
+}
