--- a/bench/policy/baseline.go
+++ b/bench/policy/baseline.go
@@ -3,10 +3,15 @@
 import (
 	"time"
 
-	"gooseberrypond/core/sched"
+	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
 
+// liveView tells which workers answer now.
+type liveView = interface {
+	Live(worker structs.WorkerID) bool
+}
+
 // Baseline is a simple policy for comparison: pending tasks in order of
 // urgency, then age; each goes to the first worker with room or to the least
 // loaded one, by declared size. An urgent task without room evicts the batch
@@ -22,7 +27,7 @@
 }
 
 // Plan decides one tick.
-func (b *Baseline) Plan(now time.Time, nowMS int64, t sched.View, live sched.LiveView) *structs.Plan {
+func (b *Baseline) Plan(now time.Time, nowMS int64, t *state.Tables, live liveView) *structs.Plan {
 	p := &structs.Plan{}
 	if b.awaited == nil {
 		b.awaited = map[structs.TaskID]time.Time{}
@@ -56,7 +61,7 @@
 	return p
 }
 
-func (b *Baseline) placeAll(p *structs.Plan, t sched.View, workers []*structs.Worker, name string, e structs.Entry, now time.Time, nowMS int64) {
+func (b *Baseline) placeAll(p *structs.Plan, t *state.Tables, workers []*structs.Worker, name string, e structs.Entry, now time.Time, nowMS int64) {
 	for task := range t.PendingIn(name) {
 		if nowMS < task.NotBeforeMS {
 			continue
@@ -95,7 +100,7 @@
 }
 
 // preempt evicts batch tasks on one worker, once per pending urgent task and 10 s.
-func (b *Baseline) preempt(p *structs.Plan, t sched.View, workers []*structs.Worker, task *structs.Task, need structs.Resources, now time.Time, nowMS int64) {
+func (b *Baseline) preempt(p *structs.Plan, t *state.Tables, workers []*structs.Worker, task *structs.Task, need structs.Resources, now time.Time, nowMS int64) {
 	if at, ok := b.awaited[task.ID]; ok && now.Sub(at) < 10*time.Second {
 		return
 	}
@@ -123,7 +128,7 @@
 	}
 }
 
-func (b *Baseline) drain(p *structs.Plan, t sched.View, w *structs.Worker, nowMS int64) {
+func (b *Baseline) drain(p *structs.Plan, t *state.Tables, w *structs.Worker, nowMS int64) {
 	for _, task := range t.AttemptsOn(w.ID) {
 		if evictable(task, nowMS) {
 			evict(p, task, "drain")
--- a/bench/policy/run.go
+++ b/bench/policy/run.go
@@ -5,7 +5,6 @@
 	"math/rand/v2"
 	"time"
 
-	"gooseberrypond/core/sched"
 	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
@@ -24,11 +23,11 @@
 
 // Policy decides plans. A policy that learns also implements learner.
 type Policy interface {
-	Plan(now time.Time, nowMS int64, t sched.View, live sched.LiveView) *structs.Plan
+	Plan(now time.Time, nowMS int64, t *state.Tables, live liveView) *structs.Plan
 }
 
 type learner interface {
-	Observe(now time.Time, worker structs.WorkerID, usage []structs.Usage, t sched.View)
+	Observe(now time.Time, worker structs.WorkerID, usage []structs.Usage, t *state.Tables)
 	RecordEnd(ev structs.TaskEvent, task *structs.Task, entry string, nowMS int64)
 	Throttles(worker structs.WorkerID) []structs.TaskID
 }
@@ -91,7 +90,7 @@
 	}})
 }
 
-// Live implements sched.LiveView.
+// Live implements liveView.
 func (r *run) Live(id structs.WorkerID) bool {
 	for _, wk := range r.workers {
 		if wk.id == id {
--- a/core/sched/explain.go
+++ b/core/sched/explain.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
 
@@ -11,7 +12,7 @@
 
 // Explain says why the tasks of a job wait, or where they run and why, with
 // the state of each group of workers for those that wait.
-func (s *Scheduler) Explain(t View, id structs.JobID) []string {
+func (s *Scheduler) Explain(t *state.Tables, id structs.JobID) []string {
 	job := t.Job(id)
 	if job == nil {
 		return []string{"no such job"}
@@ -50,14 +51,14 @@
 	if task.Evictions > 0 {
 		line += fmt.Sprintf("; evicted %d times, last: %s", task.Evictions, task.EvictReason)
 	}
-	if r, ok := s.retries[task.ID]; ok {
-		line += fmt.Sprintf("; failed on %s, not tried again before %d ms", r.worker, r.notBeforeMS)
+	if w, ok := s.failedOn[task.ID]; ok {
+		line += fmt.Sprintf("; failed on %s, not tried again before %d ms", w, task.NotBeforeMS)
 	}
 	return line
 }
 
 // explainWaiting names what the waiting tasks lack.
-func (s *Scheduler) explainWaiting(t View, job *structs.Job, waiting int) []string {
+func (s *Scheduler) explainWaiting(t *state.Tables, job *structs.Job, waiting int) []string {
 	info := s.infos[job.Spec.Entry]
 	if info == nil {
 		return []string{fmt.Sprintf("%d tasks wait: entry %q is not in the catalogue", waiting, job.Spec.Entry)}
--- a/core/sched/feasible.go
+++ b/core/sched/feasible.go
@@ -52,11 +52,11 @@
 func (p *planner) filter(it *item, found []*node) []*node {
 	kept := found[:0]
 	var avoided *node
-	last, failed := p.retries[it.task.ID]
+	last, failed := p.failedOn[it.task.ID]
 	for _, n := range found {
 		switch {
 		case !p.live.Live(n.worker.ID), p.paced(n), p.setAside(n):
-		case failed && n.worker.ID == last.worker:
+		case failed && n.worker.ID == last:
 			avoided = n
 		default:
 			kept = append(kept, n)
--- a/core/sched/interference.go
+++ b/core/sched/interference.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
 
@@ -141,7 +142,7 @@
 }
 
 // Observe takes in a worker's usage reports.
-func (s *Scheduler) Observe(now time.Time, worker structs.WorkerID, usage []structs.Usage, t View) {
+func (s *Scheduler) Observe(now time.Time, worker structs.WorkerID, usage []structs.Usage, t *state.Tables) {
 	n := s.nodes[worker]
 	for i := range usage {
 		u := &usage[i]
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -88,7 +88,7 @@
 			qs[tier] = append(qs[tier], oq)
 		}
 		for task := range p.t.PendingIn(name) {
-			if it, ok := p.item(task); ok && p.nowMS >= p.retries[task.ID].notBeforeMS {
+			if it, ok := p.item(task); ok && p.nowMS >= task.NotBeforeMS {
 				oq.items = append(oq.items, it)
 			}
 		}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
 
@@ -75,7 +76,8 @@
 	holdOrder []structs.TaskID
 	budgets   map[string]*budget
 	health    map[structs.WorkerID]*health
-	retries   map[structs.TaskID]retry
+	// failedOn is the worker on which a task failed last.
+	failedOn map[structs.TaskID]structs.WorkerID
 	// ran is the run time of earlier attempts that ended with a checkpoint, in milliseconds.
 	ran map[structs.TaskID]int64
 
@@ -112,7 +114,7 @@
 		holds:      map[structs.TaskID]hold{},
 		budgets:    map[string]*budget{},
 		health:     map[structs.WorkerID]*health{},
-		retries:    map[structs.TaskID]retry{},
+		failedOn:   map[structs.TaskID]structs.WorkerID{},
 		ran:        map[structs.TaskID]int64{},
 		infos:      map[string]*entryInfo{},
 		infeasible: map[structs.Resources]uint64{},
@@ -124,7 +126,7 @@
 
 // Plan decides one tick. now is used for intervals, nowMS is the wall clock
 // in Unix milliseconds that deadlines and schedules refer to.
-func (s *Scheduler) Plan(now time.Time, nowMS int64, t View, live LiveView) *structs.Plan {
+func (s *Scheduler) Plan(now time.Time, nowMS int64, t *state.Tables, live LiveView) *structs.Plan {
 	p := &planner{
 		Scheduler: s, now: now, nowMS: nowMS, t: t, live: live,
 		plan:    &structs.Plan{},
@@ -135,7 +137,6 @@
 	p.syncCatalogue()
 	p.syncWorkers()
 	p.expireHolds()
-	p.createOccurrences()
 	qs := p.queues()
 	p.placeTier(&qs[tierUrgent])
 	p.placeTier(&qs[tierLatency])
@@ -159,6 +160,6 @@
 		task := p.t.Task(id)
 		return task == nil || task.Status.Finished()
 	}
-	maps.DeleteFunc(p.retries, func(id structs.TaskID, _ retry) bool { return gone(id) })
+	maps.DeleteFunc(p.failedOn, func(id structs.TaskID, _ structs.WorkerID) bool { return gone(id) })
 	maps.DeleteFunc(p.ran, func(id structs.TaskID, _ int64) bool { return gone(id) })
 }
--- a/core/sched/setaside.go
+++ b/core/sched/setaside.go
@@ -15,9 +15,6 @@
 	// entryFaultWorkers is the number of workers on which an entry must fail in
 	// a row before its failures are taken as its own and not the workers'.
 	entryFaultWorkers = 3
-	// retryMin and retryMax bound the delay before a failed task is tried again.
-	retryMin = 500 * time.Millisecond
-	retryMax = time.Minute
 )
 
 // health is a worker's record of failures.
@@ -29,12 +26,6 @@
 	probing bool
 }
 
-// retry is the record of a task's last failure.
-type retry struct {
-	worker      structs.WorkerID
-	notBeforeMS int64
-}
-
 // RecordEnd takes in the end of an attempt. task is its record before the end.
 func (s *Scheduler) RecordEnd(ev structs.TaskEvent, task *structs.Task, entry string, nowMS int64) {
 	if n := s.nodes[task.Worker]; n != nil {
@@ -72,14 +63,13 @@
 func (s *Scheduler) recordSuccess(est *entryEstimate, task *structs.Task) {
 	clear(est.failedOn)
 	delete(s.health, task.Worker)
-	delete(s.retries, task.ID)
+	delete(s.failedOn, task.ID)
 }
 
 // recordFailure counts a failure against the worker, unless the entry has
-// failed on several workers in a row, and delays the task's next try.
+// failed on several workers in a row.
 func (s *Scheduler) recordFailure(est *entryEstimate, task *structs.Task, nowMS int64) {
-	delay := min(retryMin<<min(task.Failures, 10), retryMax)
-	s.retries[task.ID] = retry{worker: task.Worker, notBeforeMS: nowMS + delay.Milliseconds()}
+	s.failedOn[task.ID] = task.Worker
 	_, again := est.failedOn[task.Worker]
 	if !again && len(est.failedOn) >= entryFaultWorkers {
 		return
--- a/core/sched/sync.go
+++ b/core/sched/sync.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
 
@@ -13,7 +14,7 @@
 	*Scheduler
 	now   time.Time
 	nowMS int64
-	t     View
+	t     *state.Tables
 	live  LiveView
 	plan  *structs.Plan
 	// usage holds the owners' reservations including this plan.
--- a/core/sched/throttle.go
+++ b/core/sched/throttle.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
 
@@ -70,7 +71,7 @@
 
 // adjustThrottles takes at most one step: it throttles the noisiest batch task
 // beside a suffering latency-critical task, or releases one.
-func (s *Scheduler) adjustThrottles(n *node, now time.Time, t View) {
+func (s *Scheduler) adjustThrottles(n *node, now time.Time, t *state.Tables) {
 	pr := &n.pressure
 	pr.throttled = slices.DeleteFunc(pr.throttled, func(id structs.TaskID) bool {
 		task := t.Task(id)
@@ -92,7 +93,7 @@
 }
 
 // throttleOne throttles the task that adds most to the victim's slowdown.
-func (s *Scheduler) throttleOne(n *node, victim structs.TaskID, now time.Time, t View) {
+func (s *Scheduler) throttleOne(n *node, victim structs.TaskID, now time.Time, t *state.Tables) {
 	noisy := s.noisiest(n, victim, t, func(task *structs.Task) bool {
 		return !slices.Contains(n.pressure.throttled, task.ID)
 	})
@@ -108,7 +109,7 @@
 
 // noisiest returns the running batch task with the highest estimated excess
 // for the victim among those that ok accepts, or nil.
-func (s *Scheduler) noisiest(n *node, victim structs.TaskID, t View, ok func(*structs.Task) bool) *structs.Task {
+func (s *Scheduler) noisiest(n *node, victim structs.TaskID, t *state.Tables, ok func(*structs.Task) bool) *structs.Task {
 	job := t.Job(victim.Job)
 	if job == nil {
 		return nil
