Keep headroom for urgent tasks and let tasks finish before a drain

Half of the evictions made room for urgent tasks and half came from the drain of a domain. Batch work now leaves a few workers with room for an urgent task, sized by the rate of urgent starts, and a drain waits 45 s instead of 20 s before it stops batch tasks without a place elsewhere. The order of long queues is kept for 500 ms, since ordering thousands of waiting tasks took most of a tick.

--- a/core/sched/drain.go
+++ b/core/sched/drain.go
@@ -12,9 +12,9 @@
 	serviceDrainLimit = 30 * time.Second
 	// batchDrainLimit is the same for batch work; until then tasks without a
 	// place elsewhere go on, and those that are nearly done finish.
-	batchDrainLimit = 20 * time.Second
-	// drainTicks is the number of ticks between two looks at the domains that are out.
-	drainTicks = 5
+	batchDrainLimit = 45 * time.Second
+	// drainInterval is the time between two looks at the domains that are out.
+	drainInterval = 100 * time.Millisecond
 )
 
 // noteDomains records since when domains are out or back, by the leader's clock.
@@ -111,9 +111,6 @@
 
 // eachDraining visits the evictable tasks on workers of domains that are out.
 func (p *planner) eachDraining(visit func(task *structs.Task, it *item, waited time.Duration)) {
-	if len(p.out) == 0 || p.ticks%drainTicks != 0 {
-		return
-	}
 	for _, n := range p.order {
 		if !p.out[n.worker.Domain] || !n.worker.Live {
 			continue
--- a/core/sched/feasible.go
+++ b/core/sched/feasible.go
@@ -53,9 +53,11 @@
 	kept := found[:0]
 	var avoided *node
 	last, failed := p.failedOn[it.task.ID]
+	batch := tierOf(it.info) == tierBatch
 	for _, n := range found {
 		switch {
 		case !p.live.Live(n.worker.ID), p.paced(n), p.setAside(n):
+		case batch && !p.keepsHeadroom(n, it.need):
 		case failed && n.worker.ID == last:
 			avoided = n
 		default:
--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -11,15 +11,16 @@
 func (p *planner) placeTier(q *queue) {
 	for q.Len() > 0 && len(p.plan.Assign) < p.opts.MaxDecisions {
 		oq := (*q)[0]
-		if len(oq.items) == 0 {
+		eq, it, ok := p.next(oq)
+		if !ok {
 			heap.Pop(q)
 			continue
 		}
-		it := &oq.items[0]
-		oq.items = oq.items[1:]
-		if p.place(it) {
+		if p.place(&it) {
 			oq.share = p.share(oq.owner)
 			heap.Fix(q, 0)
+		} else {
+			eq.failures++
 		}
 	}
 }
@@ -56,6 +57,9 @@
 	n.used = n.used.Add(it.need)
 	n.addEntry(it.info.id, 1)
 	n.noteStart(p.now)
+	if it.info.Urgent {
+		p.headroom.noteUrgent(it.need)
+	}
 	p.spread.add(it.info.id, n, 1)
 	p.usage[it.info.owner] = p.ownerUsage(it.info.owner).Add(it.need)
 	p.reindex(n)
--- a/core/sched/queue.go
+++ b/core/sched/queue.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"slices"
+	"time"
 
 	"gooseberrypond/core/structs"
 )
@@ -16,6 +17,18 @@
 	tiers
 )
 
+const (
+	// shortList is the number of pending tasks of an entry up to which all of
+	// them are ordered anew each tick.
+	shortList = 128
+	// longListKept is the number of tasks kept in order of a longer list.
+	longListKept = 4096
+	// longListAge is the time after which a longer list is ordered anew.
+	longListAge = 500 * time.Millisecond
+	// failuresPerList bounds the tasks of one entry tried in vain in one tick.
+	failuresPerList = 16
+)
+
 // item is one pending task with what placing it needs.
 type item struct {
 	task *structs.Task
@@ -26,11 +39,27 @@
 	slackMS int64
 }
 
-// ownerQueue holds one owner's pending tasks of one tier, in order.
+// rankedTask is a pending task in the order of its entry.
+type rankedTask struct {
+	id             structs.TaskID
+	slackMS        int64
+	pendingSinceMS int64
+}
+
+// entryQueue is the order of one entry's pending tasks. It is kept between
+// ticks for long lists, so that a tick costs what it places, not what waits.
+type entryQueue struct {
+	info     *entryInfo
+	tasks    []rankedTask
+	madeAt   time.Time
+	failures int
+}
+
+// ownerQueue holds one owner's entries with pending tasks of one tier.
 type ownerQueue struct {
-	owner string
-	share float64
-	items []item
+	owner   string
+	share   float64
+	entries []*entryQueue
 }
 
 // queue orders pending work: between owners by dominant share, within an
@@ -45,7 +74,11 @@
 	return q[i].owner < q[j].owner
 }
 func (q queue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *queue) Push(x any)   { *q = append(*q, x.(*ownerQueue)) }
+
+// Push implements heap.Interface.
+func (q *queue) Push(x any) { *q = append(*q, x.(*ownerQueue)) }
+
+// Pop implements heap.Interface.
 func (q *queue) Pop() any {
 	old := *q
 	last := old[len(old)-1]
@@ -63,12 +96,11 @@
 	return tierBatch
 }
 
-func compareItems(a, b item) int {
-	return cmp.Or(
-		cmp.Compare(b.info.Priority, a.info.Priority),
-		cmp.Compare(a.slackMS, b.slackMS),
-		cmp.Compare(a.task.PendingSinceMS, b.task.PendingSinceMS),
-	)
+func compareRanked(a, b rankedTask) int {
+	if c := cmp.Compare(a.slackMS, b.slackMS); c != 0 {
+		return c
+	}
+	return cmp.Compare(a.pendingSinceMS, b.pendingSinceMS)
 }
 
 // queues groups the pending tasks by tier and owner.
@@ -87,21 +119,79 @@
 			byOwner[tier][info.owner] = oq
 			qs[tier] = append(qs[tier], oq)
 		}
-		for task := range p.t.PendingIn(name) {
-			if it, ok := p.item(task); ok && p.nowMS >= task.NotBeforeMS {
-				oq.items = append(oq.items, it)
-			}
-		}
+		oq.entries = append(oq.entries, p.ordered(info))
 	}
 	for tier := range qs {
-		for _, oq := range qs[tier] {
-			slices.SortStableFunc(oq.items, compareItems)
-		}
 		heap.Init(&qs[tier])
 	}
 	return qs
 }
 
+// ordered returns the entry's pending tasks in order.
+func (p *planner) ordered(info *entryInfo) *entryQueue {
+	eq := p.waiting[info.name]
+	if eq == nil {
+		eq = &entryQueue{}
+		p.waiting[info.name] = eq
+	}
+	eq.info, eq.failures = info, 0
+	if p.t.PendingCount(info.name) <= shortList || len(eq.tasks) == 0 || p.now.Sub(eq.madeAt) >= longListAge {
+		p.sortWaiting(eq)
+	}
+	return eq
+}
+
+// sortWaiting looks through all pending tasks of an entry, notes what is to be said
+// of their jobs and puts them in order.
+func (p *planner) sortWaiting(eq *entryQueue) {
+	eq.madeAt = p.now
+	eq.tasks = eq.tasks[:0]
+	for task := range p.t.PendingIn(eq.info.name) {
+		if it, ok := p.item(task); ok && p.nowMS >= task.NotBeforeMS {
+			eq.tasks = append(eq.tasks, rankedTask{task.ID, it.slackMS, task.PendingSinceMS})
+		}
+	}
+	if !slices.IsSortedFunc(eq.tasks, compareRanked) {
+		slices.SortStableFunc(eq.tasks, compareRanked)
+	}
+	if len(eq.tasks) > longListKept {
+		eq.tasks = eq.tasks[:longListKept]
+	}
+}
+
+// next takes the owner's next task that still waits; ok is false when there is none.
+func (p *planner) next(oq *ownerQueue) (eq *entryQueue, it item, ok bool) {
+	for {
+		eq = oq.first()
+		if eq == nil {
+			return nil, it, false
+		}
+		id := eq.tasks[0].id
+		eq.tasks = eq.tasks[1:]
+		task := p.t.Task(id)
+		if task == nil || task.Status != structs.StatusPending || task.State != structs.AttemptNone || p.nowMS < task.NotBeforeMS {
+			continue
+		}
+		if it, ok = p.item(task); ok {
+			return eq, it, true
+		}
+	}
+}
+
+// first returns the owner's entry whose first task comes next, or nil.
+func (oq *ownerQueue) first() *entryQueue {
+	var best *entryQueue
+	for _, eq := range oq.entries {
+		if len(eq.tasks) == 0 || eq.failures >= failuresPerList {
+			continue
+		}
+		if best == nil || cmp.Or(cmp.Compare(best.info.Priority, eq.info.Priority), compareRanked(eq.tasks[0], best.tasks[0])) < 0 {
+			best = eq
+		}
+	}
+	return best
+}
+
 // item prepares a pending task; ok is false when it cannot be placed now
 // whatever the workers' state.
 func (p *planner) item(task *structs.Task) (it item, ok bool) {
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -29,8 +29,8 @@
 	// beyond those known to have changed, so that the cost of a tick does not
 	// grow with the number of workers.
 	refreshPerTick = 64
-	// membershipTicks is the number of ticks between two comparisons of the list of workers.
-	membershipTicks = 10
+	// membershipAge is the time between two comparisons of the list of workers.
+	membershipAge = 200 * time.Millisecond
 )
 
 // Scheduler decides plans and keeps what it learned between them. It is not
@@ -47,10 +47,12 @@
 	order   []*node
 	cursor  int
 	ticks   uint64
-	all     freeIndex
-	accel   freeIndex
-	dirty   []*node
-	kinds   []kind
+	// comparedAt, drainedAt and forgotAt are the last times of the periodic steps.
+	comparedAt, drainedAt, forgotAt time.Time
+	all                             freeIndex
+	accel                           freeIndex
+	dirty                           []*node
+	kinds                           []kind
 	// out, outSince and returned are the domains out of service, since when,
 	// and when others returned.
 	out            map[string]bool
@@ -81,6 +83,9 @@
 	// ran is the run time of earlier attempts that ended with a checkpoint, in milliseconds.
 	ran map[structs.TaskID]int64
 
+	headroom headroom
+	waiting  map[string]*entryQueue
+
 	candidates []*node
 	neighbours []int32
 }
@@ -108,6 +113,7 @@
 		domains:    newInterner(),
 		racks:      newInterner(),
 		nodes:      map[structs.WorkerID]*node{},
+		waiting:    map[string]*entryQueue{},
 		out:        map[string]bool{},
 		outSince:   map[string]time.Time{},
 		returned:   map[string]time.Time{},
@@ -137,25 +143,33 @@
 	p.syncCatalogue()
 	p.syncWorkers()
 	p.expireHolds()
+	p.headroom.update(now, p.all.count(structs.Resources{}))
 	qs := p.queues()
 	p.placeTier(&qs[tierUrgent])
 	p.placeTier(&qs[tierLatency])
-	p.drainServices()
+	drain := len(p.out) > 0 && now.Sub(p.drainedAt) >= drainInterval
+	if drain {
+		p.drainedAt = now
+		p.drainServices()
+	}
 	p.placeTier(&qs[tierBatch])
-	p.drainBatch()
+	if drain {
+		p.drainBatch()
+	}
 	p.forget()
 	p.ticks++
 	return p.plan
 }
 
-// forgetTicks is the number of ticks between two removals of records of tasks that are gone.
-const forgetTicks = 1500
+// forgetAge is the time between two removals of records of tasks that are gone.
+const forgetAge = 30 * time.Second
 
 // forget drops what is known of tasks that have ended.
 func (p *planner) forget() {
-	if p.ticks%forgetTicks != 0 {
+	if p.now.Sub(p.forgotAt) < forgetAge {
 		return
 	}
+	p.forgotAt = p.now
 	gone := func(id structs.TaskID) bool {
 		task := p.t.Task(id)
 		return task == nil || task.Status.Finished()
--- a/core/sched/sync.go
+++ b/core/sched/sync.go
@@ -79,7 +79,8 @@
 		}
 	}
 	changed := p.t.TakeChangedWorkers()
-	if p.ticks%membershipTicks == 0 || len(p.order) == 0 {
+	if p.now.Sub(p.comparedAt) >= membershipAge || len(p.order) == 0 {
+		p.comparedAt = p.now
 		p.syncMembership()
 	}
 	for _, id := range changed {
