--- /dev/null
+++ b/host/localcluster/restart_test.go
@@ -0,0 +1,36 @@
+package localcluster
+
+import (
+	"fmt"
+	"testing"
+
+	"gooseberrypond/core/structs"
+)
+
+// Guards against a replica that never catches up because it stopped while the
+// leader was sending, and the log that it misses has been truncated since.
+func TestReplicaCatchesUpBySnapshot(t *testing.T) {
+	const changes = 700 // several snapshots of 200 entries
+	b := newBed(t, 3, 0)
+	cl := b.Client()
+	b.put(cl)
+	leader := b.leader()
+	down := (leader + 1) % 3
+	b.Kill(down)
+	for i := range changes {
+		set := structs.SetDomain{ChangeID: fmt.Sprintf("set-%d", i), Domain: "d1", Out: i%2 == 0}
+		ask(b, func() (*structs.ChangeResult, error) { return cl.SetDomain(b.ctx, set) })
+	}
+	target := b.Nodes[b.leader()].Control().Applied()
+	b.start(down)
+	for b.Nodes[down].Control().Applied() < target {
+		if err := Pause(b.ctx); err != nil {
+			t.Fatalf("applied %d of %d: %v", b.Nodes[down].Control().Applied(), target, err)
+		}
+	}
+	b.Kill(3 - leader - down) // the one that caught up is now needed for every commit
+	set := structs.SetDomain{ChangeID: "last", Domain: "d1", Out: true}
+	if res := ask(b, func() (*structs.ChangeResult, error) { return cl.SetDomain(b.ctx, set) }); !res.Accepted {
+		t.Errorf("change after the repair: %+v", res)
+	}
+}
