Tell entry hosts of changes at once and keep the leader known

Cause: a change was in force with the next periodic sync, up to 200 ms later. Entry hosts now hold a watch at the leader and sync when it answers. A caller that gave up a held call also made the client forget the leader.

--- a/host/control/calls.go
+++ b/host/control/calls.go
@@ -38,6 +38,30 @@
 	return &view, nil
 }
 
+// Watch implements rpc.Control.
+func (h *Host) Watch(ctx context.Context, seen rpc.Versions) (rpc.Versions, error) {
+	timer := time.NewTimer(rpc.WatchHold)
+	defer timer.Stop()
+	for over := false; ; {
+		var now rpc.Versions
+		var changed chan struct{}
+		err := h.lead("control.watch", func(_ *leader.Core, t *state.Tables) {
+			now = rpc.Versions{Catalogue: t.Catalogue().Version, Domains: t.DomainsVersion()}
+			changed = h.machine.changed
+		})
+		if err != nil || over || now != seen {
+			return now, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			over = true
+		}
+	}
+}
+
 // Announce implements rpc.Control.
 func (h *Host) Announce(_ context.Context, u structs.Upstream) error {
 	return h.leadCheck("control.announce", func(core *leader.Core) *structs.Error { return core.Announce(time.Now(), u) })
--- a/host/control/host.go
+++ b/host/control/host.go
@@ -87,7 +87,7 @@
 
 // Close hands over leadership, if held, and stops. ctx bounds the handover.
 func (h *Host) Close(ctx context.Context) error {
-	if h.replica.HoldsLease() {
+	if h.replica.HoldsLease() && h.voters() > 1 {
 		if err := h.replica.TransferLeadership(ctx); err != nil {
 			h.cfg.Log.Warn().Err(err).Msg("leadership not handed over")
 		}
@@ -95,6 +95,17 @@
 	return h.Kill()
 }
 
+// voters counts the voting members.
+func (h *Host) voters() int {
+	n := 0
+	for _, m := range h.replica.Status().Members {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
 // Kill stops without handover.
 func (h *Host) Kill() error {
 	h.cancel()
--- a/host/control/machine.go
+++ b/host/control/machine.go
@@ -29,6 +29,8 @@
 
 	workers map[structs.WorkerID]*poll
 	jobs    map[structs.JobID]map[chan struct{}]bool
+	// changed is closed and replaced when the catalogue or a domain changes.
+	changed chan struct{}
 	recent  []decision
 	applied func(cmd *structs.Command, res *structs.Result, took time.Duration)
 }
@@ -53,6 +55,7 @@
 		tables:  state.New(),
 		workers: map[structs.WorkerID]*poll{},
 		jobs:    map[structs.JobID]map[chan struct{}]bool{},
+		changed: make(chan struct{}),
 		applied: func(*structs.Command, *structs.Result, time.Duration) {},
 	}
 }
@@ -82,6 +85,9 @@
 		m.core.Applied(cmd, res)
 	}
 	m.remember(index, cmd, &res)
+	if cmd.PutCatalogue != nil || cmd.SetDomain != nil {
+		m.wakeWatches()
+	}
 	m.wake(touched)
 	m.applied(cmd, &res, time.Since(start))
 	return res
@@ -199,8 +205,15 @@
 	}
 }
 
+// wakeWatches ends the waits for a new catalogue or domain state.
+func (m *machine) wakeWatches() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
 // wakeAll ends every wait, after a change of leadership.
 func (m *machine) wakeAll() {
+	m.wakeWatches()
 	for _, p := range m.workers {
 		signal(p.wake)
 	}
--- a/host/node/entry.go
+++ b/host/node/entry.go
@@ -2,22 +2,33 @@
 
 import (
 	"context"
+	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"gooseberrypond/host/entry"
+	"gooseberrypond/host/rpc"
 )
 
 // entryRole is the entry role with its interfaces.
-type entryRole struct{ host *entry.Host }
+type entryRole struct {
+	host *entry.Host
+	stop context.CancelFunc
+	wg   sync.WaitGroup
+}
+
+// watchPause is the wait after a failed watch.
+const watchPause = 100 * time.Millisecond
 
 // startEntry starts the entry role and serves callers and upstreams.
-func (n *Node) startEntry() error {
+func (n *Node) startEntry() {
 	log := n.base.With().Str("role", "entry").Logger() // the role adds the host
 	h := entry.New(entry.Config{Host: n.settings.HostID, Control: n.client, Log: log})
-	n.entry = &entryRole{host: h}
+	ctx, stop := context.WithCancel(context.Background())
+	n.entry = &entryRole{host: h, stop: stop}
 	h.Start()
-	return nil
+	n.entry.wg.Go(func() { n.entry.watch(ctx, n.client) })
 }
 
 // ready reports whether new requests are accepted.
@@ -33,5 +44,37 @@
 	}
 }
 
+// watch hastens the next sync when the catalogue or a domain has changed. The
+// periodic sync does without it, only later.
+func (e *entryRole) watch(ctx context.Context, client *rpc.Client) {
+	var seen rpc.Versions
+	for ctx.Err() == nil {
+		now, err := client.Watch(ctx, seen)
+		if err == nil {
+			if now != seen {
+				seen = now
+				e.host.SyncSoon()
+			}
+			continue
+		}
+		t := time.NewTimer(watchPause)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+}
+
+// versions returns what is in force.
+func (e *entryRole) versions() (catalogue, domains uint64) {
+	d := e.host.Dump()
+	return d.CatalogueVersion, d.DomainsVersion
+}
+
 // close stops at once.
-func (e *entryRole) close() { e.host.Close() }
+func (e *entryRole) close() {
+	e.stop()
+	e.wg.Wait()
+	e.host.Close()
+}
--- a/host/node/node.go
+++ b/host/node/node.go
@@ -90,9 +90,7 @@
 		}
 	}
 	if n.settings.Has(config.RoleEntry) {
-		if err := n.startEntry(); err != nil {
-			return err
-		}
+		n.startEntry()
 	}
 	n.serveEdges()
 	return nil
@@ -200,8 +198,7 @@
 	if n.entry == nil {
 		return 0, 0
 	}
-	d := n.entry.host.Dump()
-	return d.CatalogueVersion, d.DomainsVersion
+	return n.entry.versions()
 }
 
 // Client returns the client for calls to the control hosts.
@@ -254,6 +251,9 @@
 	if n.rpcServer != nil {
 		n.rpcServer.Close()
 	}
+	if n.client != nil {
+		n.client.Close()
+	}
 	if n.entry != nil {
 		n.entry.close()
 	}
@@ -262,7 +262,4 @@
 			n.log.Warn().Err(err).Msg("replica closed with an error")
 		}
 	}
-	if n.client != nil {
-		n.client.Close()
-	}
 }
--- a/host/rpc/calls.go
+++ b/host/rpc/calls.go
@@ -25,6 +25,11 @@
 	return ptr(call[structs.EntrySync, structs.EntryView](ctx, c, plan{method: "Sync", limit: attemptTimeout}, *req))
 }
 
+// Watch implements Control. It is not repeated; its caller asks again.
+func (c *Client) Watch(ctx context.Context, seen Versions) (Versions, error) {
+	return call[Versions, Versions](ctx, c, plan{method: "Watch", limit: WatchHold + attemptTimeout}, seen)
+}
+
 // WorkerRegister implements Control.
 func (c *Client) WorkerRegister(ctx context.Context, req *structs.WorkerRegister) error {
 	_, err := call[structs.WorkerRegister, Empty](ctx, c, propose("WorkerRegister"), *req)
--- a/host/rpc/client.go
+++ b/host/rpc/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"math/rand/v2"
 	"net"
 	netrpc "net/rpc"
@@ -109,6 +110,13 @@
 	}
 }
 
+// knowsOther reports whether another peer than this one is presumed to lead.
+func (c *Client) knowsOther(peer int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader >= 0 && c.leader != peer
+}
+
 // connect returns the connection to peer, opening it if needed.
 func (c *Client) connect(ctx context.Context, peer int) (*conn, *structs.Error) {
 	c.mu.Lock()
@@ -210,7 +218,7 @@
 		defer cancel()
 	}
 	last := structs.Errorf(structs.CodeNoLeader, p.method, "no control host is configured").WithOutcome(structs.OutcomeNotRun)
-	unknown := false
+	unknown, redirects := false, 0
 	for len(c.cfg.Peers) > 0 && ctx.Err() == nil {
 		peer := c.target()
 		rep, err := attempt[T, R](ctx, c, peer, p, body)
@@ -226,6 +234,10 @@
 			return zero, err
 		}
 		last = err
+		if redirects < maxRedirects && err.Code == structs.CodeNotLeader && c.knowsOther(peer) {
+			redirects++
+			continue
+		}
 		pause(ctx)
 	}
 	e := last.WithRetryAfter(int64(structs.ElectionTimeoutMax / time.Millisecond))
@@ -267,8 +279,11 @@
 	select {
 	case <-pending.Done:
 	case <-ctx.Done():
-		c.forget(peer)
-		c.timedOut(peer, cn)
+		// A caller that gives up says nothing about the peer.
+		if !errors.Is(ctx.Err(), context.Canceled) {
+			c.forget(peer)
+			c.timedOut(peer, cn)
+		}
 		return zero, structs.Errorf(structs.CodeNoLeader, "rpc."+p.method, "no answer within %s", p.limit).WithPeer(address).WithOutcome(structs.OutcomeUnknown)
 	}
 	if pending.Error != nil {
--- a/host/rpc/messages.go
+++ b/host/rpc/messages.go
@@ -68,10 +68,19 @@
 // Change asks for the outcome of an operator's change.
 type Change struct{ ID string }
 
+// Versions are the versions of the catalogue and of the domain states.
+type Versions struct {
+	Catalogue uint64
+	Domains   uint64
+}
+
 // Control is what entry hosts and edges ask of the control hosts. The client
 // and the control role implement it. Errors are of type *structs.Error.
 type Control interface {
 	Sync(ctx context.Context, req *structs.EntrySync) (*structs.EntryView, error)
+	// Watch answers once the versions differ from seen, or after a while. It only
+	// hastens the next Sync, which carries the content.
+	Watch(ctx context.Context, seen Versions) (Versions, error)
 	WorkerRegister(ctx context.Context, req *structs.WorkerRegister) error
 	WorkerSync(ctx context.Context, req *structs.WorkerSync) (*structs.WorkerSyncReply, error)
 	Announce(ctx context.Context, u structs.Upstream) error
@@ -105,8 +114,13 @@
 	proposeTimeout = 2 * time.Second
 	// dumpTimeout bounds one dump; at full size it is tens of megabytes.
 	dumpTimeout = 15 * time.Second
+	// WatchHold is how long Watch is held without a change.
+	WatchHold = 5 * time.Second
 	// retryPause is the wait between attempts while no leader is known.
 	retryPause = 25 * time.Millisecond
+	// maxRedirects is the number of hints to another leader that are followed
+	// without a pause; replicas may name each other during an election.
+	maxRedirects = 2
 	// callTimeout bounds a call whose caller sets no deadline.
 	callTimeout = 10 * time.Second
 	// quietLimit is the time without any answer after which a timed-out
--- a/host/rpc/server.go
+++ b/host/rpc/server.go
@@ -151,6 +151,10 @@
 	})
 }
 
+func (v *service) Watch(req *Request[Versions], rep *Reply[Versions]) error {
+	return serve(v.s, req, rep, v.s.control.Watch)
+}
+
 func (v *service) WorkerRegister(req *Request[structs.WorkerRegister], rep *Reply[Empty]) error {
 	return serve(v.s, req, rep, func(ctx context.Context, b structs.WorkerRegister) (Empty, error) {
 		return Empty{}, v.s.control.WorkerRegister(ctx, &b)
