--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -136,13 +135,3 @@
 	f.control.add(name, srv.Listener.Addr().String(), slots)
 	return srv
 }
-
-// deadAddress is an address on which nothing listens.
-func deadAddress(t testing.TB) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	return l.Addr().String()
-}
