--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -152,6 +152,27 @@
 	}
 }
 
+// Guards against a second run of non-idempotent work whose start may have been sent.
+func TestNeverStartedIsCertain(t *testing.T) {
+	for _, tt := range []struct {
+		name string
+		run  func(b *bed)
+		want bool
+	}{
+		{"no sync", func(*bed) {}, true},
+		{"start sent", func(b *bed) { b.sync(nil) }, false},
+		{"assigned under a former leader", func(b *bed) { b.l.SetElectedIndex(b.index) }, false},
+	} {
+		b := newBed(t, 0)
+		b.place("e")
+		tt.run(b)
+		b.l.Expired(b.now, b.t)
+		if got := b.expired(12 * time.Second); len(got) != 1 || got[0].EndAttempts.Attempts[0].NeverStarted != tt.want {
+			t.Errorf("%s: %+v, want never started %v", tt.name, got[0].EndAttempts, tt.want)
+		}
+	}
+}
+
 // Guards against a worker coming back within the hold and losing its task.
 func TestHeldTaskSurvivesPartition(t *testing.T) {
 	b := newBed(t, 60_000)
--- a/core/state/bench_test.go
+++ b/core/state/bench_test.go
@@ -87,36 +87,62 @@
 	}
 }
 
-// BenchmarkFork measures how long a snapshot stops the caller.
+// withFinished adds as many finished jobs as are kept.
+func withFinished(b *testing.B, t *Tables, index *uint64) {
+	for n := range structs.MaxFinishedJobs {
+		owner := fmt.Sprint("o", n%benchOwners)
+		*index++
+		res := t.Apply(*index, &structs.Command{SubmitJobs: &structs.SubmitJobs{Jobs: []structs.SubmitJob{{
+			Owner: owner, Key: fmt.Sprint("f", n), Spec: structs.JobSpec{Entry: fmt.Sprint("e", n%benchOwners), Kind: structs.KindBatch},
+		}}}})
+		*index++
+		t.Apply(*index, &structs.Command{CancelJob: &structs.CancelJob{Owner: owner, Job: res.Submits[0].Job}})
+	}
+	if t.Counts().LiveJobs != benchTasks/4 {
+		b.Fatalf("counts = %+v", t.Counts())
+	}
+}
+
+// BenchmarkFork measures how long a snapshot stops the caller, at full size
+// with all finished jobs that are kept.
 func BenchmarkFork(b *testing.B) {
-	t, _ := fullTables(b, 0)
+	t, index := fullTables(b, 0)
+	withFinished(b, t, index)
 	for b.Loop() {
 		t.Fork()
 	}
 }
 
-// BenchmarkEncode measures a full-size snapshot and reports its size and the tables' memory.
-func BenchmarkEncode(b *testing.B) {
-	t, _ := fullTables(b, 0)
-	var with, without runtime.MemStats
+func heapMB() float64 {
+	var m runtime.MemStats
 	runtime.GC()
-	runtime.ReadMemStats(&with)
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / 1e6
+}
+
+// BenchmarkEncode measures a full-size snapshot and reports its size and the
+// memory of the tables, without and with finished jobs.
+func BenchmarkEncode(b *testing.B) {
+	before := heapMB()
+	t, index := fullTables(b, 0)
+	running := heapMB() - before
+	withFinished(b, t, index)
+	all := heapMB() - before
 	im := t.Fork()
 	var data []byte
 	for b.Loop() {
 		data, _ = im.Encode()
 	}
+	b.ReportMetric(running, "MB_running")
+	b.ReportMetric(all, "MB_all")
 	b.ReportMetric(float64(len(data))/1e6, "MB_snapshot")
-	t, im = nil, nil
-	runtime.GC()
-	runtime.ReadMemStats(&without)
-	b.ReportMetric(float64(with.HeapAlloc-without.HeapAlloc)/1e6, "MB_heap")
-	_, _ = t, im
+	runtime.KeepAlive(t)
 }
 
 // BenchmarkDecode measures the restart from a full-size snapshot.
 func BenchmarkDecode(b *testing.B) {
-	t, _ := fullTables(b, 0)
+	t, index := fullTables(b, 0)
+	withFinished(b, t, index)
 	data, err := t.Encode()
 	if err != nil {
 		b.Fatal(err)
--- a/core/state/catalogue.go
+++ b/core/state/catalogue.go
@@ -235,7 +235,9 @@
 	for a != nil || b != nil {
 		if b == nil || a != nil && a.Value.(*jobRec).ID < b.Value.(*jobRec).ID {
 			j := a.Value.(*jobRec)
-			j.owner, j.Owner = to, to.name
+			renamed := *j.Job
+			renamed.Owner = to.name
+			j.owner, j.Job = to, &renamed
 			j.ownerElem = joined.PushBack(j)
 			a = a.Next()
 			continue
@@ -259,12 +261,15 @@
 			return
 		}
 		t.unlinkKey(k)
-		k.Owner = to
-		at := ownerKey{k.Owner, k.Key}
-		t.keys[at] = append(t.keys[at], k)
+		renamed := *k
+		renamed.Owner, renamed.rank = to, 0
+		t.linkKey(&renamed)
+		if k.elem != nil {
+			k.elem.Value = &renamed
+		}
 	}
 	for e := t.jobOrder.Front(); e != nil; e = e.Next() {
-		if j := e.Value.(*jobRec); j.key != nil {
+		if j := e.Value.(*jobRec); j.key != nil && j.key.elem == nil {
 			move(j.key)
 		}
 	}
@@ -291,9 +296,10 @@
 			continue
 		}
 		t.unlinkClaim(c)
-		c.Owner = to
-		at := ownerKey{c.Owner, c.Key}
-		t.claims[at] = append(t.claims[at], c)
+		renamed := *c
+		renamed.Owner, renamed.rank = to, 0
+		t.appendClaim(&renamed)
+		e.Value = &renamed
 	}
 }
 
--- a/core/state/check.go
+++ b/core/state/check.go
@@ -85,7 +85,7 @@
 
 // checkIndexes compares the indexes with those of tables rebuilt from the records.
 func (t *Tables) checkIndexes() error {
-	fresh, err := t.Fork().restore()
+	fresh, err := t.Fork().flatten().restore()
 	if err != nil {
 		return errors.Mark(err, ErrInvariant)
 	}
--- a/core/state/claims.go
+++ b/core/state/claims.go
@@ -16,10 +16,14 @@
 	maxAllAnswerBytes = 48 << 20
 )
 
+// claimRec is the claim of one request. It is not changed in place, because
+// images of the tables share it.
 type claimRec struct {
 	Owner string
 	Key   string
 	structs.ClaimState
+	// rank orders the claims of one key.
+	rank int
 	elem *list.Element
 }
 
@@ -56,12 +60,31 @@
 }
 
 func (t *Tables) linkClaim(r *claimRec) {
-	at := ownerKey{r.Owner, r.Key}
-	t.claims[at] = append(t.claims[at], r)
+	t.appendClaim(r)
 	r.elem = t.claimOrder.PushBack(r)
 	t.counts.answerBytes += answerBytes(r.Answer)
 }
 
+func (t *Tables) appendClaim(r *claimRec) {
+	at := ownerKey{r.Owner, r.Key}
+	recs := t.claims[at]
+	if n := len(recs); n > 0 {
+		r.rank = recs[n-1].rank + 1
+	}
+	t.claims[at] = append(recs, r)
+}
+
+// answer replaces a claim by a copy with an answer.
+func (t *Tables) answer(r *claimRec, a *structs.Answer) *claimRec {
+	answered := *r
+	answered.Answer = t.keptAnswer(a)
+	t.counts.answerBytes += answerBytes(answered.Answer)
+	recs := t.claims[ownerKey{r.Owner, r.Key}]
+	recs[slices.Index(recs, r)] = &answered
+	r.elem.Value = &answered
+	return &answered
+}
+
 func (t *Tables) unlinkClaim(r *claimRec) {
 	at := ownerKey{r.Owner, r.Key}
 	recs := slices.DeleteFunc(t.claims[at], func(o *claimRec) bool { return o == r })
@@ -92,8 +115,7 @@
 		t.removeClaim(r)
 		return structs.Result{}
 	case r.Answer == nil && c.Answer != nil:
-		r.Answer = t.keptAnswer(c.Answer)
-		t.counts.answerBytes += answerBytes(r.Answer)
+		r = t.answer(r, c.Answer)
 	}
 	state := r.ClaimState
 	return structs.Result{Claim: &state}
--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -40,14 +40,17 @@
 )
 
 // keyRec is an idempotency key with the job that it named. It outlives the
-// job's record when finished jobs are dropped for their number.
+// job's record when finished jobs are dropped for their number. It is not
+// changed in place once the job has finished, because images share it.
 type keyRec struct {
 	Owner      string
 	Key        string
 	Digest     [sha256.Size]byte
 	Job        structs.JobID
 	FinishedMS int64
-	elem       *list.Element
+	// rank orders the keys of one name.
+	rank int
+	elem *list.Element
 }
 
 func failure(code structs.ErrorCode, step, format string, args ...any) structs.Result {
@@ -218,7 +221,7 @@
 		spec.FirstMS = t.nowMS
 	}
 	j := &jobRec{heapPos: -1}
-	j.Job = structs.Job{ID: id, Owner: owner, Key: key, Spec: spec, Status: structs.StatusPending, SubmittedMS: t.nowMS}
+	j.Job = &structs.Job{ID: id, Owner: owner, Key: key, Spec: spec, Status: structs.StatusPending, SubmittedMS: t.nowMS}
 	t.linkJob(j)
 	t.linkKey(&keyRec{Owner: owner, Key: key, Digest: digest, Job: id})
 	t.counts.payloadBytes += len(spec.Payload)
@@ -252,13 +255,21 @@
 
 // linkKey adds a key and joins it to its job, if that is still kept.
 func (t *Tables) linkKey(k *keyRec) {
-	at := ownerKey{k.Owner, k.Key}
-	t.keys[at] = append(t.keys[at], k)
+	t.appendKey(k)
 	if j := t.jobs[k.Job]; j != nil {
 		j.key = k
 	}
 }
 
+func (t *Tables) appendKey(k *keyRec) {
+	at := ownerKey{k.Owner, k.Key}
+	recs := t.keys[at]
+	if n := len(recs); n > 0 {
+		k.rank = recs[n-1].rank + 1
+	}
+	t.keys[at] = append(recs, k)
+}
+
 func (t *Tables) applyCancelJob(c *structs.CancelJob) structs.Result {
 	j := t.jobs[c.Job]
 	if j == nil || j.Owner != t.ResolveOwner(c.Owner) {
--- a/core/state/pending.go
+++ b/core/state/pending.go
@@ -96,7 +96,7 @@
 func (h standingHeap) Len() int { return len(h) }
 
 func (h standingHeap) Less(a, b int) bool {
-	x, y := nextDueMS(&h[a].Job), nextDueMS(&h[b].Job)
+	x, y := nextDueMS(h[a].Job), nextDueMS(h[b].Job)
 	if x != y {
 		return x < y
 	}
@@ -144,10 +144,10 @@
 	for len(stack) > 0 && len(out) < limit {
 		i := stack[len(stack)-1]
 		stack = stack[:len(stack)-1]
-		if i >= len(t.standing) || nextDueMS(&t.standing[i].Job) > nowMS {
+		if i >= len(t.standing) || nextDueMS(t.standing[i].Job) > nowMS {
 			continue
 		}
-		out = append(out, &t.standing[i].Job)
+		out = append(out, t.standing[i].Job)
 		stack = append(stack, 2*i+1, 2*i+2)
 	}
 	return out
--- a/core/state/plan.go
+++ b/core/state/plan.go
@@ -39,7 +39,7 @@
 		return false
 	}
 	entry, ok := t.catalogue.Entries[r.job.Spec.Entry]
-	if !ok || !validReservation(a.Reserved, t.SizeOf(&r.job.Job)) {
+	if !ok || !validReservation(a.Reserved, t.SizeOf(r.job.Job)) {
 		return false
 	}
 	if !w.committed.Add(a.Reserved).Fits(w.Capacity) {
@@ -89,7 +89,7 @@
 // Only the next number in sequence is taken, so each occurrence is decided once.
 func (t *Tables) applyOccurrence(o structs.Occurrence) bool {
 	j := t.jobs[o.Job]
-	if j == nil || j.heapPos < 0 || o.Number != j.NextOccurrence || nextDueMS(&j.Job) > t.nowMS {
+	if j == nil || j.heapPos < 0 || o.Number != j.NextOccurrence || nextDueMS(j.Job) > t.nowMS {
 		return false
 	}
 	if !o.Skipped && j.open() >= MaxOpenOccurrences {
@@ -142,7 +142,7 @@
 
 // markUnrunnable ends a job that no registered kind of worker could ever run.
 func (t *Tables) markUnrunnable(j *jobRec, reasons []string) bool {
-	size := t.SizeOf(&j.Job)
+	size := t.SizeOf(j.Job)
 	runnable := t.FitsAnyWorker(size) && WithinQuota(size, t.catalogue.Owners[j.Owner].Quota)
 	started := j.Spec.Kind != structs.KindRecurring && j.count(structs.StatusPending) != len(j.tasks)
 	if len(t.shapes) == 0 || runnable || started || j.attempts > 0 {
--- a/core/state/rules_test.go
+++ b/core/state/rules_test.go
@@ -257,7 +257,8 @@
 		c.Owner, c.Key = "a", "q"
 		return b.do(&structs.Command{Complete: &c}).Error
 	}
-	if !claim("n1", "d").Claimed || !claim("n1", "d").Claimed || claim("n2", "d").Claimed {
+	first, again, other := claim("n1", "d"), claim("n1", "d"), claim("n2", "d")
+	if !first.Claimed || !again.Claimed || other.Claimed {
 		t.Fatal("want the claim granted to the first nonce only")
 	}
 	if err := claim("n3", "other").Error; err == nil || err.Code != structs.CodeKeyReused {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"container/list"
+	"encoding/json"
 	"maps"
 	"slices"
 
@@ -23,7 +25,8 @@
 )
 
 // Image is a read-only copy of the tables without indexes. It shares nothing
-// that Apply changes, so it may be encoded by another goroutine.
+// that Apply changes in place, so it may be encoded by another goroutine. Only
+// unfinished jobs are copied; finished ones, their keys and claims are shared.
 type Image struct {
 	Index           uint64
 	NowMS           int64
@@ -35,17 +38,28 @@
 	Changes         []*structs.ChangeResult
 	Workers         []structs.Worker
 	Jobs            []jobImage
-	// Tasks holds the tasks of all jobs, in the order of Jobs.
-	Tasks    []structs.Task
+	// Finished lists the finished jobs in the order in which they ended. It and
+	// the lists that follow are filled by flatten.
 	Finished []structs.JobID
-	Keys     []keyImage
-	Claims   []claimImage
+	// Tasks holds the tasks of all jobs, in the order of Jobs.
+	Tasks  []structs.Task
+	Keys   []keyImage
+	Claims []claimImage
+
+	live   []structs.Task
+	keys   []*keyRec
+	claims []*claimRec
+	flat   bool
 }
 
 type jobImage struct {
-	Job   structs.Job
+	Job   *structs.Job
 	Base  int64
 	Tasks int
+	// shared holds the tasks of a finished job, and ended its place in the
+	// order of ends; ended is 0 for an unfinished job.
+	shared []*taskRec
+	ended  uint64
 }
 
 type keyImage struct {
@@ -65,7 +79,8 @@
 	Rank  int
 }
 
-// Fork copies the tables for a snapshot.
+// Fork copies the tables for a snapshot. It stops the caller for the copy of
+// the unfinished jobs only.
 func (t *Tables) Fork() *Image {
 	im := &Image{
 		Index: t.index, NowMS: t.nowMS,
@@ -74,7 +89,8 @@
 		Changes: make([]*structs.ChangeResult, 0, len(t.changeOrder)),
 		Workers: make([]structs.Worker, 0, len(t.workerList)),
 		Jobs:    make([]jobImage, 0, len(t.jobs)),
-		Tasks:   make([]structs.Task, 0, t.counts.liveTasks+t.counts.finishedTasks),
+		live:    make([]structs.Task, 0, t.counts.liveTasks),
+		claims:  elements[*claimRec](t.claimOrder),
 	}
 	for _, id := range t.changeOrder {
 		im.Changes = append(im.Changes, t.changes[id])
@@ -83,43 +99,75 @@
 		im.Workers = append(im.Workers, *w)
 	}
 	t.forkJobs(im)
-	t.forkKeys(im)
-	for e := t.claimOrder.Front(); e != nil; e = e.Next() {
-		c := e.Value.(*claimRec)
-		rank := slices.Index(t.claims[ownerKey{c.Owner, c.Key}], c)
-		im.Claims = append(im.Claims, claimImage{c.Owner, c.Key, c.ClaimState, rank})
-	}
+	im.keys = append(im.keys, elements[*keyRec](t.keyOrder)...)
 	return im
 }
 
+func elements[E any](l *list.List) []E {
+	out := make([]E, 0, l.Len())
+	for e := l.Front(); e != nil; e = e.Next() {
+		out = append(out, e.Value.(E))
+	}
+	return out
+}
+
 func (t *Tables) forkJobs(im *Image) {
+	liveJobs := len(t.jobs) - t.finished.Len()
+	jobs := make([]structs.Job, 0, liveJobs)
+	keys := make([]keyRec, 0, liveJobs)
 	for e := t.jobOrder.Front(); e != nil; e = e.Next() {
 		j := e.Value.(*jobRec)
-		im.Jobs = append(im.Jobs, jobImage{j.Job, j.base, len(j.tasks)})
+		if j.finElem != nil {
+			im.Jobs = append(im.Jobs, jobImage{Job: j.Job, Base: j.base, Tasks: len(j.tasks), shared: j.tasks, ended: j.ended})
+			continue
+		}
+		jobs = append(jobs, *j.Job)
+		im.Jobs = append(im.Jobs, jobImage{Job: &jobs[len(jobs)-1], Base: j.base, Tasks: len(j.tasks)})
 		for _, r := range j.tasks {
-			im.Tasks = append(im.Tasks, r.Task)
+			im.live = append(im.live, r.Task)
+		}
+		if j.key != nil {
+			keys = append(keys, *j.key)
+			im.keys = append(im.keys, &keys[len(keys)-1])
 		}
-	}
-	im.Finished = make([]structs.JobID, 0, t.finished.Len())
-	for e := t.finished.Front(); e != nil; e = e.Next() {
-		im.Finished = append(im.Finished, e.Value.(*jobRec).ID)
 	}
 }
 
-func (t *Tables) forkKeys(im *Image) {
-	im.Keys = make([]keyImage, 0, t.keyOrder.Len()+len(t.jobs))
-	add := func(k *keyRec) {
-		rank := slices.Index(t.keys[ownerKey{k.Owner, k.Key}], k)
-		im.Keys = append(im.Keys, keyImage{k.Owner, k.Key, k.Digest[:], k.Job, k.FinishedMS, rank})
+// flatten fills the lists that are encoded.
+func (im *Image) flatten() *Image {
+	if im.flat {
+		return im
 	}
-	for e := t.jobOrder.Front(); e != nil; e = e.Next() {
-		if j := e.Value.(*jobRec); j.key != nil && j.key.elem == nil {
-			add(j.key)
+	im.flat = true
+	live := im.live
+	for _, j := range im.Jobs {
+		if j.shared == nil {
+			im.Tasks = append(im.Tasks, live[:j.Tasks]...)
+			live = live[j.Tasks:]
+			continue
 		}
+		for _, r := range j.shared {
+			im.Tasks = append(im.Tasks, r.Task)
+		}
+	}
+	ended := slices.DeleteFunc(slices.Clone(im.Jobs), func(j jobImage) bool { return j.ended == 0 })
+	slices.SortFunc(ended, func(a, b jobImage) int { return cmp.Compare(a.ended, b.ended) })
+	for _, j := range ended {
+		im.Finished = append(im.Finished, j.Job.ID)
 	}
-	for e := t.keyOrder.Front(); e != nil; e = e.Next() {
-		add(e.Value.(*keyRec))
+	for _, k := range im.keys {
+		im.Keys = append(im.Keys, keyImage{k.Owner, k.Key, k.Digest[:], k.Job, k.FinishedMS, k.rank})
 	}
+	for _, c := range im.claims {
+		im.Claims = append(im.Claims, claimImage{c.Owner, c.Key, c.ClaimState, c.rank})
+	}
+	return im
+}
+
+// MarshalJSON implements json.Marshaler.
+func (im *Image) MarshalJSON() ([]byte, error) {
+	type plain Image
+	return json.Marshal((*plain)(im.flatten()))
 }
 
 var encMode = func() cbor.EncMode {
@@ -145,7 +193,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode snapshot format")
 	}
-	body, err := encMode.Marshal(im)
+	body, err := encMode.Marshal(im.flatten())
 	if err != nil {
 		return nil, errors.Wrap(err, "encode snapshot")
 	}
@@ -166,7 +214,7 @@
 	if format != snapshotFormat {
 		return nil, errors.Wrapf(ErrFormat, "snapshot has format %d, this program knows %d", format, snapshotFormat)
 	}
-	var im Image
+	im := Image{flat: true}
 	if err := decMode.Unmarshal(body, &im); err != nil {
 		return nil, errors.Wrap(err, "decode snapshot")
 	}
@@ -208,6 +256,9 @@
 		if ji.Tasks < 0 || ji.Tasks > len(tasks) {
 			return errors.Wrapf(ErrCorrupt, "job %s has %d tasks, %d are left", ji.Job.ID, ji.Tasks, len(tasks))
 		}
+		if ji.Job == nil {
+			return errors.Wrap(ErrCorrupt, "a job is empty")
+		}
 		j := &jobRec{Job: ji.Job, base: ji.Base, heapPos: -1}
 		t.linkJob(j)
 		t.counts.payloadBytes += len(j.Spec.Payload)
@@ -239,7 +290,7 @@
 		if j == nil || !j.Status.Finished() || j.finElem != nil {
 			return errors.Wrapf(ErrCorrupt, "job %s is listed as finished", id)
 		}
-		j.finElem = t.finished.PushBack(j)
+		t.pushFinished(j)
 	}
 	return nil
 }
@@ -262,29 +313,27 @@
 }
 
 func (t *Tables) restoreKeys(im *Image) {
-	ranks := map[*keyRec]int{}
 	for _, ki := range im.Keys {
 		k := &keyRec{Owner: ki.Owner, Key: ki.Key, Job: ki.Job, FinishedMS: ki.FinishedMS}
 		copy(k.Digest[:], ki.Digest)
-		ranks[k] = ki.Rank
 		t.linkKey(k)
+		k.rank = ki.Rank
 		if j := t.jobs[k.Job]; j == nil || j.Status.Finished() {
 			k.elem = t.keyOrder.PushBack(k)
 		}
 	}
 	for _, recs := range t.keys {
-		slices.SortFunc(recs, func(a, b *keyRec) int { return cmp.Compare(ranks[a], ranks[b]) })
+		slices.SortFunc(recs, func(a, b *keyRec) int { return cmp.Compare(a.rank, b.rank) })
 	}
 }
 
 func (t *Tables) restoreClaims(im *Image) {
-	ranks := map[*claimRec]int{}
 	for _, ci := range im.Claims {
 		c := &claimRec{Owner: ci.Owner, Key: ci.Key, ClaimState: ci.Claim}
-		ranks[c] = ci.Rank
 		t.linkClaim(c)
+		c.rank = ci.Rank
 	}
 	for _, recs := range t.claims {
-		slices.SortFunc(recs, func(a, b *claimRec) int { return cmp.Compare(ranks[a], ranks[b]) })
+		slices.SortFunc(recs, func(a, b *claimRec) int { return cmp.Compare(a.rank, b.rank) })
 	}
 }
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -323,6 +323,27 @@
 	}
 }
 
+// Guards against a snapshot that changes while it is encoded.
+func TestForkIsNotChangedLater(t *testing.T) {
+	b := newBed(t)
+	done, run := b.batch("done"), b.batch("run")
+	b.assign(done)
+	b.event(done, structs.EventFinished, "")
+	b.assign(run)
+	b.do(&structs.Command{Claim: &structs.Claim{Owner: "a", Key: "q", Digest: "d", Nonce: "n"}})
+	want, _ := b.Encode()
+	im := b.Fork()
+	b.do(&structs.Command{Complete: &structs.Complete{Owner: "a", Key: "q", Nonce: "n", Answer: &structs.Answer{Status: 200}}})
+	b.event(run, structs.EventFailed, "")
+	b.cancel(run.Job)
+	if res := b.put("m", 1, mergedCatalogue()); !res.Accepted {
+		t.Fatal(res.Error)
+	}
+	if got, err := im.Encode(); err != nil || !bytes.Equal(got, want) {
+		t.Errorf("the fork changed, error %v", err)
+	}
+}
+
 // Guards against a replica that applies commands of a newer format by guess.
 func TestNewerCommandIsRefused(t *testing.T) {
 	b := newBed(t)
--- a/core/state/status.go
+++ b/core/state/status.go
@@ -77,10 +77,16 @@
 	j.Spec.Payload = nil
 	j.owner.liveJobs--
 	t.entry(j.Spec.Entry).liveJobs--
-	j.finElem = t.finished.PushBack(j)
+	t.pushFinished(j)
 	t.dropStanding(j)
 	if j.key != nil {
 		j.key.FinishedMS = t.nowMS
 		j.key.elem = t.keyOrder.PushBack(j.key)
 	}
 }
+
+func (t *Tables) pushFinished(j *jobRec) {
+	t.ended++
+	j.ended = t.ended
+	j.finElem = t.finished.PushBack(j)
+}
--- a/core/state/tables.go
+++ b/core/state/tables.go
@@ -36,6 +36,7 @@
 	jobs     map[structs.JobID]*jobRec
 	jobOrder *list.List
 	finished *list.List
+	ended    uint64
 	owners   map[string]*ownerRec
 	entries  map[string]*entryRec
 	pending  []string
@@ -69,8 +70,10 @@
 	changed   bool
 }
 
+// jobRec is a job with its tasks. Neither the Job nor the tasks of a finished
+// job are changed in place, because images of the tables share them.
 type jobRec struct {
-	structs.Job
+	*structs.Job
 	// tasks holds the tasks with indexes base, base+1 and so on.
 	tasks     []*taskRec
 	base      int64
@@ -80,8 +83,10 @@
 	ownerElem *list.Element
 	orderElem *list.Element
 	finElem   *list.Element
-	key       *keyRec
-	heapPos   int
+	// ended numbers finished jobs in the order of their ends, from 1.
+	ended   uint64
+	key     *keyRec
+	heapPos int
 }
 
 type taskRec struct {
@@ -170,7 +175,7 @@
 // Job returns a job, or nil.
 func (t *Tables) Job(id structs.JobID) *structs.Job {
 	if j := t.jobs[id]; j != nil {
-		return &j.Job
+		return j.Job
 	}
 	return nil
 }
@@ -216,7 +221,7 @@
 			return
 		}
 		for e := o.jobs.Front(); e != nil; e = e.Next() {
-			if !yield(&e.Value.(*jobRec).Job) {
+			if !yield(e.Value.(*jobRec).Job) {
 				return
 			}
 		}
