--- /dev/null
+++ b/core/sched/plan.go
@@ -0,0 +1,67 @@
+package sched
+
+import (
+	"container/heap"
+	"fmt"
+
+	"gooseberrypond/core/structs"
+)
+
+// placeTier places one tier's tasks, always for the owner with the lowest share.
+func (p *planner) placeTier(q *queue) {
+	for q.Len() > 0 && len(p.plan.Assign) < p.opts.MaxDecisions {
+		oq := (*q)[0]
+		eq, it, ok := p.next(oq)
+		if !ok {
+			heap.Pop(q)
+			continue
+		}
+		if p.place(&it) {
+			oq.share = p.share(oq.owner)
+			heap.Fix(q, 0)
+		} else {
+			eq.failures++
+		}
+	}
+}
+
+// place assigns the item to the best feasible worker, if there is one.
+func (p *planner) place(it *item) bool {
+	if !p.withinQuota(it.info.owner, it.need) {
+		return false
+	}
+	if placed, done := p.placeHeld(it); done {
+		return placed
+	}
+	found := p.feasible(it)
+	n := p.best(it, found)
+	if n == nil {
+		if it.info.Urgent {
+			p.preempt(it)
+		}
+		return false
+	}
+	p.assign(it, n, fmt.Sprintf("best of %d workers with room%s", len(found), p.sizeNote(it.info)))
+	return true
+}
+
+// assign adds the assignment to the plan and counts it.
+func (p *planner) assign(it *item, n *node, reason string) {
+	p.plan.Assign = append(p.plan.Assign, structs.Assignment{
+		Task:        it.task.ID,
+		Worker:      n.worker.ID,
+		Incarnation: n.worker.Incarnation,
+		Reserved:    it.need,
+		Reason:      reason,
+	})
+	n.used = n.used.Add(it.need)
+	n.addEntry(it.info.id, 1)
+	n.noteStart(p.now)
+	if it.info.Urgent {
+		p.headroom.noteUrgent(it.need)
+	}
+	p.spread.add(it.info.id, n, 1)
+	p.usage[it.info.owner] = p.ownerUsage(it.info.owner).Add(it.need)
+	p.reindex(n)
+	p.markDirty(n)
+}
