--- a/store/consensus/rules_test.go
+++ b/store/consensus/rules_test.go
@@ -82,6 +82,7 @@
 		grant bool
 	}{
 		{"free voter", HardState{Term: 3}, false, vote(4, 2, 3), true},
+		{"free voter of the same term", HardState{Term: 4}, false, vote(4, 2, 3), true},
 		{"just restarted", HardState{Term: 3}, true, vote(4, 2, 3), false},
 		{"just restarted, transfer", HardState{Term: 3}, true, Message{Kind: MsgVote, Term: 4, Index: 2, LogTerm: 3, Transfer: true}, true},
 		{"voted for another", HardState{Term: 4, Vote: "n3"}, false, vote(4, 2, 3), false},
--- /dev/null
+++ b/store/wal/wal_test.go
@@ -0,0 +1,272 @@
+package wal
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/store/consensus"
+	"gooseberrypond/store/disk"
+)
+
+// limitedFS is a file system on which operations fail once a limit is reached.
+type limitedFS struct {
+	disk.OS
+	// space is the number of bytes that can still be written, ops the number of
+	// syncs, renames and removals; negative means no limit.
+	space, ops int
+	err        error
+}
+
+func (l *limitedFS) op() error {
+	if l.ops == 0 {
+		return l.err
+	}
+	l.ops--
+	return nil
+}
+
+func (l *limitedFS) Create(path string) (disk.File, error) {
+	f, err := l.OS.Create(path)
+	return &limitedFile{f, l}, err
+}
+
+func (l *limitedFS) Rename(from, to string) error {
+	if err := l.op(); err != nil {
+		return err
+	}
+	return l.OS.Rename(from, to)
+}
+
+func (l *limitedFS) Remove(path string) error {
+	if err := l.op(); err != nil {
+		return err
+	}
+	return l.OS.Remove(path)
+}
+
+func (l *limitedFS) SyncDir(dir string) error { return l.op() }
+
+type limitedFile struct {
+	disk.File
+	l *limitedFS
+}
+
+func (f *limitedFile) Write(p []byte) (int, error) {
+	if f.l.space >= 0 && len(p) > f.l.space {
+		n, _ := f.File.Write(p[:f.l.space])
+		f.l.space = 0
+		return n, f.l.err
+	}
+	f.l.space -= len(p)
+	return f.File.Write(p)
+}
+
+func (f *limitedFile) Sync() error { return f.l.op() }
+
+func entry(index uint64) consensus.Entry {
+	return consensus.Entry{Index: index, Term: 1, Data: fmt.Appendf(nil, "entry %d", index)}
+}
+
+// fill saves entries from to to, one at a time, and returns the file sizes after each.
+func fill(t *testing.T, l *Log, from, to uint64) []int64 {
+	t.Helper()
+	var sizes []int64
+	for i := from; i <= to; i++ {
+		if err := l.Save(&consensus.HardState{Term: 1, Vote: "a", Commit: i - 1}, []consensus.Entry{entry(i)}); err != nil {
+			t.Fatal(err)
+		}
+		sizes = append(sizes, l.Size())
+	}
+	return sizes
+}
+
+func segmentData(t *testing.T, dir string) (string, []byte) {
+	t.Helper()
+	names, err := segments(disk.OS{}, dir)
+	if err != nil || len(names) != 1 {
+		t.Fatalf("segments %v, %v; want one", names, err)
+	}
+	data, err := os.ReadFile(filepath.Join(dir, names[0]))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return names[0], data
+}
+
+// openCopy opens a folder that holds only the given segment.
+func openCopy(t *testing.T, name string, data []byte) (*Log, Contents, error) {
+	t.Helper()
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, name), data, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Open(disk.OS{}, dir)
+}
+
+func sample(t *testing.T) (name string, data []byte, sizes []int64) {
+	dir := t.TempDir()
+	l, err := Create(disk.OS{}, dir, Contents{State: consensus.HardState{Term: 1}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := l.Size()
+	sizes = append([]int64{first}, fill(t, l, 1, 4)...)
+	l.Close()
+	name, data = segmentData(t, dir)
+	return name, data, sizes
+}
+
+// Guards against a crash in the middle of a write: whatever part of the last
+// records is on disk, all complete ones are kept and the log can be continued.
+func TestCutAtEveryByte(t *testing.T) {
+	name, data, sizes := sample(t)
+	for cut := int(sizes[0]); cut <= len(data); cut++ {
+		want := 0
+		for want+1 < len(sizes) && int(sizes[want+1]) <= cut {
+			want++
+		}
+		l, c, err := openCopy(t, name, data[:cut])
+		if err != nil {
+			t.Fatalf("cut at %d: %v", cut, err)
+		}
+		if len(c.Entries) != want || want > 0 && !reflect.DeepEqual(c.Entries[want-1], entry(uint64(want))) {
+			t.Fatalf("cut at %d: got %d entries, want %d", cut, len(c.Entries), want)
+		}
+		fill(t, l, uint64(want)+1, uint64(want)+2)
+		l.Close()
+		_, c, err = Open(disk.OS{}, l.dir)
+		if err != nil || len(c.Entries) != want+2 {
+			t.Fatalf("cut at %d: %d entries after reopening, %v; want %d", cut, len(c.Entries), err, want+2)
+		}
+	}
+}
+
+// Guards against silent loss of synced records: a damaged byte that is not in
+// the last record is an error that names the file and the offset.
+func TestDamageIsRefused(t *testing.T) {
+	name, data, sizes := sample(t)
+	for i := 0; i < int(sizes[3]); i++ {
+		bad := append([]byte(nil), data...)
+		bad[i] ^= 0x40
+		_, _, err := openCopy(t, name, bad)
+		if err == nil {
+			t.Fatalf("damage at %d was not noticed", i)
+		}
+		if !strings.Contains(err.Error(), name) {
+			t.Fatalf("damage at %d: error does not name the file: %v", i, err)
+		}
+		offset := 0
+		for _, s := range sizes {
+			if i >= int(s) {
+				offset = int(s)
+			}
+		}
+		if i >= int(sizes[0]) && !strings.Contains(err.Error(), fmt.Sprintf("offset %d:", offset)) {
+			t.Fatalf("damage at %d: error does not name offset %d: %v", i, offset, err)
+		}
+	}
+}
+
+// Guards against reading a later format as if it were this one.
+func TestUnknownVersionIsRefused(t *testing.T) {
+	name, data, _ := sample(t)
+	data[len(fileMagic)]++
+	_, _, err := openCopy(t, name, data)
+	if err == nil || !strings.Contains(err.Error(), "version 2 is not supported") {
+		t.Fatalf("got %v", err)
+	}
+}
+
+// Guards against retrying after a failed sync, which may report success for
+// data that is not on disk, and against a full disk that damages the log.
+func TestFailedWriteStopsTheLog(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		fail func(l *limitedFS)
+	}{
+		{"sync", func(l *limitedFS) { l.ops, l.err = 0, syscall.EIO }},
+		{"full disk", func(l *limitedFS) { l.space, l.err = 10, syscall.ENOSPC }},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			fs := &limitedFS{space: -1, ops: -1}
+			dir := t.TempDir()
+			l, err := Create(fs, dir, Contents{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			fill(t, l, 1, 3)
+			x.fail(fs)
+			err = l.Save(nil, []consensus.Entry{entry(4)})
+			if !errors.Is(err, ErrFailed) || !errors.Is(err, fs.err) {
+				t.Fatalf("got %v", err)
+			}
+			fs.space, fs.ops = -1, -1
+			if err := l.Save(nil, []consensus.Entry{entry(4)}); !errors.Is(err, ErrFailed) {
+				t.Fatalf("log was written after a failure: %v", err)
+			}
+			if err := l.Rewrite(Contents{}); !errors.Is(err, ErrFailed) {
+				t.Fatalf("log was rewritten after a failure: %v", err)
+			}
+			l.Close()
+			_, c, err := Open(disk.OS{}, dir)
+			if err != nil || len(c.Entries) < 3 || c.State.Commit != 2 {
+				t.Fatalf("reopened with %+v, %v", c, err)
+			}
+		})
+	}
+}
+
+// Guards against a crash at any point while the log moves to a new segment.
+func TestRewriteInterrupted(t *testing.T) {
+	done := false
+	for ops := 0; !done; ops++ {
+		dir := t.TempDir()
+		fs := &limitedFS{space: -1, ops: -1, err: syscall.EIO}
+		l, err := Create(fs, dir, Contents{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		fill(t, l, 1, 4)
+		fs.ops = ops
+		next := Contents{State: consensus.HardState{Term: 1, Vote: "a", Commit: 3},
+			Base: consensus.Marker{Index: 2, Term: 1}, Entries: []consensus.Entry{entry(3), entry(4)}}
+		done = l.Rewrite(next) == nil
+		l.Close()
+		if err := disk.RemoveTemp(disk.OS{}, dir); err != nil {
+			t.Fatal(err)
+		}
+		_, c, err := Open(disk.OS{}, dir)
+		if err != nil {
+			t.Fatalf("after %d operations: %v", ops, err)
+		}
+		if last := c.Entries[len(c.Entries)-1]; last.Index != 4 || c.State.Vote != "a" || c.State.Commit != 3 {
+			t.Fatalf("after %d operations: %+v", ops, c)
+		}
+	}
+}
+
+// Guards against entries of a deposed leader that survive their replacement.
+func TestEntriesAreReplaced(t *testing.T) {
+	dir := t.TempDir()
+	l, err := Create(disk.OS{}, dir, Contents{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	fill(t, l, 1, 5)
+	e := consensus.Entry{Index: 3, Term: 2}
+	if err := l.Save(nil, []consensus.Entry{e}); err != nil {
+		t.Fatal(err)
+	}
+	l.Close()
+	_, c, err := Open(disk.OS{}, dir)
+	if err != nil || len(c.Entries) != 3 || c.Entries[2].Term != 2 {
+		t.Fatalf("got %+v, %v", c, err)
+	}
+}
