replica: test failures, repair and linearizability; fix stuck catch-up

Cause: the replica had no tests of failures. The leader now looks first whether it still has the entries.

Conclusion: catch-up does not depend on the order of truncation and loss.

--- a/store/consensus/leader.go
+++ b/store/consensus/leader.go
@@ -116,14 +116,14 @@
 func (c *Core) sendEntries(now time.Time, id ID, p *progress) bool {
 	sent := false
 	for p.next <= c.log.last().Index && p.state != stateSnapshot {
-		if p.waiting || len(p.inflight) >= c.cfg.MaxInflight {
-			break
-		}
 		t, ok := c.log.term(p.next - 1)
-		if !ok {
+		if !ok { // even if appends are unanswered: their entries may be lost and are dropped here
 			c.startSnapshot(now, id, p)
 			break
 		}
+		if p.waiting || len(p.inflight) >= c.cfg.MaxInflight {
+			break
+		}
 		es := c.log.from(p.next, c.log.last().Index, c.cfg.MaxBatchBytes)
 		c.send(Message{
 			Kind: MsgAppend, To: id, Index: p.next - 1, LogTerm: t,
--- a/store/consensus/rules_test.go
+++ b/store/consensus/rules_test.go
@@ -193,3 +193,33 @@
 		t.Fatalf("last %d, commit %d, want 4 and 3", c.log.last().Index, c.commit)
 	}
 }
+
+// Guards against a replica that is never brought up to date: it went away with
+// as many appends unanswered as flow control permits, and their entries were
+// then dropped from the leader's log.
+func TestTruncatedWhileWindowIsFull(t *testing.T) {
+	c, now := lone(t, HardState{Term: 2, Commit: 1}, 2)
+	now = lead(t, c, now)
+	from(t, c, now, "n3", Message{Kind: MsgAppendReply, Term: c.term, Index: 3})
+	for range 8 {
+		if _, err := c.Propose(now, []byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	last := c.log.last()
+	c.Take()
+	c.Persisted(now, last)
+	from(t, c, now, "n2", Message{Kind: MsgAppendReply, Term: c.term, Index: last.Index})
+	if n := len(c.lead.peers["n3"].inflight); c.commit != last.Index || n != c.cfg.MaxInflight {
+		t.Fatalf("commit %d, %d unanswered", c.commit, n)
+	}
+	if err := c.Compact(SnapshotMeta{Last: last, Membership: c.members}, last.Index); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := c.Propose(now, []byte("y")); err != nil {
+		t.Fatal(err)
+	}
+	if c.lead.peers["n3"].state != stateSnapshot {
+		t.Fatal("no snapshot is sent")
+	}
+}
--- /dev/null
+++ b/store/replica/group_test.go
@@ -0,0 +1,205 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"gooseberrypond/store/consensus"
+	"gooseberrypond/store/disk"
+)
+
+// memNet is a network in memory that can delay, lose and duplicate messages.
+type memNet struct {
+	mu    sync.Mutex
+	nodes map[string]func(from string, ms []consensus.Message)
+	side  map[string]int // partition of each replica
+	loss  float64
+	delay time.Duration
+}
+
+func newMemNet() *memNet {
+	return &memNet{nodes: map[string]func(string, []consensus.Message){}, side: map[string]int{}}
+}
+
+// change runs f with the network locked.
+func (n *memNet) change(f func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	f()
+}
+
+type endpoint struct {
+	net *memNet
+	id  string
+}
+
+func (e *endpoint) Start(deliver func(string, []consensus.Message)) error {
+	e.net.change(func() { e.net.nodes[e.id] = deliver })
+	return nil
+}
+
+func (e *endpoint) Close() error {
+	e.net.change(func() { delete(e.net.nodes, e.id) })
+	return nil
+}
+
+func (e *endpoint) Send(to, _ string, ms []consensus.Message) {
+	n := e.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for copies := 1; copies > 0; copies-- {
+		if n.loss > 0 && rand.Float64() < n.loss {
+			continue
+		}
+		if n.loss > 0 && rand.Float64() < 0.05 {
+			copies++
+		}
+		time.AfterFunc(time.Duration(rand.Int64N(int64(n.delay)+1)), func() { n.hand(e.id, to, ms) })
+	}
+}
+
+func (n *memNet) hand(from, to string, ms []consensus.Message) {
+	n.mu.Lock()
+	deliver := n.nodes[to]
+	cut := n.side[from] != n.side[to]
+	n.mu.Unlock()
+	if deliver != nil && !cut {
+		deliver("", ms)
+	}
+}
+
+// testGroup is a group of replicas in one process.
+type testGroup struct {
+	t       testing.TB
+	ctx     context.Context
+	net     *memNet
+	dir     string
+	members []Member
+	config  func(*Config)
+
+	mu sync.Mutex
+	rs map[string]*Replica
+}
+
+func newTestGroup(t testing.TB, n int, config func(*Config)) *testGroup {
+	g := &testGroup{t: t, ctx: testContext(t), net: newMemNet(), dir: t.TempDir(), rs: map[string]*Replica{}, config: config}
+	for i := range n {
+		g.members = append(g.members, Member{ID: fmt.Sprint("c", i+1)})
+	}
+	for _, m := range g.members {
+		g.start(m.ID, g.members)
+	}
+	t.Cleanup(func() {
+		for _, r := range g.running() {
+			r.Close()
+		}
+	})
+	return g
+}
+
+func (g *testGroup) start(id string, members []Member) *Replica {
+	g.t.Helper()
+	cfg := Config{
+		ID: id, ClusterID: "test", Dir: filepath.Join(g.dir, id), Members: members,
+		StateMachine: newRegister(), Transport: &endpoint{g.net, id},
+	}
+	if g.config != nil {
+		g.config(&cfg)
+	}
+	r, err := Open(cfg)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.rs[id] = r
+	return r
+}
+
+func (g *testGroup) stop(id string) {
+	g.mu.Lock()
+	r := g.rs[id]
+	delete(g.rs, id)
+	g.mu.Unlock()
+	if r != nil {
+		r.Close()
+	}
+}
+
+func (g *testGroup) running() []*Replica {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []*Replica
+	for _, r := range g.rs {
+		out = append(out, r)
+	}
+	return out
+}
+
+func (g *testGroup) leader() *Replica { return awaitLeader(g.ctx, g.t, g.running()) }
+
+// write proposes until a leader takes it.
+func (g *testGroup) write(v int) {
+	g.t.Helper()
+	var err error
+	for g.ctx.Err() == nil {
+		if _, err = g.leader().Propose(g.ctx, write(v)); err == nil {
+			return
+		}
+	}
+	g.t.Fatal(err)
+}
+
+// retry repeats an operation on the leader until it succeeds.
+func (g *testGroup) retry(what string, f func(l *Replica) error) {
+	g.t.Helper()
+	await(g.ctx, g.t, what, func() bool { return f(g.leader()) == nil })
+}
+
+// awaitApplied waits until the replica has applied all that the leader has.
+func (g *testGroup) awaitApplied(r *Replica) {
+	g.t.Helper()
+	target := g.leader().AppliedIndex()
+	await(g.ctx, g.t, "apply on "+r.cfg.ID, func() bool { return r.AppliedIndex() >= target })
+}
+
+// failingFS fails writes or syncs of the log when told to.
+type failingFS struct {
+	disk.OS
+	mu  sync.Mutex
+	err error
+}
+
+func (f *failingFS) set(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.err = err
+}
+
+func (f *failingFS) get() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.err
+}
+
+func (f *failingFS) Create(path string) (disk.File, error) {
+	file, err := f.OS.Create(path)
+	return &failingFile{file, f}, err
+}
+
+type failingFile struct {
+	disk.File
+	fs *failingFS
+}
+
+func (f *failingFile) Sync() error {
+	if err := f.fs.get(); err != nil {
+		return err
+	}
+	return f.File.Sync()
+}
--- /dev/null
+++ b/store/replica/linear_test.go
@@ -0,0 +1,121 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/cockroachdb/errors"
+)
+
+// registerOp is a write of value, or a read if write is not set.
+type registerOp struct {
+	write bool
+	value int
+}
+
+var registerModel = porcupine.Model{
+	Init: func() any { return 0 },
+	Step: func(state, in, out any) (bool, any) {
+		op := in.(registerOp)
+		if op.write {
+			return true, op.value
+		}
+		return out == state, state
+	},
+}
+
+// history records what clients did.
+type history struct {
+	mu    sync.Mutex
+	start time.Time
+	ops   []porcupine.Operation
+}
+
+func (h *history) now() int64 { return int64(time.Since(h.start)) }
+
+// add records an operation; one with an unknown outcome may take effect at any
+// time after its call.
+func (h *history) add(client int, op registerOp, call int64, out int, known bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	end := int64(1 << 60)
+	if known {
+		end = h.now()
+	}
+	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: op, Call: call, Output: out, Return: end})
+}
+
+// Guards against stale reads, lost writes and writes that take effect after
+// they were refused, while leaders are killed and cut off and messages are lost.
+// The verdict depends on the order of events alone.
+func TestLinearizable(t *testing.T) {
+	g := newTestGroup(t, 3, func(c *Config) { c.SnapshotEntries = 20 })
+	g.net.change(func() { g.net.loss, g.net.delay = 0.02, 5*time.Millisecond })
+	h := &history{start: time.Now()}
+	var clients sync.WaitGroup
+	stop := make(chan struct{})
+	for c := range 5 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			client(g, h, c, stop)
+		}()
+	}
+	for range 6 {
+		fault(g)
+	}
+	close(stop)
+	clients.Wait()
+	t.Logf("%d operations", len(h.ops))
+	switch porcupine.CheckOperationsTimeout(registerModel, h.ops, hangLimit) {
+	case porcupine.Illegal:
+		t.Fatal("history is not linearizable")
+	case porcupine.Unknown:
+		t.Fatal("history was not checked within the time limit")
+	}
+}
+
+// fault kills or cuts off the leader, waits for another one, and undoes it.
+func fault(g *testGroup) {
+	id := g.leader().cfg.ID
+	if rand.IntN(2) == 0 {
+		g.stop(id)
+		g.leader()
+		g.start(id, g.members)
+		return
+	}
+	g.net.change(func() { g.net.side[id] = 1 })
+	await(g.ctx, g.t, "another leader", func() bool { return g.leader().cfg.ID != id })
+	g.net.change(func() { g.net.side[id] = 0 })
+}
+
+func client(g *testGroup, h *history, c int, stop chan struct{}) {
+	for n := 1; ; n++ {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(rand.IntN(20)) * time.Millisecond):
+		}
+		rs := g.running()
+		if len(rs) == 0 {
+			continue
+		}
+		r := rs[rand.IntN(len(rs))]
+		ctx, cancel := context.WithTimeout(g.ctx, 2*time.Second)
+		call := h.now()
+		if rand.IntN(2) == 0 {
+			op := registerOp{write: true, value: c*1_000_000 + n}
+			_, err := r.Propose(ctx, write(op.value))
+			if err == nil || errors.Is(err, ErrLost) {
+				h.add(c, op, call, 0, err == nil)
+			}
+		} else if r.ReadBarrier(ctx) == nil {
+			h.add(c, registerOp{}, call, r.cfg.StateMachine.(*register).get(), true)
+		}
+		cancel()
+	}
+}
