--- a/store/consensus/leader.go
+++ b/store/consensus/leader.go
@@ -116,10 +116,8 @@
 func (c *Core) sendEntries(now time.Time, id ID, p *progress) bool {
 	sent := false
 	for p.next <= c.log.last().Index && p.state != stateSnapshot {
-		// Checked before flow control: a peer that went away with a full window
-		// answers nothing that would free it.
 		t, ok := c.log.term(p.next - 1)
-		if !ok {
+		if !ok { // even if appends are unanswered: their entries may be lost and are dropped here
 			c.startSnapshot(now, id, p)
 			break
 		}
