Test repair after losses, a cut-off worker, operator requests and certificates

Cause: a second loss just after a repair, a worker that is cut off, bad operator requests and renewed certificates had no test.

--- /dev/null
+++ b/host/config/tls_test.go
@@ -0,0 +1,84 @@
+package config
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"encoding/pem"
+	"math/big"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// writeCert writes a self-signed certificate with the serial number.
+func writeCert(t *testing.T, files TLS, serial int64, changed time.Time) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	template := &x509.Certificate{SerialNumber: big.NewInt(serial), NotAfter: time.Now().Add(time.Hour)}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for file, block := range map[string]*pem.Block{files.CertFile: {Type: "CERTIFICATE", Bytes: der}, files.KeyFile: {Type: "PRIVATE KEY", Bytes: raw}} {
+		if err := os.WriteFile(file, pem.EncodeToMemory(block), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Chtimes(file, changed, changed); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// Guards against a renewed certificate that needs a restart, and against a
+// half-written file that stops service.
+func TestCertificateIsReadAgain(t *testing.T) {
+	folder := t.TempDir()
+	files := TLS{CertFile: filepath.Join(folder, "cert.pem"), KeyFile: filepath.Join(folder, "key.pem")}
+	now := time.Now()
+	writeCert(t, files, 1, now)
+	src := &certSource{files: files}
+	serial := func() int64 {
+		t.Helper()
+		src.checked = time.Time{} // the check is due
+		cert, err := src.get()
+		if err != nil {
+			t.Fatal(err)
+		}
+		leaf, err := x509.ParseCertificate(cert.Certificate[0])
+		if err != nil {
+			t.Fatal(err)
+		}
+		return leaf.SerialNumber.Int64()
+	}
+	if got := serial(); got != 1 {
+		t.Errorf("serial %d", got)
+	}
+	writeCert(t, files, 2, now.Add(time.Minute))
+	if got := serial(); got != 2 {
+		t.Errorf("serial %d after renewal", got)
+	}
+	if err := os.WriteFile(files.CertFile, []byte("half"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if got := serial(); got != 2 {
+		t.Errorf("serial %d with a half-written file", got)
+	}
+	files.CAFile = files.KeyFile // no certificate in it
+	if _, err := files.ServerConfig(); err == nil {
+		t.Error("files without certificates are accepted")
+	}
+	var none TLS
+	if cfg, err := none.PeerConfig(); cfg != nil || err != nil {
+		t.Errorf("without TLS: %v, %v", cfg, err)
+	}
+}
--- a/host/localcluster/cluster.go
+++ b/host/localcluster/cluster.go
@@ -35,6 +35,8 @@
 	Ledger *standin.Ledger
 
 	log     zerolog.Logger
+	folder  string
+	net     string
 	cut     []*atomic.Bool
 	clients []*rpc.Client
 	ctx     context.Context
@@ -54,7 +56,7 @@
 
 // Start starts all hosts.
 func Start(o Options) (*Cluster, error) {
-	c := &Cluster{Nodes: make([]*node.Node, o.Control+o.Entry), Ledger: standin.NewLedger(), log: o.Log}
+	c := &Cluster{Nodes: make([]*node.Node, o.Control+o.Entry), Ledger: standin.NewLedger(), log: o.Log, folder: o.Folder}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.settings(o)
 	for i := range c.Settings {
@@ -70,35 +72,61 @@
 // settings makes the settings of all hosts. Addresses outside 127.0.0.x with
 // fixed ports cannot meet ports that the system hands out to other programs.
 func (c *Cluster) settings(o Options) {
-	net := fmt.Sprintf("127.%d.%d", 64+rand.IntN(64), rand.IntN(256))
+	c.net = fmt.Sprintf("127.%d.%d", 64+rand.IntN(64), rand.IntN(256))
 	both := []config.Role{config.RoleControl, config.RoleEntry}
 	var hosts []config.Host
 	for i := range o.Control + o.Entry {
 		h := config.Host{ID: fmt.Sprintf("h%d", i+1), Roles: []config.Role{config.RoleEntry}}
 		if i < o.Control {
 			h.Roles, h.Replica = both, uint64(i+1)
-			h.Peer, h.Control = fmt.Sprintf("%s.%d:7405", net, i+1), fmt.Sprintf("%s.%d:7406", net, i+1)
+			h.Peer, h.Control = c.address(i, 7405), c.address(i, 7406)
 		}
 		hosts = append(hosts, h)
 	}
 	for i, h := range hosts {
-		l := func(port int) config.Listener {
-			return config.Listener{Address: fmt.Sprintf("%s.%d:%d", net, i+1, port)}
-		}
-		s := &config.Settings{
-			ClusterID: "local", HostID: h.ID, Roles: h.Roles, FailureDomain: fmt.Sprintf("d%d", i%3+1), Region: "r",
-			Hosts: hosts, Limits: config.DefaultLimits(),
-			Listeners: config.Listeners{Caller: l(7401), Upstream: l(7402), Platform: l(7403), Operator: l(7404), Health: l(7407)},
-		}
-		if i < o.Control {
-			s.DataFolder = filepath.Join(o.Folder, h.ID)
-			s.Listeners.Peer, s.Listeners.Control = l(7405), l(7406)
-		}
-		if o.SnapshotEntries > 0 {
-			s.Limits.SnapshotEntries = o.SnapshotEntries
-		}
-		c.Settings = append(c.Settings, s)
+		c.Settings = append(c.Settings, c.hostSettings(i, h, hosts, o.SnapshotEntries))
+	}
+}
+
+// address is the address of a host's listener.
+func (c *Cluster) address(i, port int) string { return fmt.Sprintf("%s.%d:%d", c.net, i+1, port) }
+
+func (c *Cluster) hostSettings(i int, h config.Host, hosts []config.Host, snapshotEntries int) *config.Settings {
+	l := func(port int) config.Listener { return config.Listener{Address: c.address(i, port)} }
+	s := &config.Settings{
+		ClusterID: "local", HostID: h.ID, Roles: h.Roles, FailureDomain: fmt.Sprintf("d%d", i%3+1), Region: "r",
+		Hosts: hosts, Limits: config.DefaultLimits(),
+		Listeners: config.Listeners{Platform: l(7403), Operator: l(7404), Health: l(7407)},
+	}
+	if s.Has(config.RoleEntry) {
+		s.Listeners.Caller, s.Listeners.Upstream = l(7401), l(7402)
+	}
+	if s.Has(config.RoleControl) {
+		s.DataFolder = filepath.Join(c.folder, h.ID)
+		s.Listeners.Peer, s.Listeners.Control = l(7405), l(7406)
+	}
+	if snapshotEntries > 0 {
+		s.Limits.SnapshotEntries = snapshotEntries
+	}
+	return s
+}
+
+// Join starts a new control host with an empty folder and a replica id that
+// was never used, and returns its number. It waits to be added as a member.
+func (c *Cluster) Join() (int, error) {
+	i := len(c.Settings)
+	h := config.Host{
+		ID: fmt.Sprintf("h%d", i+1), Roles: []config.Role{config.RoleControl}, Joining: true,
+		Replica: uint64(i + 1), Peer: c.address(i, 7405), Control: c.address(i, 7406),
+	}
+	hosts := append(append([]config.Host(nil), c.Settings[0].Hosts...), h)
+	for _, s := range c.Settings {
+		s.Hosts = hosts
 	}
+	c.Settings = append(c.Settings, c.hostSettings(i, h, hosts, c.Settings[0].Limits.SnapshotEntries))
+	c.Nodes = append(c.Nodes, nil)
+	c.cut = append(c.cut, new(atomic.Bool))
+	return i, c.StartHost(i)
 }
 
 // StartHost starts a host, also again after Kill.
