Run the leader's core with the scheduler and shares of limits

Cause: the core took its scheduler and shares only from outside. Half of the random runs use package sched instead of first fit.

--- a/core/leader/core.go
+++ b/core/leader/core.go
@@ -9,7 +9,9 @@
 	"slices"
 	"time"
 
+	"gooseberrypond/core/grant"
 	"gooseberrypond/core/lease"
+	"gooseberrypond/core/sched"
 	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
@@ -28,8 +30,9 @@
 	noteInterval = 5 * time.Second
 )
 
-// LiveView tells which workers may be offered new work.
-type LiveView interface {
+// LiveView tells which workers may be offered new work. It is an alias, so
+// that package sched can name the same type without this package.
+type LiveView = interface {
 	Live(worker structs.WorkerID) bool
 }
 
@@ -74,6 +77,11 @@
 	nextExpire time.Time
 }
 
+// New returns the core of a leader elected at now.
+func New(now time.Time, t *state.Tables, entryHosts []string) *Core {
+	return NewWith(now, t, entryHosts, sched.New(sched.Options{}), grant.New(now, entryHosts))
+}
+
 // NewWith returns the core of a leader elected at now that uses the given
 // scheduler and shares of limits.
 func NewWith(now time.Time, t *state.Tables, entryHosts []string, sched Scheduler, grants Grants) *Core {
--- a/core/leader/fakes_test.go
+++ b/core/leader/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gooseberrypond/core/sched"
 	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
@@ -23,6 +24,19 @@
 
 func (s *firstFit) Explain(*state.Tables, structs.JobID) []string { return nil }
 
+// realSched is package sched with evictions that a test adds.
+type realSched struct {
+	*sched.Scheduler
+	fake *firstFit
+}
+
+func (s realSched) Plan(now time.Time, nowMS int64, t *state.Tables, live LiveView) *structs.Plan {
+	p := s.Scheduler.Plan(now, nowMS, t, live)
+	p.Evict = append(p.Evict, s.fake.evict...)
+	s.fake.evict = nil
+	return p
+}
+
 func (s *firstFit) Plan(_ time.Time, nowMS int64, t *state.Tables, live LiveView) *structs.Plan {
 	p := &structs.Plan{Evict: s.evict}
 	s.evict = nil
--- a/core/leader/sim_test.go
+++ b/core/leader/sim_test.go
@@ -12,6 +12,7 @@
 
 	"pgregory.net/rapid"
 
+	"gooseberrypond/core/sched"
 	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
@@ -28,6 +29,7 @@
 	index   uint64
 	core    *Core
 	sched   *firstFit
+	real    bool
 	queue   []*structs.Command
 	workers []*simWorker
 	reqs    []*structs.WorkerSync
@@ -60,6 +62,7 @@
 		checkpoint: map[structs.TaskID]string{}, fresh: map[structs.TaskID]int{}, finished: map[structs.TaskID]int{},
 		jobs: map[string]structs.JobID{}, occurrence: map[structs.JobID]int64{}, changes: map[string]*structs.ChangeResult{},
 	}
+	s.real = rapid.Bool().Draw(rt, "package sched")
 	s.elect()
 	s.apply(&structs.Command{PutCatalogue: &structs.PutCatalogue{ChangeID: "c0", Catalogue: testCatalogue()}})
 	for i := range 4 {
@@ -78,7 +81,11 @@
 	s.queue = nil
 	// Syncs that were meant for the former leader reach the new one late.
 	s.reqs = append(s.reqs, s.past[max(0, len(s.past)-8*s.rnd.Intn(3)):]...)
-	s.core = NewWith(s.now, s.t, nil, s.sched, newNoGrants())
+	var scheduler Scheduler = s.sched
+	if s.real {
+		scheduler = realSched{sched.New(sched.Options{}), s.sched}
+	}
+	s.core = NewWith(s.now, s.t, nil, scheduler, newNoGrants())
 }
 
 func (s *sim) commit() {
