--- a/core/grant/target.go
+++ b/core/grant/target.go
@@ -55,7 +55,7 @@
 // hosts that have the remainder.
 func (l *limit) floor(index int) int {
 	n := len(l.shares)
-	total := l.capacity / floorDivisor
+	total := max(l.capacity/floorDivisor, min(l.capacity, 1))
 	f := total / n
 	if (index+l.rotation)%n < total%n {
 		f++
--- a/core/route/admit.go
+++ b/core/route/admit.go
@@ -14,9 +14,10 @@
 	queueTimeShare = 2
 	// maxRateWait is the longest wait for a token of the owner's rate.
 	maxRateWait = time.Second
-	// grantWait is the expected time until more is granted: a sync to report
-	// the demand and one more where another host must first give back.
-	grantWait = 2 * structs.EntrySyncInterval
+	// grantWait is the expected time until a host without a share gets one: a
+	// sync that does not wait for its period. Where other hosts must give back
+	// first it takes longer; then the bound on the time in the queue applies.
+	grantWait = structs.EntrySyncInterval / 4
 )
 
 // Admit takes a new request: it starts, is queued, or is refused as not run.
--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -102,8 +102,9 @@
 	return a
 }
 
-// limit is the number of requests that this host may have at the upstream.
-func (u *upstream) limit() int { return min(u.grant, u.connCap) }
+// limit is the number of requests that this host may have at the upstream. An
+// upstream with fewer connections than entry hosts gets one at a time.
+func (u *upstream) limit() int { return min(u.grant, max(u.connCap, 1)) }
 
 // eligible reports whether the upstream may get new requests.
 func (u *upstream) eligible(now time.Time) bool {
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -58,7 +58,8 @@
 	Action   Action
 	Ticket   Ticket
 	Upstream structs.Upstream
-	// Connections is the most connections this host may open to Upstream.
+	// Connections is the most connections this host may keep open to Upstream.
+	// With 0 it may open one and must close it after the attempt.
 	Connections int
 	// Deadline is when the request ends.
 	Deadline time.Time
--- a/core/route/sync.go
+++ b/core/route/sync.go
@@ -80,7 +80,7 @@
 	for name, u := range r.upstreams {
 		demand := u.inUse
 		if u.eligible(now) {
-			demand = max(demand, min(u.wanted, u.connCap))
+			demand = max(demand, min(u.wanted, max(u.connCap, 1)))
 		}
 		hold(req, structs.GrantUpstream, name, max(u.grant, u.inUse), demand)
 	}
--- /dev/null
+++ b/host/edge/caller/caller.go
@@ -0,0 +1,218 @@
+// Package caller is the HTTP interface of callers:
+//
+//	ANY  /v1/run/{entry}/{path}     routed to an upstream of the entry
+//	POST /v1/jobs                   structs.JobSpec -> structs.SubmitResult (201, or 200 for an existing job)
+//	GET  /v1/jobs?after=ID&limit=N  []structs.Job
+//	GET  /v1/jobs/{id}?wait=10s     structs.JobView
+//	POST /v1/jobs/{id}/cancel
+//	GET  /v1/jobs/{id}/explain      []string
+//
+// Every request carries the header "Authorization: Bearer TOKEN" and acts for
+// the token's owner alone. Jobs and entries of other owners do not exist for it.
+package caller
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/core/structs"
+	"gooseberrypond/host/edge/web"
+	"gooseberrypond/host/entry"
+	"gooseberrypond/host/rpc"
+)
+
+const (
+	// maxKey is the longest idempotency key in bytes.
+	maxKey = 256
+	// maxJob bounds the body of a submission, in bytes.
+	maxJob = 1 << 20
+	// maxWait is the longest time for which a job may be waited for.
+	maxWait = 30 * time.Second
+	// maxPage is the largest number of jobs in one list.
+	maxPage = 1000
+)
+
+// Entry is what the adapter needs of the entry role.
+type Entry interface {
+	Authenticate(token string) (owner string, err error)
+	Run(ctx context.Context, w http.ResponseWriter, req *entry.Request) error
+}
+
+// Jobs is what the adapter needs of the control hosts.
+type Jobs interface {
+	Submit(ctx context.Context, job structs.SubmitJob) (structs.SubmitResult, error)
+	Cancel(ctx context.Context, c structs.CancelJob) error
+	GetJob(ctx context.Context, q rpc.GetJob) (*structs.JobView, error)
+	ListJobs(ctx context.Context, q rpc.ListJobs) ([]structs.Job, error)
+	Explain(ctx context.Context, q rpc.Explain) ([]string, error)
+}
+
+// Options configure the adapter.
+type Options struct {
+	// MaxBody bounds the body of a routed request, in bytes; 0 means 1 MiB.
+	MaxBody int64
+	Log     zerolog.Logger
+}
+
+type server struct {
+	entry Entry
+	jobs  Jobs
+	opts  Options
+}
+
+// owned is a handler for an authenticated owner.
+type owned func(w http.ResponseWriter, r *http.Request, owner string) error
+
+// Handler returns the callers' interface.
+func Handler(e Entry, jobs Jobs, opts Options) http.Handler {
+	if opts.MaxBody == 0 {
+		opts.MaxBody = 1 << 20
+	}
+	s := &server{entry: e, jobs: jobs, opts: opts}
+	mux := http.NewServeMux()
+	mux.Handle("POST /v1/jobs", s.authenticated(s.submit))
+	mux.Handle("GET /v1/jobs", s.authenticated(s.list))
+	mux.Handle("GET /v1/jobs/{id}", s.authenticated(s.get))
+	mux.Handle("POST /v1/jobs/{id}/cancel", s.authenticated(s.cancel))
+	mux.Handle("GET /v1/jobs/{id}/explain", s.authenticated(s.explain))
+	run := s.authenticated(s.run)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		// Before the mux, which redirects paths that it would write differently.
+		if strings.HasPrefix(r.URL.EscapedPath(), runPrefix) {
+			run.ServeHTTP(w, r)
+			return
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// authenticated finds the owner of the request's token and answers errors.
+func (s *server) authenticated(next owned) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		if !ok || token == "" {
+			web.WriteError(w, structs.Errorf(structs.CodeUnauthorized, "caller", "a bearer token is needed").WithOutcome(structs.OutcomeNotRun))
+			return
+		}
+		owner, err := s.entry.Authenticate(token)
+		if err == nil {
+			err = next(w, r, owner)
+		}
+		if err != nil {
+			s.opts.Log.Debug().Err(err).Str("owner", owner).Str("method", r.Method).Msg("request refused")
+			web.WriteError(w, certain(err))
+		}
+	})
+}
+
+// certain sets the outcome of errors that leave it open.
+func certain(err error) error {
+	var e *structs.Error
+	if !errors.As(err, &e) || e.Outcome != "" {
+		return err
+	}
+	switch e.Code {
+	case structs.CodeBadRequest, structs.CodeUnauthorized, structs.CodeNotFound, structs.CodeKeyReused, structs.CodeTooLarge,
+		structs.CodeQueueFull, structs.CodeQuota, structs.CodeNotLeader:
+		return e.WithOutcome(structs.OutcomeNotRun)
+	}
+	return e.WithOutcome(structs.OutcomeUnknown)
+}
+
+func (s *server) submit(w http.ResponseWriter, r *http.Request, owner string) error {
+	key, err := idempotencyKey(r)
+	if err != nil {
+		return err
+	}
+	if key == "" {
+		return web.BadRequest("header %s is needed", entry.HeaderKey)
+	}
+	var spec structs.JobSpec
+	if err := web.ReadJSON(w, r, maxJob, &spec); err != nil {
+		return err
+	}
+	res, err := s.jobs.Submit(r.Context(), structs.SubmitJob{Owner: owner, Key: key, Spec: spec})
+	switch {
+	case err != nil:
+		return err
+	case res.Error != nil:
+		return res.Error
+	case res.Existing:
+		web.WriteJSON(w, http.StatusOK, res)
+	default:
+		web.WriteJSON(w, http.StatusCreated, res)
+	}
+	return nil
+}
+
+func (s *server) list(w http.ResponseWriter, r *http.Request, owner string) error {
+	q := rpc.ListJobs{Owner: owner, After: structs.JobID(r.URL.Query().Get("after"))}
+	if text := r.URL.Query().Get("limit"); text != "" {
+		n, err := strconv.Atoi(text)
+		if err != nil || n < 1 || n > maxPage {
+			return web.BadRequest("limit %q is not a number from 1 to %d", text, maxPage)
+		}
+		q.Limit = n
+	}
+	jobs, err := s.jobs.ListJobs(r.Context(), q)
+	if err != nil {
+		return err
+	}
+	if jobs == nil {
+		jobs = []structs.Job{}
+	}
+	web.WriteJSON(w, http.StatusOK, jobs)
+	return nil
+}
+
+func (s *server) get(w http.ResponseWriter, r *http.Request, owner string) error {
+	q := rpc.GetJob{Owner: owner, Job: structs.JobID(r.PathValue("id"))}
+	if text := r.URL.Query().Get("wait"); text != "" {
+		wait, err := time.ParseDuration(text)
+		if err != nil || wait < 0 {
+			return web.BadRequest("wait %q is not a duration such as 10s", text)
+		}
+		q.WaitMS = min(wait, maxWait).Milliseconds()
+	}
+	view, err := s.jobs.GetJob(r.Context(), q)
+	if err != nil {
+		return err
+	}
+	web.WriteJSON(w, http.StatusOK, view)
+	return nil
+}
+
+func (s *server) cancel(w http.ResponseWriter, r *http.Request, owner string) error {
+	if err := s.jobs.Cancel(r.Context(), structs.CancelJob{Owner: owner, Job: structs.JobID(r.PathValue("id"))}); err != nil {
+		return err
+	}
+	web.WriteJSON(w, http.StatusOK, struct{}{})
+	return nil
+}
+
+func (s *server) explain(w http.ResponseWriter, r *http.Request, owner string) error {
+	lines, err := s.jobs.Explain(r.Context(), rpc.Explain{Owner: owner, Job: structs.JobID(r.PathValue("id"))})
+	if err != nil {
+		return err
+	}
+	if lines == nil {
+		lines = []string{}
+	}
+	web.WriteJSON(w, http.StatusOK, lines)
+	return nil
+}
+
+// idempotencyKey returns the request's key, or "".
+func idempotencyKey(r *http.Request) (string, error) {
+	key := r.Header.Get(entry.HeaderKey)
+	if len(key) > maxKey {
+		return "", web.BadRequest("%s is over %d bytes", entry.HeaderKey, maxKey)
+	}
+	return key, nil
+}
--- /dev/null
+++ b/host/edge/caller/run.go
@@ -0,0 +1,98 @@
+package caller
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"gooseberrypond/core/structs"
+	"gooseberrypond/host/edge/web"
+	"gooseberrypond/host/entry"
+)
+
+// runPrefix is the path of routed requests.
+const runPrefix = "/v1/run/"
+
+// run reads a routed request as a whole and hands it to the entry role.
+func (s *server) run(w http.ResponseWriter, r *http.Request, owner string) error {
+	req, err := parseRun(r, owner)
+	if err != nil {
+		return err
+	}
+	if req.Body, err = s.readBody(w, r); err != nil {
+		return err
+	}
+	return s.entry.Run(r.Context(), w, req)
+}
+
+// parseRun takes the request apart, without its body.
+func parseRun(r *http.Request, owner string) (*entry.Request, error) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), runPrefix), "/")
+	name, nameErr := url.PathUnescape(name)
+	raw := "/" + rest
+	path, pathErr := url.PathUnescape(raw)
+	if nameErr != nil || pathErr != nil || name == "" {
+		return nil, web.BadRequest("the path must be %s{entry}/{path}", runPrefix)
+	}
+	req := &entry.Request{
+		Owner: owner, Entry: name,
+		Method: r.Method, Path: path, RawPath: raw, RawQuery: r.URL.RawQuery, Host: r.Host, Header: r.Header,
+	}
+	var err error
+	if req.Key, err = idempotencyKey(r); err != nil {
+		return nil, err
+	}
+	if req.Idempotent, err = idempotent(r); err != nil {
+		return nil, err
+	}
+	req.Timeout, err = timeout(r)
+	return req, err
+}
+
+// idempotent reads X-Idempotent; the default depends on the method.
+func idempotent(r *http.Request) (bool, error) {
+	switch text := r.Header.Get(entry.HeaderIdempotent); text {
+	case "true":
+		return true, nil
+	case "false":
+		return false, nil
+	case "":
+		return r.Method == http.MethodGet || r.Method == http.MethodHead || r.Method == http.MethodOptions, nil
+	default:
+		return false, web.BadRequest("%s is %q; allowed are true and false", entry.HeaderIdempotent, text)
+	}
+}
+
+// timeout reads X-Timeout-Ms; 0 means the default of the entry.
+func timeout(r *http.Request) (time.Duration, error) {
+	text := r.Header.Get(entry.HeaderTimeout)
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || ms < 1 {
+		return 0, web.BadRequest("%s is %q; it must be a whole number of milliseconds from 1", entry.HeaderTimeout, text)
+	}
+	return min(time.Duration(ms)*time.Millisecond, structs.RequestTimeoutMax), nil
+}
+
+// readBody reads the body. It is complete before anything is sent, so a
+// caller that breaks off in the middle has run nothing.
+func (s *server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opts.MaxBody))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, structs.Errorf(structs.CodeTooLarge, "caller.run", "body is over %d bytes", s.opts.MaxBody).WithOutcome(structs.OutcomeNotRun)
+	}
+	if err != nil {
+		return nil, web.BadRequest("body: %v", err)
+	}
+	return body, nil
+}
--- a/host/entry/answer.go
+++ b/host/entry/answer.go
@@ -97,13 +97,10 @@
 		if gone && req.Idempotent {
 			return errCallerGone
 		}
-		switch {
-		case err == io.EOF && gone:
-			rec.complete()
-			return errCallerGone
-		case err == io.EOF:
+		if err == io.EOF {
 			return nil
-		case err != nil:
+		}
+		if err != nil {
 			return err
 		}
 	}
--- a/host/entry/claim.go
+++ b/host/entry/claim.go
@@ -20,7 +20,7 @@
 	// that a resend with the same key finds it free.
 	releaseWait = 500 * time.Millisecond
 	// completeTimeout bounds the attempts to record an outcome.
-	completeTimeout = 10 * time.Second
+	completeTimeout = 5 * time.Second
 	// completePause is the wait between such attempts.
 	completePause = 200 * time.Millisecond
 )
@@ -81,8 +81,8 @@
 	h.claimOpened()
 	res, err := h.claim(req, claim)
 	if err != nil {
-		// The claim may be in the log and nothing is sent: release it.
-		h.record(complete(claim, nil, true))
+		// The claim may get into the log yet and nothing is sent: release it.
+		h.record(complete(claim, nil, true), true)
 		return err
 	}
 	if !res.Claimed {
@@ -126,6 +126,10 @@
 	if !errors.As(err, &e) {
 		e = structs.Errorf(structs.CodeNoLeader, "entry.claim", "%v", err)
 	}
+	if e.Code == structs.CodeKeyReused || e.Code == structs.CodeBadRequest {
+		// The log has no request like this one under the key.
+		return structs.Result{}, e.WithOutcome(structs.OutcomeNotRun)
+	}
 	e = e.WithOutcome(structs.OutcomeUnknown)
 	if e.RetryAfterMS == 0 {
 		e.RetryAfterMS = structs.ElectionTimeoutMax.Milliseconds()
@@ -138,9 +142,9 @@
 	var e *structs.Error
 	switch {
 	case errors.As(err, &e) && e.Outcome == structs.OutcomeNotRun:
-		wait(h.record(complete(claim, nil, true)), releaseWait)
+		wait(h.record(complete(claim, nil, true), false), releaseWait)
 	case rec.whole:
-		h.record(complete(claim, &rec.answer, false))
+		h.record(complete(claim, &rec.answer, false), false)
 	default:
 		// The outcome is unknown; the claim stays and resends get 409.
 		h.claimClosed()
@@ -152,8 +156,9 @@
 }
 
 // record writes an outcome to the log in the background; the channel is
-// closed at the end. A shutdown waits for it.
-func (h *Host) record(c structs.Complete) <-chan struct{} {
+// closed at the end. A shutdown waits for it. With late set, the claim may get
+// into the log only after the outcome, and a claim that is not found is tried again.
+func (h *Host) record(c structs.Complete, late bool) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -162,7 +167,7 @@
 		defer cancel()
 		for {
 			err := h.cfg.Control.Complete(ctx, c)
-			if err == nil {
+			if err == nil || final(err, late) {
 				return
 			}
 			if !pause(ctx, completePause) {
@@ -174,6 +179,15 @@
 	return done
 }
 
+// final reports whether another attempt to record would be answered the same.
+func final(err error, late bool) bool {
+	var e *structs.Error
+	if !errors.As(err, &e) {
+		return false
+	}
+	return e.Code == structs.CodeConflict || e.Code == structs.CodeNotFound && !late
+}
+
 func wait(done <-chan struct{}, limit time.Duration) {
 	t := time.NewTimer(limit)
 	defer t.Stop()
--- /dev/null
+++ b/host/entry/claim_test.go
@@ -0,0 +1,201 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"gooseberrypond/core/structs"
+)
+
+// Guards against a keyed request that runs twice, and against a resend that is
+// told something false.
+func TestKeyRunsOnce(t *testing.T) {
+	f := newFixture(t, newFakeControl("e1"))
+	var seen atomic.Int64
+	arrived, release := make(chan struct{}, 10), make(chan struct{})
+	f.upstream(t, "u1", 4, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		seen.Add(1)
+		arrived <- struct{}{}
+		switch string(body) {
+		case "slow":
+			<-release
+		case "cut":
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set("X-Visit", "7")
+		size := 10
+		if string(body) == "large" {
+			size = structs.MaxStoredAnswerBytes + 1
+		}
+		_, _ = io.WriteString(w, strings.Repeat("v", size))
+	})
+	f.ready(t)
+	post := func(key, body string) reply { return f.call(t.Context(), http.MethodPost, "/", body, HeaderKey, key) }
+
+	first := make(chan reply, 1)
+	go func() { first <- post("slow", "slow") }()
+	<-arrived
+	post("slow", "slow").refused(t, structs.CodeInProgress, structs.OutcomeUnknown)
+	post("slow", "other").refused(t, structs.CodeKeyReused, structs.OutcomeNotRun)
+	close(release)
+	one := <-first
+	f.control.waitComplete(t, 1)
+	two := post("slow", "slow")
+	if one.status != http.StatusOK || two.body != one.body || two.header.Get("X-Visit") != "7" || two.header.Get(HeaderReplayed) != "true" {
+		t.Errorf("first %+v, second %+v", one, two)
+	}
+	if r := post("large", "large"); len(r.body) <= structs.MaxStoredAnswerBytes {
+		t.Errorf("large answer: %d bytes, %v", len(r.body), r.refuse)
+	}
+	f.control.waitComplete(t, 2)
+	post("large", "large").refused(t, structs.CodeAlreadyRun, structs.OutcomeUnknown)
+	post("cut", "cut").refused(t, structs.CodeUpstreamFailed, structs.OutcomeUnknown)
+	post("cut", "cut").refused(t, structs.CodeInProgress, structs.OutcomeUnknown)
+	if seen.Load() != 3 {
+		t.Errorf("3 keys ran %d times", seen.Load())
+	}
+}
+
+// Guards against a key that stays taken by a request that was refused as not
+// run, and against a "not run" that nobody can know.
+func TestRefusedKeyIsReleased(t *testing.T) {
+	f := newFixture(t, newFakeControl("e1"))
+	f.ready(t)
+	post := func() reply { return f.call(t.Context(), http.MethodPost, "/", "x", HeaderKey, "k") }
+	post().refused(t, structs.CodeNoUpstream, structs.OutcomeNotRun)
+	if len(f.control.claims) != 0 {
+		t.Errorf("claims left: %v", f.control.claims)
+	}
+	var seen atomic.Int64
+	f.upstream(t, "u1", 4, func(http.ResponseWriter, *http.Request) { seen.Add(1) })
+	f.resync(t)
+	f.control.mu.Lock()
+	f.control.err = structs.Errorf(structs.CodeNoLeader, "test", "no leader").WithOutcome(structs.OutcomeNotRun)
+	f.control.mu.Unlock()
+	post().refused(t, structs.CodeNoLeader, structs.OutcomeUnknown)
+	if seen.Load() != 0 {
+		t.Error("ran without a claim")
+	}
+	f.control.mu.Lock()
+	f.control.err = nil
+	f.control.mu.Unlock()
+	if r := post(); r.status != http.StatusOK || seen.Load() != 1 {
+		t.Errorf("status %d %v, ran %d times", r.status, r.refuse, seen.Load())
+	}
+}
+
+// Guards against a shutdown that cuts off requests, accepts new ones, loses
+// outcomes or keeps slots.
+func TestShutdownFinishesWhatIsInFlight(t *testing.T) {
+	f := newFixture(t, newFakeControl("e1"))
+	arrived, release := make(chan struct{}), make(chan struct{})
+	f.upstream(t, "u1", 1, func(w http.ResponseWriter, _ *http.Request) {
+		arrived <- struct{}{}
+		<-release
+		_, _ = io.WriteString(w, "whole")
+	})
+	f.control.hold = make(chan struct{})
+	f.ready(t)
+	answers := make(chan reply, 2)
+	go func() { answers <- f.call(t.Context(), http.MethodPost, "/", "running", HeaderKey, "k") }()
+	<-arrived
+	go func() { answers <- f.call(t.Context(), http.MethodPost, "/", "queued") }()
+	until(t, func() bool { return f.Dump().Routing.Queued == 1 })
+
+	stopped := make(chan error, 1)
+	go func() { stopped <- f.Shutdown(t.Context()) }()
+	until(t, func() bool { return f.Dump().Stopping })
+	if f.Ready() {
+		t.Error("ready while stopping")
+	}
+	f.call(t.Context(), http.MethodPost, "/", "new").refused(t, structs.CodeShuttingDown, structs.OutcomeNotRun)
+	f.call(t.Context(), http.MethodPost, "/", "new", HeaderKey, "n").refused(t, structs.CodeShuttingDown, structs.OutcomeNotRun)
+	select {
+	case err := <-stopped:
+		t.Fatalf("stopped with a request in flight: %v", err)
+	default:
+	}
+	release <- struct{}{}
+	<-arrived
+	release <- struct{}{}
+	for range 2 {
+		if r := receive(t, answers); r.body != "whole" {
+			t.Errorf("status %d %q %v %v", r.status, r.body, r.refuse, r.err)
+		}
+	}
+	syncs := f.control.syncCount()
+	until(t, func() bool { return f.control.syncCount() >= syncs+2 || len(stopped) > 0 })
+	if len(stopped) > 0 {
+		t.Error("stopped before the outcome of the claimed request was recorded")
+	}
+	close(f.control.hold)
+	if err := receive(t, stopped); err != nil {
+		t.Error(err)
+	}
+	f.control.mu.Lock()
+	defer f.control.mu.Unlock()
+	if last := f.control.lastSync; !last.Stopping || len(last.Holdings) != 0 {
+		t.Errorf("last sync %+v", last)
+	}
+	if c := f.control.claims["desk/k"]; c == nil || c.Answer == nil {
+		t.Error("the outcome of the claimed request is lost")
+	}
+}
+
+// Guards against a shutdown that never returns, and one that does not say
+// what is left.
+func TestShutdownGivesUpWithItsContext(t *testing.T) {
+	f := newFixture(t, newFakeControl("e1"))
+	arrived, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	f.upstream(t, "u1", 1, func(http.ResponseWriter, *http.Request) {
+		arrived <- struct{}{}
+		<-release
+	})
+	f.ready(t)
+	go f.call(t.Context(), http.MethodPost, "/", "x")
+	<-arrived
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := f.Shutdown(ctx); err == nil || !strings.Contains(err.Error(), "1 requests in flight") {
+		t.Errorf("error %v", err)
+	}
+}
+
+// Guards against work under a view that is too old, also right at its limit.
+func TestStaleViewRefuses(t *testing.T) {
+	f := newFixture(t, newFakeControl("e1"))
+	f.upstream(t, "u1", 4, func(http.ResponseWriter, *http.Request) {})
+	f.resync(t)
+	f.resync(t)
+	if r := f.call(t.Context(), http.MethodPost, "/", "x"); r.status != http.StatusOK {
+		t.Errorf("fresh view: %d %v", r.status, r.refuse)
+	}
+	f.ahead.Store(int64(structs.ViewMaxAge))
+	f.call(t.Context(), http.MethodPost, "/", "x").refused(t, structs.CodeStaleView, structs.OutcomeNotRun)
+}
+
+// goneWriter is a caller that has gone.
+type goneWriter struct{ header http.Header }
+
+func (w goneWriter) Header() http.Header       { return w.header }
+func (w goneWriter) WriteHeader(int)           {}
+func (w goneWriter) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// Guards against an exchange of a request that must run once that is cut off,
+// and its answer lost, because the caller has gone in the middle of it.
+func TestAnswerIsReadToItsEnd(t *testing.T) {
+	for _, idempotent := range []bool{false, true} {
+		rec := &recorder{}
+		resp := &http.Response{StatusCode: http.StatusOK, ContentLength: -1, Body: io.NopCloser(strings.NewReader("whole"))}
+		err := relay(goneWriter{http.Header{}}, &Request{Idempotent: idempotent}, &answer{resp: resp}, rec)
+		if (err != nil) != idempotent || !idempotent && (!rec.whole || string(rec.answer.Body) != "whole") {
+			t.Errorf("idempotent %v: error %v, recorded %+v", idempotent, err, rec)
+		}
+	}
+}
--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -43,6 +43,7 @@
 	transports transports
 	kick       chan struct{}
 	background sync.WaitGroup // loops
+	syncing    sync.Mutex     // one sync is outstanding at a time
 
 	mu       sync.Mutex
 	router   *route.Router
--- a/host/entry/sync.go
+++ b/host/entry/sync.go
@@ -54,6 +54,8 @@
 
 // syncOnce reports to the leader and puts its answer in force.
 func (h *Host) syncOnce(ctx context.Context) error {
+	h.syncing.Lock()
+	defer h.syncing.Unlock()
 	h.mu.Lock()
 	sentAt := h.cfg.Now()
 	req := h.router.PrepareSync(sentAt)
--- a/host/entry/transport.go
+++ b/host/entry/transport.go
@@ -32,7 +32,9 @@
 	connections int
 }
 
-// get returns the transport to an address that opens at most connections.
+// get returns the transport to an address that opens at most connections. With
+// 0, one connection may be open and none is kept: the upstream accepts fewer
+// connections than there are entry hosts.
 func (t *transports) get(address string, connections int) *http.Transport {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -80,7 +82,8 @@
 			return &guardedConn{Conn: c}, nil
 		},
 		DisableCompression:     true,
-		MaxConnsPerHost:        connections,
+		DisableKeepAlives:      connections == 0,
+		MaxConnsPerHost:        max(connections, 1),
 		MaxIdleConns:           connections,
 		MaxIdleConnsPerHost:    connections,
 		IdleConnTimeout:        idleTimeout,
