--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
 
@@ -27,9 +28,9 @@
 	// refreshPerTick is the number of workers whose copy is renewed each tick
 	// beyond those known to have changed, so that the cost of a tick does not
 	// grow with the number of workers.
-	refreshPerTick = 64
-	// membershipTicks is the number of ticks between two comparisons of the list of workers.
-	membershipTicks = 10
+	refreshPerTick = 8
+	// membershipAge is the time between two comparisons of the list of workers.
+	membershipAge = 200 * time.Millisecond
 )
 
 // Scheduler decides plans and keeps what it learned between them. It is not
@@ -46,10 +47,12 @@
 	order   []*node
 	cursor  int
 	ticks   uint64
-	all     freeIndex
-	accel   freeIndex
-	dirty   []*node
-	kinds   []kind
+	// comparedAt, drainedAt and forgotAt are the last times of the periodic steps.
+	comparedAt, drainedAt, forgotAt time.Time
+	all                             freeIndex
+	accel                           freeIndex
+	dirty                           []*node
+	kinds                           []kind
 	// out, outSince and returned are the domains out of service, since when,
 	// and when others returned.
 	out            map[string]bool
@@ -75,10 +78,16 @@
 	holdOrder []structs.TaskID
 	budgets   map[string]*budget
 	health    map[structs.WorkerID]*health
-	retries   map[structs.TaskID]retry
+	// failedOn is the worker on which a task failed last.
+	failedOn map[structs.TaskID]structs.WorkerID
 	// ran is the run time of earlier attempts that ended with a checkpoint, in milliseconds.
 	ran map[structs.TaskID]int64
 
+	headroom headroom
+	waiting  map[string]*entryQueue
+
+	// spare is the storage of the last replaced list of a node's tasks.
+	spare      []nodeTask
 	candidates []*node
 	neighbours []int32
 }
@@ -106,13 +115,14 @@
 		domains:    newInterner(),
 		racks:      newInterner(),
 		nodes:      map[structs.WorkerID]*node{},
+		waiting:    map[string]*entryQueue{},
 		out:        map[string]bool{},
 		outSince:   map[string]time.Time{},
 		returned:   map[string]time.Time{},
 		holds:      map[structs.TaskID]hold{},
 		budgets:    map[string]*budget{},
 		health:     map[structs.WorkerID]*health{},
-		retries:    map[structs.TaskID]retry{},
+		failedOn:   map[structs.TaskID]structs.WorkerID{},
 		ran:        map[structs.TaskID]int64{},
 		infos:      map[string]*entryInfo{},
 		infeasible: map[structs.Resources]uint64{},
@@ -124,7 +134,7 @@
 
 // Plan decides one tick. now is used for intervals, nowMS is the wall clock
 // in Unix milliseconds that deadlines and schedules refer to.
-func (s *Scheduler) Plan(now time.Time, nowMS int64, t View, live LiveView) *structs.Plan {
+func (s *Scheduler) Plan(now time.Time, nowMS int64, t *state.Tables, live LiveView) *structs.Plan {
 	p := &planner{
 		Scheduler: s, now: now, nowMS: nowMS, t: t, live: live,
 		plan:    &structs.Plan{},
@@ -135,30 +145,38 @@
 	p.syncCatalogue()
 	p.syncWorkers()
 	p.expireHolds()
-	p.createOccurrences()
+	p.interference.renew(len(p.entries.names))
+	p.headroom.update(now, p.all.count(structs.Resources{}))
 	qs := p.queues()
 	p.placeTier(&qs[tierUrgent])
 	p.placeTier(&qs[tierLatency])
-	p.drainServices()
+	drain := len(p.out) > 0 && now.Sub(p.drainedAt) >= drainInterval
+	if drain {
+		p.drainedAt = now
+		p.drainServices()
+	}
 	p.placeTier(&qs[tierBatch])
-	p.drainBatch()
+	if drain {
+		p.drainBatch()
+	}
 	p.forget()
 	p.ticks++
 	return p.plan
 }
 
-// forgetTicks is the number of ticks between two removals of records of tasks that are gone.
-const forgetTicks = 1500
+// forgetAge is the time between two removals of records of tasks that are gone.
+const forgetAge = 30 * time.Second
 
 // forget drops what is known of tasks that have ended.
 func (p *planner) forget() {
-	if p.ticks%forgetTicks != 0 {
+	if p.now.Sub(p.forgotAt) < forgetAge {
 		return
 	}
+	p.forgotAt = p.now
 	gone := func(id structs.TaskID) bool {
 		task := p.t.Task(id)
 		return task == nil || task.Status.Finished()
 	}
-	maps.DeleteFunc(p.retries, func(id structs.TaskID, _ retry) bool { return gone(id) })
+	maps.DeleteFunc(p.failedOn, func(id structs.TaskID, _ structs.WorkerID) bool { return gone(id) })
 	maps.DeleteFunc(p.ran, func(id structs.TaskID, _ int64) bool { return gone(id) })
 }
