--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -59,6 +59,7 @@
 	n.used = n.used.Add(it.need)
 	n.addEntry(it.info.id, 1)
 	n.noteStart(p.now)
+	p.noteProbe(n, it.task.ID)
 	if it.info.Urgent {
 		p.headroom.noteUrgent(it.need)
 	}
