Mount the caller and upstream interfaces; add stand-in command and entry metrics

Cause: the request path had no listener; hosts as separate processes had no workers to run on; a host that stopped while no leader was known tried to give back its grants for the whole drain time.

Measured: go test -race ./host/... passes, with one routed request and one job through a whole host.

--- a/core/leader/dump.go
+++ b/core/leader/dump.go
@@ -43,13 +43,7 @@
 func (c *Core) Dump(now time.Time) Dump {
 	d := Dump{
 		Tables: c.t.Fork(), Leases: c.lease.Rows(now, c.t), Upstreams: c.Upstreams(now),
-		EntryHosts: make(map[string]EntryHost, len(c.hosts)), Counts: c.Counts(now),
-	}
-	for name, h := range c.hosts {
-		d.EntryHosts[name] = EntryHost{
-			Synced: h.synced, SilentMS: now.Sub(h.lastSync).Milliseconds(),
-			CatalogueVersion: h.catalogue, DomainsVersion: h.domains, Stopping: h.stopping,
-		}
+		EntryHosts: c.EntryHosts(now), Counts: c.Counts(now),
 	}
 	return d
 }
--- a/host/cmd/gooseberryd/main.go
+++ b/host/cmd/gooseberryd/main.go
@@ -21,6 +21,8 @@
 	Run   runCmd   `cmd:"" help:"Run one host from a settings file until SIGTERM."`
 	Check checkCmd `cmd:"" help:"Check settings files without starting anything."`
 	Dev   devCmd   `cmd:"" help:"Run control, entry, stand-in workers and an upstream in one process on loopback."`
+
+	Standin standinCmd `cmd:"" help:"Run stand-in workers and upstreams against running hosts."`
 }
 
 func main() {
--- a/host/control/host.go
+++ b/host/control/host.go
@@ -178,7 +178,7 @@
 		return false
 	}
 	if m.core == nil {
-		m.core, m.term = newCore(time.Now(), m.tables, h.cfg.EntryHosts), after.Term
+		m.core, m.term = leader.New(time.Now(), m.tables, h.cfg.EntryHosts), after.Term
 		h.cfg.Log.Info().Uint64("term", m.term).Msg("leadership taken")
 	}
 	return true
--- a/host/node/dev_test.go
+++ b/host/node/dev_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -27,6 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	checkRequest(ctx, t, d)
 	view := waitJob(ctx, t, d.Node.Client(), res.Job)
 	if view.Job.Status != structs.StatusDone || view.Counts[structs.StatusDone] != 3 {
 		t.Errorf("job = %+v, counts %v", view.Job, view.Counts)
@@ -36,6 +40,33 @@
 	}
 }
 
+// checkRequest sends one request through the entry role to the upstream.
+func checkRequest(ctx context.Context, t *testing.T, d *Dev) {
+	t.Helper()
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Node.Address("caller")+"/v1/run/echo/", strings.NewReader("hello"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Header.Set("Authorization", "Bearer "+DevToken)
+		res, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(res.Body)
+		res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			if string(body) != "hello" {
+				t.Errorf("answer %q, %v", body, err)
+			}
+			return
+		}
+		if res.StatusCode != http.StatusServiceUnavailable { // the upstream is not announced yet
+			t.Fatalf("status %d: %s", res.StatusCode, body)
+		}
+	}
+}
+
 // waitJob waits until the job has finished.
 func waitJob(ctx context.Context, t *testing.T, c *rpc.Client, id structs.JobID) *structs.JobView {
 	t.Helper()
--- a/host/node/entry.go
+++ b/host/node/entry.go
@@ -7,6 +7,8 @@
 
 	"github.com/rs/zerolog"
 
+	"gooseberrypond/host/edge/caller"
+	"gooseberrypond/host/edge/upstream"
 	"gooseberrypond/host/entry"
 	"gooseberrypond/host/rpc"
 )
@@ -28,7 +30,10 @@
 	ctx, stop := context.WithCancel(context.Background())
 	n.entry = &entryRole{host: h, stop: stop}
 	h.Start()
+	n.registry.MustRegister(newEntryMetrics(h))
 	n.entry.wg.Go(func() { n.entry.watch(ctx, n.client) })
+	n.serve("caller", caller.Handler(h, n.client, caller.Options{MaxBody: int64(n.settings.Limits.MaxBody), Log: log}))
+	n.serve("upstream", upstream.Handler(n.client, h.Catalogue, log))
 }
 
 // ready reports whether new requests are accepted.
@@ -37,13 +42,41 @@
 // dump returns the state of the role.
 func (e *entryRole) dump() any { return e.host.Dump() }
 
+// releaseLimit bounds how long an idle entry role tries to give back its
+// grants. Without a leader nobody takes them; they are reclaimed by time.
+const releaseLimit = 3 * time.Second
+
 // drain finishes the requests in flight and gives back the grants.
 func (e *entryRole) drain(ctx context.Context, log zerolog.Logger) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go e.boundRelease(ctx, cancel)
 	if err := e.host.Shutdown(ctx); err != nil {
 		log.Warn().Err(err).Msg("entry role stopped with work left")
 	}
 }
 
+// boundRelease calls cancel once the role has been idle for releaseLimit.
+func (e *entryRole) boundRelease(ctx context.Context, cancel func()) {
+	tick := time.NewTicker(releaseLimit / 30)
+	defer tick.Stop()
+	idle := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		if d := e.host.Dump(); d.Routing.InFlight > 0 || d.OpenClaims > 0 {
+			idle = time.Now()
+		}
+		if time.Since(idle) > releaseLimit {
+			cancel()
+			return
+		}
+	}
+}
+
 // watch hastens the next sync when the catalogue or a domain has changed. The
 // periodic sync does without it, only later.
 func (e *entryRole) watch(ctx context.Context, client *rpc.Client) {
