--- a/ctl/command/check.go
+++ b/ctl/command/check.go
@@ -2,15 +2,28 @@
 
 import (
 	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tailscale/hujson"
+
+	"gooseberrypond/host/config"
 )
 
-// CheckCmd checks a catalogue without a network.
+// CheckCmd checks a settings or catalogue file without a network.
 type CheckCmd struct {
-	Path string `arg:"" help:"Catalogue file or folder." type:"path"`
+	Path string `arg:"" help:"Settings file, catalogue file, or catalogue folder."`
 }
 
 // Run implements the command.
 func (c *CheckCmd) Run(env *Env) error {
+	settings, err := isSettings(c.Path)
+	if err != nil {
+		return err
+	}
+	if settings {
+		return c.checkSettings(env)
+	}
 	wanted, err := LoadCatalogue(c.Path)
 	if err != nil {
 		return err
@@ -18,6 +31,39 @@
 	if env.JSON {
 		return env.printJSON(wanted)
 	}
-	fmt.Fprintf(env.Out, "%s: %d owners, %d entries, no errors\n", c.Path, len(wanted.Owners), len(wanted.Entries))
+	fmt.Fprintf(env.Out, "%s: catalogue with %d owners and %d entries, no errors\n", c.Path, len(wanted.Owners), len(wanted.Entries))
 	return nil
 }
+
+func (c *CheckCmd) checkSettings(env *Env) error {
+	s, err := config.Load(c.Path)
+	if err != nil {
+		return err
+	}
+	if env.JSON {
+		return env.printJSON(s)
+	}
+	fmt.Fprintf(env.Out, "%s: settings of host %s in cluster %s, no errors\n", c.Path, s.HostID, s.ClusterID)
+	return nil
+}
+
+// isSettings tells a settings file from a catalogue by its fields. A file that
+// cannot be parsed is checked as a catalogue, which reports the syntax error.
+func isSettings(path string) (bool, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return false, errors.Wrap(err, "check")
+	}
+	if info.IsDir() {
+		return false, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return false, errors.Wrap(err, "check")
+	}
+	root, err := hujson.Parse(data)
+	if err != nil {
+		return false, nil
+	}
+	return root.Find("/host_id") != nil || root.Find("/cluster_id") != nil || root.Find("/listeners") != nil, nil
+}
--- a/host/cmd/gooseberryd/dev.go
+++ b/host/cmd/gooseberryd/dev.go
@@ -22,7 +22,7 @@
 type devCmd struct {
 	DataFolder string `help:"Folder for the data; default is a temporary one that is removed at the end." type:"path"`
 	Address    string `help:"Loopback IP address." default:"127.0.0.1"`
-	FirstPort  int    `help:"First of 7 ports; 0 means free ones." default:"0"`
+	FirstPort  int    `help:"First of 7 ports; 0 takes free ones." default:"7401"`
 	Domains    int    `help:"Number of failure domains." default:"3"`
 	Workers    int    `help:"Stand-in workers per failure domain." default:"2"`
 	LogLevel   string `help:"Log level." default:"warn" enum:"debug,info,warn,error"`
