--- a/core/leader/session_test.go
+++ b/core/leader/session_test.go
@@ -98,6 +98,9 @@
 	if err := s.bed.t.Check(); err != nil {
 		t.Fatal(err)
 	}
+	if ended := s.sched.ended; len(ended) != 1 || ended[0].Task.Worker != "w1" {
+		t.Errorf("ends told to the scheduler: %+v", ended)
+	}
 	golden := filepath.Join("testdata", "session.golden")
 	if *update {
 		if err := os.MkdirAll("testdata", 0o755); err != nil {
--- a/core/state/attempt.go
+++ b/core/state/attempt.go
@@ -75,8 +75,10 @@
 
 // lose ends an attempt that is certain not to be running and whose outcome nobody reported.
 func (t *Tables) lose(r *taskRec, neverStarted bool) {
+	worker := r.Worker
 	t.endAttempt(r)
 	if r.job.Spec.NonIdempotent && !neverStarted {
+		t.addReason(r, fmt.Sprintf("lost with worker %s, may have run", worker))
 		t.setStatus(r, structs.StatusUnknown)
 	} else {
 		t.requeue(r)
@@ -189,9 +191,10 @@
 }
 
 func (t *Tables) eventStopped(r *taskRec) {
-	started := r.hasStarted()
+	started, worker := r.hasStarted(), r.Worker
 	t.endAttempt(r)
 	if r.job.Spec.NonIdempotent && started && !r.job.Cancelled {
+		t.addReason(r, fmt.Sprintf("stopped on worker %s before its end", worker))
 		t.setStatus(r, structs.StatusUnknown)
 		return
 	}
--- a/core/state/catalogue.go
+++ b/core/state/catalogue.go
@@ -179,6 +179,8 @@
 		switch {
 		case !ok:
 			lost = append(lost, fmt.Sprintf("entry %q (%d unfinished jobs)", name, e.liveJobs))
+		case entry.Resources.IsZero() && !t.catalogue.Entries[name].Resources.IsZero():
+			lost = append(lost, fmt.Sprintf("the size of entry %q (%d unfinished jobs)", name, e.liveJobs))
 		case owner != "" && entry.Owner != owner:
 			lost = append(lost, fmt.Sprintf("entry %q given to %q (%d unfinished jobs of %q)", name, entry.Owner, e.liveJobs, owner))
 		}
@@ -250,6 +252,9 @@
 	to.usage = to.usage.Add(from.usage)
 	to.liveJobs += from.liveJobs
 	to.liveTasks += from.liveTasks
+	to.payload += from.payload
+	to.answers += from.answers
+	to.claims += from.claims
 }
 
 // moveKeys keeps the keys of both owners. The new owner's own key comes first
--- a/core/state/check.go
+++ b/core/state/check.go
@@ -113,8 +113,8 @@
 		for e := o.jobs.Front(); e != nil; e = e.Next() {
 			jobs = append(jobs, e.Value.(*jobRec).ID)
 		}
-		if len(jobs) > 0 || !o.usage.IsZero() || o.liveJobs+o.liveTasks != 0 {
-			owners[name] = []any{o.usage, jobs, o.liveJobs, o.liveTasks}
+		if sums := []int{o.liveJobs, o.liveTasks, o.payload, o.answers, o.claims}; len(jobs) > 0 || !o.usage.IsZero() || slices.Max(sums) > 0 {
+			owners[name] = []any{o.usage, jobs, sums}
 		}
 	}
 	entries := map[string][]any{}
--- a/core/state/claims.go
+++ b/core/state/claims.go
@@ -10,10 +10,13 @@
 const (
 	stepClaim    = "claim request"
 	stepComplete = "complete request"
-	// maxClaims bounds the claims kept at once.
-	maxClaims = 100_000
-	// maxAllAnswerBytes bounds all recorded answers; answers past it are not kept.
-	maxAllAnswerBytes = 48 << 20
+	// maxOwnerClaims and maxClaims bound the claims kept at once.
+	maxOwnerClaims = 25_000
+	maxClaims      = 100_000
+	// maxOwnerAnswerBytes and maxAllAnswerBytes bound the recorded answers;
+	// answers past them are not kept.
+	maxOwnerAnswerBytes = 8 << 20
+	maxAllAnswerBytes   = 48 << 20
 )
 
 // claimRec is the claim of one request. It is not changed in place, because
@@ -47,8 +50,8 @@
 	if len(t.claims[at]) > 0 {
 		return failure(structs.CodeKeyReused, stepClaim, "key %q already names another request", c.Key)
 	}
-	if t.claimOrder.Len() >= maxClaims {
-		res := failure(structs.CodeQueueFull, stepClaim, "%d requests are claimed, the limit is %d", t.claimOrder.Len(), maxClaims)
+	if n := t.owner(owner).claims; n >= maxOwnerClaims || t.claimOrder.Len() >= maxClaims {
+		res := failure(structs.CodeQueueFull, stepClaim, "%d requests are claimed, %d by owner %q; the limits are %d and %d", t.claimOrder.Len(), n, owner, maxClaims, maxOwnerClaims)
 		res.Error.RetryAfterMS = queueRetryMS
 		return res
 	}
@@ -62,7 +65,15 @@
 func (t *Tables) linkClaim(r *claimRec) {
 	t.appendClaim(r)
 	r.elem = t.claimOrder.PushBack(r)
-	t.counts.answerBytes += answerBytes(r.Answer)
+	t.owner(r.Owner).claims++
+	t.addAnswer(r, 1)
+}
+
+// addAnswer counts the bytes of a claim's answer, or with sign -1 no longer.
+func (t *Tables) addAnswer(r *claimRec, sign int) {
+	n := sign * answerBytes(r.Answer)
+	t.counts.answerBytes += n
+	t.owner(r.Owner).answers += n
 }
 
 func (t *Tables) appendClaim(r *claimRec) {
@@ -77,8 +88,8 @@
 // answer replaces a claim by a copy with an answer.
 func (t *Tables) answer(r *claimRec, a *structs.Answer) *claimRec {
 	answered := *r
-	answered.Answer = t.keptAnswer(a)
-	t.counts.answerBytes += answerBytes(answered.Answer)
+	answered.Answer = t.keptAnswer(r.Owner, a)
+	t.addAnswer(&answered, 1)
 	recs := t.claims[ownerKey{r.Owner, r.Key}]
 	recs[slices.Index(recs, r)] = &answered
 	r.elem.Value = &answered
@@ -98,7 +109,8 @@
 func (t *Tables) removeClaim(r *claimRec) {
 	t.unlinkClaim(r)
 	t.claimOrder.Remove(r.elem)
-	t.counts.answerBytes -= answerBytes(r.Answer)
+	t.owner(r.Owner).claims--
+	t.addAnswer(r, -1)
 }
 
 // applyComplete records the outcome of a claimed request. The first answer
@@ -131,10 +143,11 @@
 }
 
 // keptAnswer returns what is recorded of an answer: without header and body
-// when it is over the bound of one answer or of all.
-func (t *Tables) keptAnswer(a *structs.Answer) *structs.Answer {
+// when it is over the bound of one answer, of its owner's or of all.
+func (t *Tables) keptAnswer(owner string, a *structs.Answer) *structs.Answer {
 	size := answerBytes(a)
-	if a.TooLarge || size > structs.MaxStoredAnswerBytes || t.counts.answerBytes+size > maxAllAnswerBytes {
+	full := t.owner(owner).answers+size > maxOwnerAnswerBytes || t.counts.answerBytes+size > maxAllAnswerBytes
+	if a.TooLarge || size > structs.MaxStoredAnswerBytes || full {
 		return &structs.Answer{Status: a.Status, TooLarge: true}
 	}
 	return a
--- a/core/state/expire.go
+++ b/core/state/expire.go
@@ -140,7 +140,7 @@
 // expireOwners forgets the index records of names that nothing refers to.
 func (t *Tables) expireOwners() {
 	for name, o := range t.owners {
-		if _, ok := t.catalogue.Owners[name]; !ok && o.jobs.Len() == 0 {
+		if _, ok := t.catalogue.Owners[name]; !ok && o.jobs.Len() == 0 && o.claims == 0 {
 			delete(t.owners, name)
 		}
 	}
--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -21,8 +21,9 @@
 	maxLiveTasks = 250_000
 	// maxPayloadBytes is the largest payload of one job.
 	maxPayloadBytes = 64 << 10
-	// maxAllPayloadBytes bounds the payloads of all unfinished jobs.
-	maxAllPayloadBytes = 64 << 20
+	// maxOwnerPayloadBytes and maxAllPayloadBytes bound the payloads of unfinished jobs.
+	maxOwnerPayloadBytes = 16 << 20
+	maxAllPayloadBytes   = 64 << 20
 	// maxKeyBytes is the longest idempotency key or change id.
 	maxKeyBytes = 256
 	// minEveryMS is the shortest period of a recurring job, in milliseconds.
@@ -209,6 +210,9 @@
 	if t.counts.liveTasks+spec.Count > maxLiveTasks {
 		return full("%d tasks are unfinished, the limit is %d", t.counts.liveTasks, maxLiveTasks)
 	}
+	if o.payload+len(spec.Payload) > maxOwnerPayloadBytes {
+		return full("payloads of owner %q reach the limit of %d bytes", owner, maxOwnerPayloadBytes)
+	}
 	if t.counts.payloadBytes+len(spec.Payload) > maxAllPayloadBytes {
 		return full("payloads of unfinished jobs reach the limit of %d bytes", maxAllPayloadBytes)
 	}
@@ -224,7 +228,6 @@
 	j.Job = &structs.Job{ID: id, Owner: owner, Key: key, Spec: spec, Status: structs.StatusPending, SubmittedMS: t.nowMS}
 	t.linkJob(j)
 	t.linkKey(&keyRec{Owner: owner, Key: key, Digest: digest, Job: id})
-	t.counts.payloadBytes += len(spec.Payload)
 	if spec.Kind == structs.KindRecurring {
 		t.addStanding(j)
 		return id
@@ -249,10 +252,16 @@
 	j.ownerElem = j.owner.jobs.PushBack(j)
 	if !j.Status.Finished() {
 		j.owner.liveJobs++
+		t.addPayload(j.owner, len(j.Spec.Payload))
 		t.entry(j.Spec.Entry).liveJobs++
 	}
 }
 
+func (t *Tables) addPayload(o *ownerRec, n int) {
+	o.payload += n
+	t.counts.payloadBytes += n
+}
+
 // linkKey adds a key and joins it to its job, if that is still kept.
 func (t *Tables) linkKey(k *keyRec) {
 	t.appendKey(k)
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -261,7 +261,6 @@
 		}
 		j := &jobRec{Job: ji.Job, base: ji.Base, heapPos: -1}
 		t.linkJob(j)
-		t.counts.payloadBytes += len(j.Spec.Payload)
 		if j.Spec.Kind == structs.KindRecurring && !j.Status.Finished() && !j.Cancelled {
 			t.addStanding(j)
 		}
--- a/core/state/status.go
+++ b/core/state/status.go
@@ -73,7 +73,7 @@
 func (t *Tables) finishJob(j *jobRec, s structs.JobStatus) {
 	j.Status = s
 	j.FinishedMS = t.nowMS
-	t.counts.payloadBytes -= len(j.Spec.Payload)
+	t.addPayload(j.owner, -len(j.Spec.Payload))
 	j.Spec.Payload = nil
 	j.owner.liveJobs--
 	t.entry(j.Spec.Entry).liveJobs--
--- a/core/state/tables.go
+++ b/core/state/tables.go
@@ -102,6 +102,10 @@
 	jobs      *list.List
 	liveJobs  int
 	liveTasks int
+	// payload and answers are bytes of unfinished jobs and recorded answers.
+	payload int
+	answers int
+	claims  int
 }
 
 type entryRec struct {
