Reserve the middle of measured processor use for batch work

Reserving the 90th percentile of use for every task left about a tenth of the processors idle, since the excesses of many tasks even out. Batch tasks now reserve the 60th percentile, services the 95th. Room is saved up on one in 32 workers instead of one in 16.

--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -24,9 +24,13 @@
 	// memoryQuantile is high, since a task that exceeds its memory is stopped.
 	memoryQuantile = 99.5
 	memoryMargin   = 1.10
-	// cpuQuantile is lower, since processors are shared and a short excess only slows.
-	cpuQuantile = 90
-	cpuMargin   = 1.05
+	// latencyCPUQuantile is high, since services need processors when load rises.
+	latencyCPUQuantile = 95
+	latencyCPUMargin   = 1.05
+	// batchCPUQuantile is near the middle: processors are shared, the excesses of
+	// many tasks even out, and a short excess only slows batch work.
+	batchCPUQuantile = 60
+	batchCPUMargin   = 1.0
 	// minRatio bounds how far a reservation is lowered: a tenth of the declared size.
 	minRatio = ratioScale / 10
 	// runtimeSamples bounds the weight of past run times.
@@ -84,17 +88,25 @@
 	return s.estimates[entry]
 }
 
-// observe takes in one measured use.
-func (e *entryEstimate) observe(declared, used structs.Resources) {
+// observe takes in one measured use of a task, latency-critical or not.
+func (e *entryEstimate) observe(declared, used structs.Resources, latency bool) {
 	e.cpu.add(used.CPUMilli, declared.CPUMilli)
 	e.memory.add(used.MemoryMB, declared.MemoryMB)
 	e.samples++
 	if e.samples%requantile == 0 || e.samples == raiseSamples {
-		e.cpuRatio = e.ratio(float64(e.cpu.quantile(cpuQuantile)) * cpuMargin)
+		e.cpuRatio = e.ratio(e.cpuWanted(latency))
 		e.memoryRatio = e.ratio(float64(e.memory.quantile(memoryQuantile)) * memoryMargin)
 	}
 }
 
+// cpuWanted is the measured ratio of processors to reserve.
+func (e *entryEstimate) cpuWanted(latency bool) float64 {
+	if latency {
+		return float64(e.cpu.quantile(latencyCPUQuantile)) * latencyCPUMargin
+	}
+	return float64(e.cpu.quantile(batchCPUQuantile)) * batchCPUMargin
+}
+
 // ratio bounds a measured ratio by what the number of reports allows.
 func (e *entryEstimate) ratio(r float64) int64 {
 	ratio := max(int64(r), minRatio)
--- a/core/sched/interference.go
+++ b/core/sched/interference.go
@@ -207,7 +207,7 @@
 		if info == nil {
 			continue
 		}
-		s.estimate(id).observe(declaredSize(info, job), u.Used)
+		s.estimate(id).observe(declaredSize(info, job), u.Used, info.Class == structs.ClassLatency)
 		if n != nil && info.Class == structs.ClassLatency && u.Slowdown > 0 {
 			n.suffer(u.Task, u.Slowdown, now.Add(-time.Duration(u.AgeMS)*time.Millisecond))
 		}
--- a/core/sched/learn_test.go
+++ b/core/sched/learn_test.go
@@ -68,7 +68,7 @@
 			s.kinds = []kind{{capacity: structs.Resources{CPUMilli: 32000, MemoryMB: 125_000, Accelerators: 2}}}
 			info := &entryInfo{id: s.entryID("e")}
 			for range tt.reports {
-				s.estimate(info.id).observe(declared, tt.used)
+				s.estimate(info.id).observe(declared, tt.used, false)
 			}
 			got := s.reserve(info, declared)
 			if !tt.low.Fits(got) && tt.low.CPUMilli > got.CPUMilli || got.MemoryMB < tt.low.MemoryMB || got.CPUMilli > tt.high.CPUMilli || got.MemoryMB > tt.high.MemoryMB || got.Accelerators != declared.Accelerators {
--- a/core/sched/rank.go
+++ b/core/sched/rank.go
@@ -5,7 +5,7 @@
 const (
 	// latencyWeight is how much a slowdown of a latency-critical task counts
 	// relative to one of a batch task.
-	latencyWeight = 10.0
+	latencyWeight = 20.0
 	// loadWeight weighs the processors and memory in use after the placement.
 	loadWeight = 0.3
 	// Spread weights count the part of a service's tasks that shares the
--- a/core/sched/starve.go
+++ b/core/sched/starve.go
@@ -15,7 +15,7 @@
 	// saveTime is how long room is saved up on one worker.
 	saveTime = 2 * time.Minute
 	// savingPart bounds the workers on which room is saved up: one in savingPart.
-	savingPart = 16
+	savingPart = 32
 	// saveCandidates is the number of workers looked at.
 	saveCandidates = 24
 )
