--- a/core/sched/steps_test.go
+++ b/core/sched/steps_test.go
@@ -157,7 +157,8 @@
 	}
 }
 
-// Guards against one owner's tasks being evicted without limit.
+// Guards against one owner's tasks being evicted without limit, and against
+// urgent tasks that wait for a checkpoint holding up those behind them.
 func TestEvictionBudget(t *testing.T) {
 	c, s := newTestCluster(20)
 	c.submit("batch", structs.JobSpec{Count: 80})
@@ -167,8 +168,8 @@
 	for range 30 {
 		evicted += len(c.tick(t, s, 100*time.Millisecond).Evict)
 	}
-	if evicted == 0 || evicted > int(evictionBurst)+1 {
-		t.Errorf("%d evictions of one owner in 3 s, want 1 to %d", evicted, int(evictionBurst)+1)
+	if evicted < int(evictionBurst) || evicted > int(evictionBurst)+1 {
+		t.Errorf("%d evictions of one owner in 3 s, want the budget of %d", evicted, int(evictionBurst))
 	}
 }
 
