--- a/host/entry/auth.go
+++ b/host/entry/auth.go
@@ -2,8 +2,10 @@
 
 import (
 	"crypto/sha256"
-	"crypto/subtle"
+	"encoding/binary"
 	"encoding/hex"
+	"maps"
+	"slices"
 
 	"gooseberrypond/core/structs"
 )
@@ -16,10 +18,20 @@
 }
 
 type tokenDigest struct {
-	sum   [sha256.Size]byte
+	sum   digestWords
 	owner string
 }
 
+// digestWords is a SHA-256 digest in words, which compare faster than bytes.
+type digestWords [sha256.Size / 8]uint64
+
+func wordsOf(sum []byte) (w digestWords) {
+	for i := range w {
+		w[i] = binary.BigEndian.Uint64(sum[8*i:])
+	}
+	return w
+}
+
 // update returns the index of the catalogue.
 func (t *tokenIndex) update(c *structs.Catalogue) *tokenIndex {
 	if c == t.catalogue {
@@ -31,14 +43,13 @@
 			next.merged[from] = name
 		}
 	}
-	for name, o := range c.Owners {
-		for _, text := range o.TokenSHA256 {
-			var d tokenDigest
-			if n, err := hex.Decode(d.sum[:], []byte(text)); err != nil || n != len(d.sum) {
+	for _, name := range slices.Sorted(maps.Keys(c.Owners)) {
+		for _, text := range c.Owners[name].TokenSHA256 {
+			sum, err := hex.DecodeString(text)
+			if err != nil || len(sum) != sha256.Size {
 				continue
 			}
-			d.owner = next.resolve(name)
-			next.digests = append(next.digests, d)
+			next.digests = append(next.digests, tokenDigest{sum: wordsOf(sum), owner: next.resolve(name)})
 		}
 	}
 	return next
@@ -57,19 +68,24 @@
 	return name
 }
 
-// owner returns the owner of a token. Every digest is compared, in constant time.
+// owner returns the owner of a token. Every digest is compared, without
+// branches, so that the time tells nothing of the digests.
 func (t *tokenIndex) owner(token string) (string, bool) {
 	sum := sha256.Sum256([]byte(token))
-	found := -1
+	given := wordsOf(sum[:])
+	found := 0 // index + 1
 	for i := range t.digests {
-		if subtle.ConstantTimeCompare(sum[:], t.digests[i].sum[:]) == 1 {
-			found = i
+		var diff uint64
+		for k, w := range t.digests[i].sum {
+			diff |= w ^ given[k]
 		}
+		same := 1 - int((diff|-diff)>>63)
+		found += (i + 1 - found) * same
 	}
-	if found < 0 {
+	if found == 0 {
 		return "", false
 	}
-	return t.digests[found].owner, true
+	return t.digests[found-1].owner, true
 }
 
 // Authenticate returns the owner of a bearer token. A token of a merged owner
--- a/host/entry/auth_test.go
+++ b/host/entry/auth_test.go
@@ -11,7 +11,8 @@
 func TestTokensAndEntriesOfMergedOwners(t *testing.T) {
 	control := newFakeControl("e1")
 	control.catalogue.Owners = map[string]structs.Owner{
-		"desk":   {TokenSHA256: []string{sha("desk"), "not hex"}, MergedFrom: []string{"nakhon"}},
+		"aaa":    {TokenSHA256: []string{sha("aaa"), sha("aab")}},
+		"desk":   {TokenSHA256: []string{sha("nakhon"), "not hex", sha("desk")}, MergedFrom: []string{"nakhon"}},
 		"nakhon": {TokenSHA256: []string{sha("nakhon")}, MergedFrom: []string{"older"}},
 		"older":  {TokenSHA256: []string{sha("older")}},
 		"other":  {TokenSHA256: []string{sha("other")}},
@@ -23,7 +24,7 @@
 		t.Error("a token counts before the first view")
 	}
 	f.resync(t)
-	for token, want := range map[string]string{"desk": "desk", "nakhon": "desk", "older": "desk", "other": "other", "guess": "", "": ""} {
+	for token, want := range map[string]string{"desk": "desk", "nakhon": "desk", "older": "desk", "other": "other", "aab": "aaa", "guess": "", "": ""} {
 		if got, err := f.Authenticate(token); got != want || (err == nil) != (want != "") {
 			t.Errorf("token %q: owner %q, error %v", token, got, err)
 		}
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -62,12 +62,18 @@
 // run admits the request, waits for its answer and passes it on.
 func (h *Host) run(ctx context.Context, w http.ResponseWriter, req *Request, rec *recorder) error {
 	f := &flow{req: req, result: make(chan result, 2), cancels: make(map[route.Ticket]context.CancelFunc)}
-	id, err := h.admit(f)
+	first, attempt, err := h.admit(f)
 	if err != nil {
 		return err
 	}
+	id := first.Request
 	stop := context.AfterFunc(ctx, func() { h.abandon(id) })
 	defer stop()
+	if attempt != nil {
+		// Here rather than in a goroutine of its own: a hand-over costs more
+		// than the rest of routing.
+		attempt()
+	}
 	res := <-f.result
 	defer h.forget(id)
 	if res.err != nil {
@@ -76,20 +82,30 @@
 	return h.passOn(ctx, w, req, res, rec)
 }
 
-// admit hands the request to the router and starts its first attempt.
-func (h *Host) admit(f *flow) (route.RequestID, error) {
+// admit hands the request to the router. It returns the first attempt, or nil
+// when the request is queued.
+func (h *Host) admit(f *flow) (route.Decision, func(), error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	d := h.router.Admit(h.cfg.Now(), route.Request{
 		Owner: f.req.Owner, Entry: f.req.Entry, Idempotent: f.req.Idempotent, Timeout: f.req.Timeout,
 	})
 	if d.Action == route.ActionRefuse {
-		return 0, d.Err
+		return d, nil, d.Err
 	}
 	h.flows[d.Request] = f
-	h.dispatch([]route.Decision{d})
 	h.kickSync()
-	return d.Request, nil
+	if d.Action != route.ActionStart {
+		return d, nil, nil
+	}
+	return d, h.prepare(f, d), nil
+}
+
+// prepare returns the attempt of d. The caller holds h.mu.
+func (h *Host) prepare(f *flow, d route.Decision) func() {
+	ctx, cancel := context.WithDeadline(context.Background(), d.Deadline)
+	f.cancels[d.Ticket] = cancel
+	return func() { h.attempt(ctx, cancel, f, d) }
 }
 
 // dispatch carries out decisions. The caller holds h.mu.
@@ -101,9 +117,7 @@
 		}
 		switch d.Action {
 		case route.ActionStart:
-			ctx, cancel := context.WithDeadline(context.Background(), d.Deadline)
-			f.cancels[d.Ticket] = cancel
-			go h.attempt(ctx, cancel, f, d)
+			go h.prepare(f, d)()
 		case route.ActionCancel:
 			f.cancels[d.Ticket]()
 		case route.ActionRefuse:
