--- /dev/null
+++ b/bench/cmd/routing/main.go
@@ -0,0 +1,26 @@
+// Command routing measures what an entry host adds to a request, side by side
+// with direct calls of the same stand-in upstream, and the control traffic of
+// an entry host. Everything runs in one process over loopback.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// cli is the command line.
+type cli struct {
+	Latency latencyCmd `cmd:"" help:"Latency of routed and direct requests."`
+	Traffic trafficCmd `cmd:"" help:"Bytes per second between an entry host and the leader."`
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("routing"), kong.Description("Measures the request path of an entry host."))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
