--- a/host/control/calls.go
+++ b/host/control/calls.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"gooseberrypond/core/leader"
@@ -257,20 +259,27 @@
 	}
 	limit = min(limit, maxPage)
 	var out []structs.Job
-	err := h.lead("control.list_jobs", func(_ *leader.Core, t *state.Tables) {
-		skipping := q.After != ""
-		for j := range t.JobsOf(t.ResolveOwner(q.Owner)) {
-			if skipping {
-				skipping = j.ID != q.After
-				continue
-			}
-			if out = append(out, *j); len(out) == limit {
-				return
-			}
-		}
-	})
+	err := h.lead("control.list_jobs", func(_ *leader.Core, t *state.Tables) { out = jobPage(t, q.Owner, q.After, limit) })
 	if err != nil {
 		return nil, err
 	}
 	return out, nil
 }
+
+// jobPage copies the owner's next jobs in id order. The last job of the
+// previous page may have been removed meanwhile, and jobs of a merged owner are
+// not in the order of their ids.
+func jobPage(t *state.Tables, owner string, after structs.JobID, limit int) []structs.Job {
+	var next []*structs.Job
+	for j := range t.JobsOf(t.ResolveOwner(owner)) {
+		if j.ID > after {
+			next = append(next, j)
+		}
+	}
+	slices.SortFunc(next, func(a, b *structs.Job) int { return cmp.Compare(a.ID, b.ID) })
+	out := make([]structs.Job, 0, min(limit, len(next)))
+	for _, j := range next[:min(limit, len(next))] {
+		out = append(out, *j)
+	}
+	return out
+}
--- a/host/control/host.go
+++ b/host/control/host.go
@@ -185,25 +185,30 @@
 }
 
 // lead runs fn on the leader's state and the tables. The lease is checked
-// before and after, so that what fn read was current while it ran.
+// before and after, so that what fn read was current while it ran. The term is
+// checked with it: after a quick loss and return of leadership the state of the
+// old term is still there until the next tick.
 func (h *Host) lead(step string, fn func(core *leader.Core, t *state.Tables)) error {
-	if !h.replica.HoldsLease() {
-		return h.notLeader(step)
-	}
 	m := h.machine
 	m.mu.Lock()
-	if m.core == nil {
+	term := m.term
+	if m.core == nil || !h.inOffice(term) {
 		m.mu.Unlock()
 		return h.notLeader(step)
 	}
 	fn(m.core, m.tables)
 	m.mu.Unlock()
-	if !h.replica.HoldsLease() {
+	if !h.inOffice(term) {
 		return h.notLeader(step)
 	}
 	return nil
 }
 
+// inOffice reports whether this replica leads in the term and holds its lease.
+func (h *Host) inOffice(term uint64) bool {
+	return h.replica.HoldsLease() && h.replica.Status().Term == term
+}
+
 func (h *Host) notLeader(step string) *structs.Error {
 	return structs.Errorf(structs.CodeNotLeader, step, "this replica does not lead").
 		WithPeer(h.cfg.HostID).WithOutcome(structs.OutcomeNotRun).WithRetryAfter(int64(structs.ElectionTimeoutMax / time.Millisecond))
--- a/host/edge/operator/operator.go
+++ b/host/edge/operator/operator.go
@@ -55,9 +55,7 @@
 	Host string
 	// Dump returns the state of this process.
 	Dump func() any
-	// CheckCatalogue returns the first error of a catalogue, or nil.
-	CheckCatalogue func(*structs.Catalogue) error
-	Log            zerolog.Logger
+	Log  zerolog.Logger
 }
 
 type server struct {
@@ -134,11 +132,6 @@
 	if err == nil {
 		err = checkChangeID(put.ChangeID)
 	}
-	if err == nil && s.opts.CheckCatalogue != nil {
-		if cerr := s.opts.CheckCatalogue(&put.Catalogue); cerr != nil {
-			err = web.BadRequest("catalogue: %v", cerr)
-		}
-	}
 	if err != nil {
 		web.WriteError(w, err)
 		return
