--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -19,7 +19,9 @@
 		if p.place(&it) {
 			oq.share = p.share(oq.owner)
 			heap.Fix(q, 0)
-		} else {
+		} else if _, held := p.holds[it.task.ID]; !held {
+			// A task that waits for room made for it must not keep those behind it
+			// from having room made for them.
 			eq.failures++
 		}
 	}
