Do not release a claim that the log has refused

Cause: after a key was refused as belonging to another request, the entry host still tried for 5 s to release a claim that did not exist, held up a graceful shutdown for that time and logged a warning.

Tested: TestKeyRunsOnce counts open claims; without the change it sees 2 where 1 is right. The fake log now refuses such keys as the tables do.

Conclusion: only a claim without an answer of the log is released later.

--- a/host/entry/claim.go
+++ b/host/entry/claim.go
@@ -81,8 +81,7 @@
 	h.claimOpened()
 	res, err := h.claim(req, claim)
 	if err != nil {
-		// The claim may get into the log yet and nothing is sent: release it.
-		h.record(complete(claim, nil, true), true)
+		h.dropClaim(claim, err)
 		return err
 	}
 	if !res.Claimed {
@@ -103,6 +102,17 @@
 	return runErr
 }
 
+// dropClaim ends a claim that was not granted. One that the log has refused is
+// over; without an answer it may get into the log yet, and is released then.
+func (h *Host) dropClaim(claim structs.Claim, err error) {
+	var e *structs.Error
+	if errors.As(err, &e) && e.Outcome == structs.OutcomeNotRun {
+		h.claimClosed()
+		return
+	}
+	h.record(complete(claim, nil, true), true)
+}
+
 // claim asks the log for the key. Without an answer of the log it is not known
 // whether an earlier request with the key ran, so the refusal says unknown.
 func (h *Host) claim(req *Request, c structs.Claim) (structs.Result, error) {
--- a/host/entry/claim_test.go
+++ b/host/entry/claim_test.go
@@ -42,6 +42,9 @@
 	<-arrived
 	post("slow", "slow").refused(t, structs.CodeInProgress, structs.OutcomeUnknown)
 	post("slow", "other").refused(t, structs.CodeKeyReused, structs.OutcomeNotRun)
+	if open := f.openClaims(); open != 1 {
+		t.Errorf("%d claims open, want only that of the request in flight", open)
+	}
 	close(release)
 	one := <-first
 	f.control.waitComplete(t, 1)
@@ -61,6 +64,13 @@
 	}
 }
 
+// openClaims returns the number of claims whose outcome is not recorded yet.
+func (f *fixture) openClaims() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.claims
+}
+
 // Guards against a key that stays taken by a request that was refused as not
 // run, and against a "not run" that nobody can know.
 func TestRefusedKeyIsReleased(t *testing.T) {
--- a/host/entry/fake_test.go
+++ b/host/entry/fake_test.go
@@ -83,6 +83,9 @@
 	}
 	key := claim.Owner + "/" + claim.Key
 	if old, ok := c.claims[key]; ok && old.Nonce != claim.Nonce {
+		if old.Digest != claim.Digest {
+			return structs.Result{}, structs.Errorf(structs.CodeKeyReused, "fake", "another request")
+		}
 		state := *old
 		return structs.Result{Claim: &state}, nil
 	}
@@ -104,8 +107,9 @@
 		} else {
 			old.Answer = done.Answer
 		}
+		return nil
 	}
-	return nil
+	return structs.Errorf(structs.CodeNotFound, "fake", "no claim with this nonce")
 }
 
 // fixture is an entry host behind a test server.
