--- a/store/replica/failure_test.go
+++ b/store/replica/failure_test.go
@@ -50,6 +50,29 @@
 	}
 }
 
+// Guards against followers that acknowledge entries before these are synced:
+// without a synced copy on any of them, nothing may be committed.
+func TestUnsyncedFollowersDoNotCount(t *testing.T) {
+	fs := map[string]*failingFS{}
+	g := newTestGroup(t, 3, func(c *Config) {
+		fs[c.ID] = &failingFS{}
+		c.FS = fs[c.ID]
+	})
+	g.write(1)
+	l := g.leader()
+	for id, f := range fs {
+		if id != l.cfg.ID {
+			f.set(syscall.EIO)
+		}
+	}
+	if _, err := l.Propose(g.ctx, write(2)); !errors.Is(err, ErrLost) {
+		t.Fatalf("proposal without a synced copy elsewhere: %v, want ErrLost", err)
+	}
+	if got := l.cfg.StateMachine.(*register).get(); got != 1 {
+		t.Fatalf("leader holds %d, want 1", got)
+	}
+}
+
 // Guards against a replica that cannot catch up: it is 1,000 entries behind and
 // the leader has dropped them from its log; the snapshot takes several chunks.
 func TestCatchUpFromSnapshot(t *testing.T) {
@@ -81,8 +104,8 @@
 	g.write(5)
 	r = g.start(behind, g.members)
 	g.awaitApplied(r)
-	if got := r.cfg.StateMachine.(*register).get(); got != 5 {
-		t.Fatalf("value %d after restart, want 5", got)
+	if sm := r.cfg.StateMachine.(*register); sm.get() != 5 || sm.counted() < 1002 {
+		t.Fatalf("value %d after %d writes after restart, want 5 and at least 1002", sm.get(), sm.counted())
 	}
 }
 
--- a/store/replica/linear_test.go
+++ b/store/replica/linear_test.go
@@ -49,6 +49,12 @@
 	h.ops = append(h.ops, porcupine.Operation{ClientId: client, Input: op, Call: call, Output: out, Return: end})
 }
 
+func (h *history) count() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.ops)
+}
+
 // Guards against stale reads, lost writes and writes that take effect after
 // they were refused, while leaders are killed and cut off and messages are lost.
 // The verdict depends on the order of events alone.
@@ -66,6 +72,8 @@
 		}()
 	}
 	for range 6 {
+		before := h.count()
+		await(g.ctx, t, "operations between faults", func() bool { return h.count() >= before+60 })
 		fault(g)
 	}
 	close(stop)
--- a/store/wal/wal_test.go
+++ b/store/wal/wal_test.go
@@ -292,11 +292,14 @@
 	if err := l.Switch(p, consensus.HardState{}, nil); err != nil {
 		t.Fatal(err)
 	}
+	if err := l.Save(nil, []consensus.Entry{{Index: 101, Term: 3}}); err != nil {
+		t.Fatal(err)
+	}
 	l.Close()
 	if err := disk.RemoveTemp(disk.OS{}, dir); err != nil {
 		t.Fatal(err)
 	}
-	if _, c, err := Open(disk.OS{}, dir); err != nil || c.Base.Index != 100 {
+	if _, c, err := Open(disk.OS{}, dir); err != nil || c.Base.Index != 100 || len(c.Entries) != 1 {
 		t.Fatalf("got %+v, %v", c, err)
 	}
 }
