transport: test reconnection, order, refusals, silent peers and TLS

Cause: the transport had no tests, a misconfigured replica could fill the log of refusals, and a joining replica without an address listened anywhere.

Refusals are logged at most once a second; Listen is required for a replica that joins; appends with gaps between entries are dropped.

Conclusion: messages of another cluster or format are refused and reported.

--- a/store/consensus/follower.go
+++ b/store/consensus/follower.go
@@ -25,6 +25,11 @@
 	if c.role == Leader {
 		return nil // only this replica leads this term
 	}
+	for i, e := range m.Entries {
+		if e.Index != m.Index+1+uint64(i) {
+			return nil // malformed
+		}
+	}
 	c.follow(now, m.From)
 	if c.incoming != nil && c.incoming.installing {
 		return nil
--- a/store/replica/config.go
+++ b/store/replica/config.go
@@ -138,6 +138,9 @@
 	if c.Listen == "" {
 		c.Listen = c.Advertise
 	}
+	if c.Listen == "" && c.Transport == nil {
+		return errors.New("replica: Listen is required for a replica that joins")
+	}
 	return nil
 }
 
--- a/store/transport/rpc.go
+++ b/store/transport/rpc.go
@@ -24,6 +24,9 @@
 	redialDelay = 50 * time.Millisecond
 	// queueLimit is the number of messages kept for one replica.
 	queueLimit = 1024
+	// refusalLogInterval keeps a misconfigured replica, which sends at each
+	// heartbeat, from filling the log.
+	refusalLogInterval = time.Second
 	// batchLimit is the number of messages in one call.
 	batchLimit = 128
 
@@ -52,8 +55,10 @@
 	peers  map[consensus.ID]*peer
 	conns  map[net.Conn]bool
 	closed bool
-	done   chan struct{}
-	wg     sync.WaitGroup
+	// refusedAt is when a refused message was last logged.
+	refusedAt time.Time
+	done      chan struct{}
+	wg        sync.WaitGroup
 }
 
 // NewRPC listens and returns a transport; Start begins to serve.
@@ -146,10 +151,20 @@
 		t.deliver(e.FromAddress, e.Messages)
 		return nil
 	}
-	t.cfg.Logger.Error().Str("peer", e.FromAddress).Str("reason", ack.Refused).Msg("refused message from replica")
+	t.logRefusal(e.FromAddress, ack.Refused)
 	return nil
 }
 
+// logRefusal logs at most one refusal per refusalLogInterval.
+func (t *RPC) logRefusal(peer, reason string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if now := time.Now(); now.Sub(t.refusedAt) >= refusalLogInterval {
+		t.refusedAt = now
+		t.cfg.Logger.Error().Str("peer", peer).Str("reason", reason).Msg("refused message from replica")
+	}
+}
+
 // Send implements Transport.
 func (t *RPC) Send(to consensus.ID, address string, ms []consensus.Message) {
 	if len(ms) == 0 || address == "" {
--- /dev/null
+++ b/store/transport/rpc_test.go
@@ -0,0 +1,188 @@
+package transport
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"math/big"
+	"net"
+	"net/rpc"
+	"strings"
+	"testing"
+	"time"
+
+	"gooseberrypond/store/consensus"
+)
+
+// hangLimit ends a test that would hang; no verdict depends on it otherwise.
+const hangLimit = 30 * time.Second
+
+// received is a channel of the message terms that a transport delivered.
+type received chan uint64
+
+func open(t *testing.T, cfg RPCConfig) (*RPC, received) {
+	t.Helper()
+	if cfg.Listen == "" {
+		cfg.Listen = "127.0.0.1:0"
+	}
+	tr, err := NewRPC(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { tr.Close() })
+	got := make(received, 1000)
+	err = tr.Start(func(_ string, ms []consensus.Message) {
+		for _, m := range ms {
+			got <- m.Term
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tr, got
+}
+
+// sendUntil repeats a message until one arrives.
+func sendUntil(t *testing.T, from *RPC, address string, got received, term uint64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), hangLimit)
+	defer cancel()
+	for {
+		from.Send("b", address, []consensus.Message{{Term: term}})
+		select {
+		case x := <-got:
+			if x == term {
+				return
+			}
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			t.Fatal("message did not arrive")
+		}
+	}
+}
+
+// Guards against a connection that is not set up again after the other side
+// restarted or moved to another address.
+func TestReconnect(t *testing.T) {
+	a, _ := open(t, RPCConfig{ClusterID: "x"})
+	b, got := open(t, RPCConfig{ClusterID: "x"})
+	sendUntil(t, a, b.Address(), got, 1)
+	address := b.Address()
+	b.Close()
+	a.Send("b", address, []consensus.Message{{Term: 2}})
+	_, got = open(t, RPCConfig{ClusterID: "x", Listen: address})
+	sendUntil(t, a, address, got, 3)
+	c, got := open(t, RPCConfig{ClusterID: "x"})
+	sendUntil(t, a, c.Address(), got, 4)
+}
+
+// Guards against messages that overtake each other on one connection, which
+// would make appends be refused and sent again.
+func TestOrder(t *testing.T) {
+	a, _ := open(t, RPCConfig{ClusterID: "x"})
+	b, got := open(t, RPCConfig{ClusterID: "x"})
+	for i := range uint64(500) {
+		a.Send("b", b.Address(), []consensus.Message{{Term: i}})
+	}
+	for i := range uint64(500) {
+		if x := <-got; x != i {
+			t.Fatalf("got message %d, want %d", x, i)
+		}
+	}
+}
+
+// Guards against replicas of different clusters or formats that take each
+// other's messages.
+func TestMismatchIsRefused(t *testing.T) {
+	b, got := open(t, RPCConfig{ClusterID: "x"})
+	client, err := rpc.Dial("tcp", b.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	for _, x := range []struct {
+		e    Envelope
+		want string
+	}{
+		{Envelope{Version: FormatVersion, ClusterID: "x"}, ""},
+		{Envelope{Version: FormatVersion, ClusterID: "y"}, `cluster "y"`},
+		{Envelope{Version: FormatVersion + 1, ClusterID: "x"}, "version 2"},
+	} {
+		x.e.Messages = []consensus.Message{{Term: 1}}
+		var ack Ack
+		if err := client.Call(methodName, &x.e, &ack); err != nil {
+			t.Fatal(err)
+		}
+		if (x.want == "") != (ack.Refused == "") || !strings.Contains(ack.Refused, x.want) {
+			t.Fatalf("refused with %q, want %q", ack.Refused, x.want)
+		}
+		if n := len(got); x.want != "" && n != 0 || x.want == "" && n != 1 {
+			t.Fatalf("%d messages delivered", n)
+		}
+		for len(got) > 0 {
+			<-got
+		}
+	}
+}
+
+// Guards against a replica that does not answer and blocks the sender or Close.
+func TestSilentPeer(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	a, _ := open(t, RPCConfig{ClusterID: "x"})
+	for range 3 * queueLimit {
+		a.Send("b", ln.Addr().String(), []consensus.Message{{}})
+	}
+	p := a.peers["b"]
+	p.mu.Lock()
+	n := len(p.queue)
+	p.mu.Unlock()
+	if n > queueLimit {
+		t.Fatalf("%d messages are queued, limit %d", n, queueLimit)
+	}
+	a.Close()
+}
+
+// Guards against a transport that ignores its TLS settings.
+func TestTLS(t *testing.T) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tmpl := &x509.Certificate{
+		SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true,
+		IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, tmpl, tmpl, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := x509.ParseCertificate(der)
+	if err != nil {
+		t.Fatal(err)
+	}
+	pool := x509.NewCertPool()
+	pool.AddCert(cert)
+	cfg := &tls.Config{
+		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
+		RootCAs:      pool, ClientCAs: pool, ClientAuth: tls.RequireAndVerifyClientCert,
+	}
+	a, _ := open(t, RPCConfig{ClusterID: "x", TLS: cfg})
+	b, got := open(t, RPCConfig{ClusterID: "x", TLS: cfg})
+	sendUntil(t, a, b.Address(), got, 1)
+	client, err := rpc.Dial("tcp", b.Address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer client.Close()
+	e := Envelope{Version: FormatVersion, ClusterID: "x", Messages: []consensus.Message{{Term: 9}}}
+	if err := client.Call(methodName, &e, &Ack{}); err == nil {
+		t.Fatal("a plain connection was served")
+	}
+}
