--- a/store/replica/apply.go
+++ b/store/replica/apply.go
@@ -15,6 +15,7 @@
 type applier struct {
 	r       *Replica
 	applied atomic.Uint64
+	wait    applyWait
 
 	mu      sync.Mutex
 	cond    *sync.Cond
@@ -26,6 +27,7 @@
 	membership consensus.Membership
 	entries    int
 	bytes      int64
+	snapshotAt time.Time // of the last snapshot, or the start
 
 	// snapshotting is set while a snapshot is encoded and written.
 	snapshotting atomic.Bool
@@ -45,7 +47,7 @@
 }
 
 func newApplier(r *Replica, meta consensus.SnapshotMeta) *applier {
-	a := &applier{r: r, last: meta.Last, membership: meta.Membership}
+	a := &applier{r: r, last: meta.Last, membership: meta.Membership, snapshotAt: r.cfg.Now()}
 	a.cond = sync.NewCond(&a.mu)
 	a.applied.Store(meta.Last.Index)
 	return a
@@ -127,6 +129,7 @@
 			return err
 		}
 	}
+	a.wait.notify()
 	return a.maybeSnapshot()
 }
 
@@ -144,7 +147,7 @@
 	}
 	a.last = consensus.Marker{Index: e.Index, Term: e.Term}
 	a.entries++
-	a.bytes += int64(len(e.Data))
+	a.bytes += int64(len(e.Data)) + entryOverhead
 	a.applied.Store(e.Index)
 	a.r.waiters.applied(e, result)
 	return nil
@@ -157,19 +160,34 @@
 	a.last, a.membership = x.meta.Last, x.meta.Membership
 	a.entries, a.bytes = 0, 0
 	a.applied.Store(x.meta.Last.Index)
+	a.wait.notify()
 	return nil
 }
 
-// maybeSnapshot starts a snapshot when enough was applied since the last one.
-func (a *applier) maybeSnapshot() error {
+// entryOverhead is the assumed memory of an entry without its data, in bytes.
+const entryOverhead = 64
+
+// snapshotDue reports whether enough was applied since the last snapshot. Many
+// small entries bring one about only so often, since encoding the whole state
+// costs more than keeping them.
+func (a *applier) snapshotDue(now time.Time) bool {
 	cfg := &a.r.cfg
-	if a.entries < cfg.SnapshotEntries && a.bytes < cfg.SnapshotBytes {
+	if a.bytes >= cfg.SnapshotBytes {
+		return true
+	}
+	return a.entries >= cfg.SnapshotEntries && now.Sub(a.snapshotAt) >= cfg.SnapshotInterval
+}
+
+// maybeSnapshot starts a snapshot if one is due and none is being written.
+func (a *applier) maybeSnapshot() error {
+	now := a.r.cfg.Now()
+	if !a.snapshotDue(now) {
 		return nil
 	}
 	if !a.snapshotting.CompareAndSwap(false, true) {
 		return nil
 	}
-	a.entries, a.bytes = 0, 0
+	a.entries, a.bytes, a.snapshotAt = 0, 0, now
 	meta := consensus.SnapshotMeta{Last: a.last, Membership: a.membership}
 	encode, err := a.encoder()
 	if err != nil {
@@ -205,6 +223,8 @@
 	if err := a.r.snaps.Save(meta, data); err != nil {
 		return err
 	}
+	a.r.counters.taken.Add(1)
+	a.r.counters.snapshotBytes.Store(int64(len(data)))
 	a.r.cfg.Logger.Info().Str("replica", a.r.cfg.ID).Uint64("index", meta.Last.Index).Int("bytes", len(data)).
 		Dur("took", a.r.cfg.Now().Sub(start)).Msg("wrote snapshot")
 	return a.truncateLog(meta)
--- a/store/replica/bench_test.go
+++ b/store/replica/bench_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"path/filepath"
 	"slices"
 	"sync"
 	"testing"
@@ -58,12 +57,12 @@
 func BenchmarkRestart(b *testing.B) {
 	const snapshotBytes, behind = 32 << 20, 1000
 	g := newTestGroup(b, 3, func(c *Config) {
-		c.SnapshotEntries = 100
+		c.SnapshotEntries, c.SnapshotInterval = 100, 1
 		c.StateMachine.(*register).pad = make([]byte, snapshotBytes)
 	})
 	g.ctx = context.Background()
 	g.write(0)
-	for i := range b.N {
+	for range b.N {
 		id := follower(g)
 		b.StopTimer()
 		g.stop(id)
@@ -74,6 +73,5 @@
 		await(g.ctx, b, "truncation", func() bool { return g.leader().status.Load().Base > snapshotAt })
 		b.StartTimer()
 		g.awaitApplied(g.start(id, g.members))
-		b.Logf("restart %d of %s in %s", i, id, filepath.Base(g.dir))
 	}
 }
--- a/store/replica/config.go
+++ b/store/replica/config.go
@@ -66,9 +66,11 @@
 	Now func() time.Time
 
 	// SnapshotEntries and SnapshotBytes are how many applied entries, or bytes
-	// of them, bring about the next snapshot.
-	SnapshotEntries int
-	SnapshotBytes   int64
+	// of them, bring about the next snapshot; by SnapshotEntries there is at
+	// most one in SnapshotInterval.
+	SnapshotEntries  int
+	SnapshotBytes    int64
+	SnapshotInterval time.Duration
 	// MaxUncommittedBytes bounds the proposals that are queued or not yet
 	// committed; more are refused with ErrBusy.
 	MaxUncommittedBytes int64
@@ -76,9 +78,11 @@
 
 // Defaults and limits.
 const (
-	// DefaultSnapshotEntries keeps the log that is read at a restart to two
-	// times this number of entries.
+	// DefaultSnapshotEntries keeps the log that is read at a restart short.
 	DefaultSnapshotEntries = 8192
+	// DefaultSnapshotInterval keeps the cost of encoding a full-size state,
+	// under a second, below a tenth of a core.
+	DefaultSnapshotInterval = 10 * time.Second
 	// DefaultSnapshotBytes bounds the memory of the entries kept, together
 	// with the previous snapshot's, to about twice its value.
 	DefaultSnapshotBytes = 16 << 20
@@ -116,6 +120,9 @@
 	if c.SnapshotBytes <= 0 {
 		c.SnapshotBytes = DefaultSnapshotBytes
 	}
+	if c.SnapshotInterval <= 0 {
+		c.SnapshotInterval = DefaultSnapshotInterval
+	}
 	if c.MaxUncommittedBytes <= 0 {
 		c.MaxUncommittedBytes = DefaultMaxUncommittedBytes
 	}
--- a/store/replica/effects.go
+++ b/store/replica/effects.go
@@ -38,12 +38,15 @@
 }
 
 func (r *Replica) persist(e *consensus.Effects) error {
+	start := r.cfg.Now()
 	if err := r.log.Save(e.State, e.Entries); err != nil {
 		return err
 	}
+	now := r.cfg.Now()
+	r.synced(start, now)
 	if n := len(e.Entries); n > 0 {
 		last := e.Entries[n-1]
-		r.core.Persisted(r.cfg.Now(), consensus.Marker{Index: last.Index, Term: last.Term})
+		r.core.Persisted(now, consensus.Marker{Index: last.Index, Term: last.Term})
 	}
 	return nil
 }
@@ -103,6 +106,8 @@
 		return err
 	}
 	r.core.SnapshotInstalled(meta)
+	r.counters.installed.Add(1)
+	r.counters.snapshotBytes.Store(int64(len(data)))
 	r.apply.push(applyItem{restore: &restore{meta: meta, data: data}})
 	r.cfg.Logger.Info().Str("peer", ch.From).Uint64("index", meta.Last.Index).Int("bytes", len(data)).
 		Msg("installed snapshot from leader")
@@ -142,6 +147,9 @@
 	if leading {
 		r.led = s.Term
 	}
+	if leading && !(r.leader.Leading && r.leader.Term == s.Term) {
+		r.counters.elections.Add(1)
+	}
 	ch := LeaderChange{LeaderID: s.Leader, Term: s.Term, Leading: leading, ElectedAt: s.ElectedAt}
 	if ch != r.leader {
 		r.leader = ch
--- a/store/replica/failure_test.go
+++ b/store/replica/failure_test.go
@@ -77,7 +77,7 @@
 // the leader has dropped them from its log; the snapshot takes several chunks.
 func TestCatchUpFromSnapshot(t *testing.T) {
 	g := newTestGroup(t, 3, func(c *Config) {
-		c.SnapshotEntries = 200
+		c.SnapshotEntries, c.SnapshotInterval = 200, 1
 		c.StateMachine.(*register).pad = make([]byte, 4*chunkBytes)
 	})
 	g.write(0)
@@ -100,6 +100,9 @@
 	if sm.get() != 999 || sm.counted() < 1001 || r.Status().Snapshot < 400 {
 		t.Fatalf("value %d after %d writes, snapshot at %d", sm.get(), sm.counted(), r.Status().Snapshot)
 	}
+	if n := r.Stats().SnapshotsInstalled; n == 0 {
+		t.Fatal("no snapshot was installed")
+	}
 	g.stop(behind)
 	g.write(5)
 	r = g.start(behind, g.members)
@@ -112,7 +115,7 @@
 // Guards against a repair that leaves the group unable to survive the next
 // loss: a dead member is replaced, then another one is lost for good.
 func TestReplaceDeadMemberThenLoseAnother(t *testing.T) {
-	g := newTestGroup(t, 3, func(c *Config) { c.SnapshotEntries = 50 })
+	g := newTestGroup(t, 3, func(c *Config) { c.SnapshotEntries, c.SnapshotInterval = 50, 1 })
 	for i := range 200 {
 		g.write(i)
 	}
--- a/store/replica/group_test.go
+++ b/store/replica/group_test.go
@@ -164,8 +164,9 @@
 // awaitApplied waits until the replica has applied all that the leader has.
 func (g *testGroup) awaitApplied(r *Replica) {
 	g.t.Helper()
-	target := g.leader().AppliedIndex()
-	await(g.ctx, g.t, "apply on "+r.cfg.ID, func() bool { return r.AppliedIndex() >= target })
+	if err := r.WaitApplied(g.ctx, g.leader().AppliedIndex()); err != nil {
+		g.t.Fatalf("%s: %v", r.cfg.ID, err)
+	}
 }
 
 // failingFS fails writes or syncs of the log when told to.
--- a/store/replica/linear_test.go
+++ b/store/replica/linear_test.go
@@ -59,7 +59,7 @@
 // they were refused, while leaders are killed and cut off and messages are lost.
 // The verdict depends on the order of events alone.
 func TestLinearizable(t *testing.T) {
-	g := newTestGroup(t, 3, func(c *Config) { c.SnapshotEntries = 20 })
+	g := newTestGroup(t, 3, func(c *Config) { c.SnapshotEntries, c.SnapshotInterval = 20, 1 })
 	g.net.change(func() { g.net.loss, g.net.delay = 0.02, 5*time.Millisecond })
 	h := &history{start: time.Now()}
 	var clients sync.WaitGroup
--- a/store/replica/propose.go
+++ b/store/replica/propose.go
@@ -101,6 +101,7 @@
 	size := int64(len(data))
 	if r.waiters.bytes.Add(size) > r.cfg.MaxUncommittedBytes {
 		r.waiters.bytes.Add(-size)
+		r.counters.refused.Add(1)
 		return nil, ErrBusy
 	}
 	p := &proposal{
@@ -172,6 +173,8 @@
 		}
 		return
 	}
+	r.counters.proposals.Add(uint64(len(live)))
+	r.counters.batches.Add(1)
 	for i, p := range live {
 		p.term = first.Term
 		r.waiters.add(first.Index+uint64(i), p)
--- a/store/replica/replica.go
+++ b/store/replica/replica.go
@@ -37,6 +37,8 @@
 	waiters *waiters
 	apply   *applier
 
+	counters counters
+
 	status  atomic.Pointer[consensus.Status]
 	lease   atomic.Pointer[lease]
 	changes chan LeaderChange
--- /dev/null
+++ b/store/replica/stats.go
@@ -0,0 +1,120 @@
+package replica
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/core/structs"
+)
+
+// slowSync is the duration of a sync that is logged: the loop sends no
+// heartbeat meanwhile.
+const slowSync = structs.HeartbeatInterval
+
+// slowSyncLogInterval keeps a slow disk from filling the log.
+const slowSyncLogInterval = 10 * time.Second
+
+// Stats counts what a replica did since it was opened.
+type Stats struct {
+	// Proposals is the number of proposals appended here as leader, Batches the
+	// number of turns of the loop that appended some.
+	Proposals, Batches uint64
+	// Syncs is the number of syncs of the log, SyncTime their total and SyncMax
+	// the longest.
+	Syncs    uint64
+	SyncTime time.Duration
+	SyncMax  time.Duration
+	// LogBytes is the size of the present log segment.
+	LogBytes int64
+	// SnapshotsTaken and SnapshotsInstalled count snapshots made here and
+	// received from a leader; SnapshotBytes is the size of the latest.
+	SnapshotsTaken, SnapshotsInstalled uint64
+	SnapshotBytes                      int64
+	// Elections is how often this replica became leader.
+	Elections uint64
+	// Refused counts proposals refused with ErrBusy.
+	Refused uint64
+}
+
+// counters holds the Stats of a replica.
+type counters struct {
+	proposals, batches, refused, elections atomic.Uint64
+	syncs, taken, installed                atomic.Uint64
+	syncTime, syncMax                      atomic.Int64
+	logBytes, snapshotBytes                atomic.Int64
+	slowLogged                             time.Time // used by the loop only
+}
+
+// Stats returns the counters.
+func (r *Replica) Stats() Stats {
+	c := &r.counters
+	return Stats{
+		Proposals: c.proposals.Load(), Batches: c.batches.Load(),
+		Syncs:    c.syncs.Load(),
+		SyncTime: time.Duration(c.syncTime.Load()), SyncMax: time.Duration(c.syncMax.Load()),
+		LogBytes:       c.logBytes.Load(),
+		SnapshotsTaken: c.taken.Load(), SnapshotsInstalled: c.installed.Load(),
+		SnapshotBytes: c.snapshotBytes.Load(),
+		Elections:     c.elections.Load(), Refused: c.refused.Load(),
+	}
+}
+
+// synced counts a sync and logs one that was slow. It is called by the loop only.
+func (r *Replica) synced(start, end time.Time) {
+	c, took := &r.counters, end.Sub(start)
+	c.syncs.Add(1)
+	c.syncTime.Add(int64(took))
+	c.syncMax.Store(max(c.syncMax.Load(), int64(took)))
+	c.logBytes.Store(r.log.Size())
+	if took >= slowSync && end.Sub(c.slowLogged) >= slowSyncLogInterval {
+		c.slowLogged = end
+		r.cfg.Logger.Warn().Str("replica", r.cfg.ID).Dur("took", took).Msg("sync of the log is slow")
+	}
+}
+
+// applyWait wakes those who wait for an entry to be applied.
+type applyWait struct {
+	mu      sync.Mutex
+	changed chan struct{}
+}
+
+// next returns a channel that is closed after the next batch is applied.
+func (w *applyWait) next() <-chan struct{} {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.changed == nil {
+		w.changed = make(chan struct{})
+	}
+	return w.changed
+}
+
+func (w *applyWait) notify() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.changed != nil {
+		close(w.changed)
+		w.changed = nil
+	}
+}
+
+// WaitApplied returns once the entry at index is applied here, on a leader or a
+// follower.
+func (r *Replica) WaitApplied(ctx context.Context, index uint64) error {
+	for {
+		changed := r.apply.wait.next()
+		if r.AppliedIndex() >= index {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-r.stopping:
+			return r.stopError()
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "wait for entry %d", index)
+		}
+	}
+}
