Place ignored starts again and refuse tasks over their owner's quota

Cause: a task stayed assigned for ever on a worker that syncs but takes up no start, for instance when every reply comes later than StartWindow. A task larger than its owner's quota was accepted and could never be placed.

Conclusion: after 15 s such a task is proved absent and placed elsewhere; the submission over the quota is refused at once with CodeQuota.

--- a/core/lease/command.go
+++ b/core/lease/command.go
@@ -3,13 +3,14 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
 
 // command returns the command for one attempt in the log, if one is needed.
-func (r *rec) command(t *state.Tables, task *structs.Task, domainOut, throttle bool) (structs.WorkerCommand, bool) {
+func (r *rec) command(now time.Time, t *state.Tables, task *structs.Task, domainOut, throttle bool) (structs.WorkerCommand, bool) {
 	cmd := structs.WorkerCommand{Task: task.ID, Attempt: task.Attempt, Epoch: task.Epoch}
 	listed := r.lists(task)
 	switch task.State {
@@ -17,7 +18,9 @@
 		if listed || domainOut || !r.mayStart(task) {
 			return cmd, false
 		}
-		r.started[task.ID] = task.Epoch
+		if r.started[task.ID].epoch != task.Epoch {
+			r.started[task.ID] = mark{task.Epoch, now}
+		}
 		return startCommand(t, task, cmd), true
 	case structs.AttemptEvicting:
 		cmd.Type = structs.CommandCheckpoint
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -25,6 +25,9 @@
 	// without a session. Delayed duplicates of syncs to an earlier leader have
 	// been dropped by their carriers by then.
 	legacyTrust = structs.GrantReclaim
+	// startGiveUp is how long a worker may sync without taking up a start before the
+	// task is placed again; its replies may always come later than StartWindow.
+	startGiveUp = 15 * time.Second
 	// driftDivisor bounds clock drift over a lease hold: two clocks that are each
 	// off by 1% differ by one part in 50.
 	driftDivisor = 50
@@ -53,15 +56,16 @@
 	// reported holds the attempts with an event in the last sync; an attempt
 	// that has ended on the worker is not started again.
 	reported map[structs.TaskID]uint64
-	// started holds the epochs of attempts for which a start was sent.
-	started map[structs.TaskID]uint64
-	// voided holds the epochs of attempts proposed as not running; no start may follow.
-	voided   map[structs.TaskID]voiding
+	// started tells for which attempts a start was sent, and when the first was.
+	started map[structs.TaskID]mark
+	// voided tells which attempts were last proposed as not running; no start may follow.
+	voided   map[structs.TaskID]mark
 	ending   *structs.EndAttempts
 	endingAt time.Time
 }
 
-type voiding struct {
+// mark notes a time for one attempt of a task.
+type mark struct {
 	epoch uint64
 	at    time.Time
 }
@@ -89,7 +93,7 @@
 	if r == nil || r.incarnation != w.Incarnation {
 		r = &rec{
 			incarnation: w.Incarnation, renewed: now,
-			started: map[structs.TaskID]uint64{}, voided: map[structs.TaskID]voiding{},
+			started: map[structs.TaskID]mark{}, voided: map[structs.TaskID]mark{},
 		}
 		l.recs[w.ID] = r
 	}
@@ -191,6 +195,6 @@
 // neverStarted reports whether no start of the attempt was ever sent, by this
 // leader or an earlier one.
 func (l *Table) neverStarted(r *rec, task *structs.Task) bool {
-	return l.electedIndex > 0 && task.Epoch > l.electedIndex && r.started[task.ID] != task.Epoch &&
+	return l.electedIndex > 0 && task.Epoch > l.electedIndex && r.started[task.ID].epoch != task.Epoch &&
 		task.State != structs.AttemptRunning && task.Status != structs.StatusRunning
 }
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -207,6 +207,27 @@
 	}
 }
 
+// Guards against a task that waits for ever on a worker that takes no starts,
+// and against a start in a domain out of service before absence is proved.
+func TestIgnoredStartIsPlacedAgain(t *testing.T) {
+	b := newBed(t, 0)
+	b.place("e")
+	b.sync(nil)
+	b.now = b.now.Add(startGiveUp - 1)
+	if reply, cmd, _ := b.sync(nil); cmd != nil || len(reply.Commands) != 1 {
+		t.Fatalf("before the time: %+v, commands %+v", cmd, reply.Commands)
+	}
+	b.now = b.now.Add(1)
+	if reply, cmd, _ := b.sync(nil); cmd == nil || len(reply.Commands) != 0 {
+		t.Errorf("after the time: %+v, commands %+v", cmd, reply.Commands)
+	}
+	b = newBed(t, 0)
+	b.place("e")
+	b.domain(true)
+	reply, _, _ := b.l.Sync(b.now, b.t, &structs.WorkerSync{ID: "w1", Incarnation: 1, Seq: 1})
+	b.wantCommands(reply.Commands)
+}
+
 // Guards against proof by a delayed duplicate of a sync to a former leader,
 // which shows the worker as it was before a start.
 func TestAbsenceNeedsTheSession(t *testing.T) {
--- a/core/lease/sync.go
+++ b/core/lease/sync.go
@@ -27,7 +27,7 @@
 	}
 	r.take(now, req)
 	events := l.events(now, t, r, req)
-	return l.reply(t, w, r, throttle), events, nil
+	return l.reply(now, t, w, r, throttle), events, nil
 }
 
 // Poll returns the commands for a worker whose sync is still open, because
@@ -41,7 +41,7 @@
 	if r.seq != req.Seq || !r.settle(t) {
 		return structs.WorkerSyncReply{}, structs.Errorf(structs.CodeConflict, stepSync, "sync %d of worker %s is no longer open", req.Seq, req.ID)
 	}
-	return l.reply(t, w, r, throttle), nil
+	return l.reply(now, t, w, r, throttle), nil
 }
 
 // take replaces what is known of the worker by a newer report.
@@ -100,14 +100,16 @@
 			continue
 		}
 		v := r.voided[task.ID]
+		first := r.started[task.ID]
+		ignored := first.epoch == task.Epoch && now.Sub(first.at) >= startGiveUp
 		wanted := task.State == structs.AttemptAssigned && !domainOut && v.epoch != task.Epoch
-		if wanted {
+		if wanted && !ignored {
 			continue
 		}
 		if v.epoch == task.Epoch && now.Sub(v.at) < retryAfter {
 			continue
 		}
-		r.voided[task.ID] = voiding{task.Epoch, now}
+		r.voided[task.ID] = mark{task.Epoch, now}
 		out = append(out, structs.TaskEvent{
 			Type: structs.EventStopped, Task: task.ID, Attempt: task.Attempt, Epoch: task.Epoch,
 		})
@@ -133,7 +135,7 @@
 
 // reply compares the worker's report with the log and returns the commands
 // that lead from the one to the other.
-func (l *Table) reply(t *state.Tables, w *structs.Worker, r *rec, throttle []structs.TaskID) structs.WorkerSyncReply {
+func (l *Table) reply(now time.Time, t *state.Tables, w *structs.Worker, r *rec, throttle []structs.TaskID) structs.WorkerSyncReply {
 	out := structs.WorkerSyncReply{
 		LeaseMS:       structs.WorkerLease.Milliseconds(),
 		StartWithinMS: structs.StartWindow.Milliseconds(),
@@ -149,7 +151,7 @@
 	out.Commands = r.strayStops(t, attempts)
 	domainOut := t.DomainOut(w.Domain)
 	for _, task := range attempts {
-		if cmd, ok := r.command(t, task, domainOut, slow[task.ID]); ok {
+		if cmd, ok := r.command(now, t, task, domainOut, slow[task.ID]); ok {
 			out.Commands = append(out.Commands, cmd)
 		}
 	}
@@ -161,7 +163,7 @@
 	if len(r.started)+len(r.voided) <= 2*len(attempts)+16 {
 		return
 	}
-	started, voided := map[structs.TaskID]uint64{}, map[structs.TaskID]voiding{}
+	started, voided := map[structs.TaskID]mark{}, map[structs.TaskID]mark{}
 	for _, task := range attempts {
 		if e, ok := r.started[task.ID]; ok {
 			started[task.ID] = e
--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -147,6 +147,9 @@
 	if size.CPUMilli == 0 && size.MemoryMB == 0 && size.Accelerators == 0 {
 		return bad("entry %q declares no size and the job gives none", spec.Entry)
 	}
+	if quota := t.catalogue.Owners[owner].Quota; !WithinQuota(size, quota) {
+		return structs.Errorf(structs.CodeQuota, stepSubmit, "one task of %v is over the quota %v of owner %q", size, quota, owner)
+	}
 	if spec.DeadlineMS < 0 {
 		return bad("deadline_ms %d is negative", spec.DeadlineMS)
 	}
