--- a/core/route/pick.go
+++ b/core/route/pick.go
@@ -102,12 +102,13 @@
 	return a
 }
 
-// limit is the number of requests that this host may have at the upstream.
-func (u *upstream) limit() int { return min(u.grant, u.connCap) }
+// limit is the number of requests that this host may have at the upstream. An
+// upstream with fewer connections than entry hosts gets one at a time.
+func (u *upstream) limit() int { return min(u.grant, max(u.connCap, 1)) }
 
 // eligible reports whether the upstream may get new requests.
 func (u *upstream) eligible(now time.Time) bool {
-	return u.present && !u.info.Leaving && !u.isEjected(now)
+	return u.present && !u.leaving && !u.isEjected(now)
 }
 
 func (u *upstream) isEjected(now time.Time) bool {
@@ -154,7 +155,7 @@
 	}
 	total, ejected := 0, 0
 	for _, x := range u.entry.upstreams {
-		if x.info.Leaving {
+		if x.leaving {
 			continue
 		}
 		total++
@@ -179,7 +180,7 @@
 		total := 0
 		var ejected []*upstream
 		for _, u := range e.upstreams {
-			if u.info.Leaving {
+			if u.leaving {
 				continue
 			}
 			total++
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -58,7 +58,8 @@
 	Action   Action
 	Ticket   Ticket
 	Upstream structs.Upstream
-	// Connections is the most connections this host may open to Upstream.
+	// Connections is the most connections this host may keep open to Upstream.
+	// With 0 it may open one and must close it after the attempt.
 	Connections int
 	// Deadline is when the request ends.
 	Deadline time.Time
@@ -108,6 +109,7 @@
 	view      view
 	seq       uint64
 	applied   uint64
+	told      bool // the newest sync lists the upstreams
 	stopping  bool
 	wantsSync bool
 
--- a/core/sched/drain.go
+++ b/core/sched/drain.go
@@ -15,6 +15,10 @@
 	batchDrainLimit = 45 * time.Second
 	// drainInterval is the time between two looks at the domains that are out.
 	drainInterval = 100 * time.Millisecond
+	// movingPart bounds the tasks of a service that move at once: one in movingPart.
+	movingPart = 8
+	// drainPerPlan bounds the evictions of one plan, and with them its time.
+	drainPerPlan = 500
 )
 
 // noteDomains records since when domains are out or back, by the leader's clock.
@@ -25,21 +29,19 @@
 		if _, ok := p.outSince[d]; !ok {
 			p.outSince[d] = p.now.Add(-p.sinceChange(d))
 		}
-		delete(p.returned, d)
 	}
 	for d := range p.outSince {
 		if !now[d] {
 			delete(p.outSince, d)
-			p.returned[d] = p.now
 		}
 	}
-	if p.ticks == 0 {
-		p.noteReturned(now)
-	}
+	p.noteReturned(now)
 }
 
-// noteReturned finds domains that returned shortly before this leader began.
+// noteReturned finds the domains that returned a short time ago, also before
+// this leader began or between two plans.
 func (p *planner) noteReturned(out map[string]bool) {
+	clear(p.returned)
 	for _, w := range p.t.Workers() {
 		if out[w.Domain] || p.t.Domain(w.Domain).ChangedMS == 0 {
 			continue
@@ -81,6 +83,9 @@
 		if tierOf(it.info) == tierBatch && it.job.Spec.Kind != structs.KindService {
 			return
 		}
+		if waited < serviceDrainLimit && int(p.held(it.info.id)) >= max(1, p.spread.count(it.info.id)/movingPart) {
+			return
+		}
 		if n := p.best(it, p.feasible(it)); n != nil {
 			p.reserveRoom(it, n)
 			p.evict(task, "failure domain out of service; place reserved on "+string(n.worker.ID))
@@ -117,6 +122,9 @@
 		}
 		waited := p.now.Sub(p.outSince[n.worker.Domain])
 		for _, task := range p.t.AttemptsOn(n.worker.ID) {
+			if len(p.plan.Evict) >= drainPerPlan {
+				return
+			}
 			if !p.mayEvict(task) {
 				continue
 			}
--- a/host/control/calls.go
+++ b/host/control/calls.go
@@ -1,7 +1,9 @@
 package control
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"gooseberrypond/core/leader"
@@ -38,6 +40,30 @@
 	return &view, nil
 }
 
+// Watch implements rpc.Control.
+func (h *Host) Watch(ctx context.Context, seen rpc.Versions) (rpc.Versions, error) {
+	timer := time.NewTimer(rpc.WatchHold)
+	defer timer.Stop()
+	for over := false; ; {
+		var now rpc.Versions
+		var changed chan struct{}
+		err := h.lead("control.watch", func(_ *leader.Core, t *state.Tables) {
+			now = rpc.Versions{Catalogue: t.Catalogue().Version, Domains: t.DomainsVersion()}
+			changed = h.machine.changed
+		})
+		if err != nil || over || now != seen {
+			return now, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			over = true
+		}
+	}
+}
+
 // Announce implements rpc.Control.
 func (h *Host) Announce(_ context.Context, u structs.Upstream) error {
 	return h.leadCheck("control.announce", func(core *leader.Core) *structs.Error { return core.Announce(time.Now(), u) })
@@ -233,20 +259,27 @@
 	}
 	limit = min(limit, maxPage)
 	var out []structs.Job
-	err := h.lead("control.list_jobs", func(_ *leader.Core, t *state.Tables) {
-		skipping := q.After != ""
-		for j := range t.JobsOf(t.ResolveOwner(q.Owner)) {
-			if skipping {
-				skipping = j.ID != q.After
-				continue
-			}
-			if out = append(out, *j); len(out) == limit {
-				return
-			}
-		}
-	})
+	err := h.lead("control.list_jobs", func(_ *leader.Core, t *state.Tables) { out = jobPage(t, q.Owner, q.After, limit) })
 	if err != nil {
 		return nil, err
 	}
 	return out, nil
 }
+
+// jobPage copies the owner's next jobs in id order. The last job of the
+// previous page may have been removed meanwhile, and jobs of a merged owner are
+// not in the order of their ids.
+func jobPage(t *state.Tables, owner string, after structs.JobID, limit int) []structs.Job {
+	var next []*structs.Job
+	for j := range t.JobsOf(t.ResolveOwner(owner)) {
+		if j.ID > after {
+			next = append(next, j)
+		}
+	}
+	slices.SortFunc(next, func(a, b *structs.Job) int { return cmp.Compare(a.ID, b.ID) })
+	out := make([]structs.Job, 0, min(limit, len(next)))
+	for _, j := range next[:min(limit, len(next))] {
+		out = append(out, *j)
+	}
+	return out
+}
