Test whole accelerators and the sum of payloads

Cause: no test noticed a reservation without its accelerator, nor payloads of finished jobs that stay counted.

--- a/core/state/rules_test.go
+++ b/core/state/rules_test.go
@@ -317,7 +317,7 @@
 	if c := b.Counts(); c.Changes != structs.MinChangeIDs || c.Keys != 0 {
 		t.Errorf("counts = %+v", c)
 	}
-	if again := b.submit("a", "done", structs.JobSpec{Entry: "ea", Kind: structs.KindBatch}); again.Existing || again.Error != nil {
+	if again := b.submit("a", "done", structs.JobSpec{Entry: "ea", Kind: structs.KindBatch, Payload: []byte("p")}); again.Existing || again.Error != nil {
 		t.Errorf("key after its retention: %+v", again)
 	}
 }
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -62,7 +62,7 @@
 
 func (b *bed) batch(key string, edit ...func(*structs.JobSpec)) structs.TaskID {
 	b.Helper()
-	spec := structs.JobSpec{Entry: "ea", Kind: structs.KindBatch}
+	spec := structs.JobSpec{Entry: "ea", Kind: structs.KindBatch, Payload: []byte("p")}
 	for _, e := range edit {
 		e(&spec)
 	}
@@ -193,6 +193,17 @@
 	}
 }
 
+// Guards against a reservation that shares an accelerator.
+func TestAcceleratorsAreReservedWhole(t *testing.T) {
+	b := newBed(t)
+	need := structs.Resources{CPUMilli: 1000, Accelerators: 1}
+	task := b.batch("k", func(s *structs.JobSpec) { s.Resources = need })
+	b.do(&structs.Command{RegisterWorker: &structs.WorkerRegister{ID: "w2", Incarnation: 1, Domain: "d1", Capacity: need}})
+	if b.assignTo(task, "w2", structs.Resources{CPUMilli: 1000}) || !b.assignTo(task, "w2", structs.Resources{CPUMilli: 500, Accelerators: 1}) {
+		t.Error("want the assignment with its accelerator only")
+	}
+}
+
 // Guards against evicted work that is lost, resumed twice or resumed from the wrong place.
 func TestEvictedWorkResumesOnce(t *testing.T) {
 	b := newBed(t)
