--- a/core/leader/core.go
+++ b/core/leader/core.go
@@ -6,9 +6,12 @@
 package leader
 
 import (
+	"slices"
 	"time"
 
+	"gooseberrypond/core/grant"
 	"gooseberrypond/core/lease"
+	"gooseberrypond/core/sched"
 	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
@@ -23,10 +26,13 @@
 	// planTimeout is how long a plan may take to be applied before the next one
 	// is made. Parts that were overtaken are dropped when they are applied.
 	planTimeout = time.Second
+	// noteInterval is the shortest time between two notes on one job.
+	noteInterval = 5 * time.Second
 )
 
-// LiveView tells which workers may be offered new work.
-type LiveView interface {
+// LiveView tells which workers may be offered new work. It is an alias, so
+// that package sched can name the same type without this package.
+type LiveView = interface {
 	Live(worker structs.WorkerID) bool
 }
 
@@ -65,10 +71,17 @@
 
 	planOpen   bool
 	planAt     time.Time
+	noted      map[structs.JobID]bool
+	notedFrom  time.Time
 	leaseCheck time.Time
 	nextExpire time.Time
 }
 
+// New returns the core of a leader elected at now.
+func New(now time.Time, t *state.Tables, entryHosts []string) *Core {
+	return NewWith(now, t, entryHosts, sched.New(sched.Options{}), grant.New(now, entryHosts))
+}
+
 // NewWith returns the core of a leader elected at now that uses the given
 // scheduler and shares of limits.
 func NewWith(now time.Time, t *state.Tables, entryHosts []string, sched Scheduler, grants Grants) *Core {
@@ -77,6 +90,7 @@
 		electedAt: now, entryHosts: entryHosts,
 		hosts:     make(map[string]*hostRec, len(entryHosts)),
 		upstreams: map[string]*upstreamRec{},
+		noted:     map[structs.JobID]bool{},
 		lastNow:   now, lastMS: t.NowMS(),
 		nextExpire: now.Add(expireInterval),
 	}
@@ -125,6 +139,7 @@
 		plan = &structs.Plan{}
 	}
 	plan.Occurrences = c.occurrences(nowMS)
+	plan.Notes = c.newNotes(now, plan.Notes)
 	if plan.Empty() {
 		c.planOpen = false
 		return nil
@@ -133,6 +148,20 @@
 	return &structs.Command{Plan: plan}
 }
 
+// newNotes leaves out notes on jobs that were noted a short time ago. A note
+// that is dropped when applied would otherwise fill the log at every tick.
+func (c *Core) newNotes(now time.Time, notes []structs.JobNote) []structs.JobNote {
+	if now.Sub(c.notedFrom) >= noteInterval {
+		c.notedFrom = now
+		clear(c.noted)
+	}
+	return slices.DeleteFunc(notes, func(n structs.JobNote) bool {
+		seen := c.noted[n.Job]
+		c.noted[n.Job] = true
+		return seen
+	})
+}
+
 // liveAt is the view of live workers at one time.
 type liveAt struct {
 	lease *lease.Table
--- a/core/leader/fakes_test.go
+++ b/core/leader/fakes_test.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"gooseberrypond/core/sched"
 	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
 )
@@ -23,6 +24,19 @@
 
 func (s *firstFit) Explain(*state.Tables, structs.JobID) []string { return nil }
 
+// realSched is package sched with evictions that a test adds.
+type realSched struct {
+	*sched.Scheduler
+	fake *firstFit
+}
+
+func (s realSched) Plan(now time.Time, nowMS int64, t *state.Tables, live LiveView) *structs.Plan {
+	p := s.Scheduler.Plan(now, nowMS, t, live)
+	p.Evict = append(p.Evict, s.fake.evict...)
+	s.fake.evict = nil
+	return p
+}
+
 func (s *firstFit) Plan(_ time.Time, nowMS int64, t *state.Tables, live LiveView) *structs.Plan {
 	p := &structs.Plan{Evict: s.evict}
 	s.evict = nil
@@ -65,8 +79,6 @@
 	return nil, nil
 }
 
-var _ Grants = (*noGrants)(nil)
-
 var (
 	epoch = time.Unix(1_000_000, 0)
 	small = structs.Resources{CPUMilli: 1000, MemoryMB: 1024}
@@ -104,14 +116,6 @@
 	}
 }
 
-func (b *bed) sync(req *structs.WorkerSync) (structs.WorkerSyncReply, *structs.Error) {
-	reply, cmd, err := b.core.WorkerSync(b.now, req)
-	if cmd != nil {
-		b.apply(cmd)
-	}
-	return reply, err
-}
-
 func testCatalogue() structs.Catalogue {
 	return structs.Catalogue{
 		Owners: map[string]structs.Owner{"desk": {}, "yard": {}},
--- a/core/state/catalogue.go
+++ b/core/state/catalogue.go
@@ -39,8 +39,9 @@
 		res.Error = err
 		return t.recordChange(res)
 	}
+	moved := t.movedOwners(next, aliases)
 	t.catalogue, t.aliases, t.catalogueChange = next, aliases, c.ChangeID
-	t.moveMerged()
+	t.moveMerged(moved)
 	res.Accepted, res.Version = true, next.Version
 	return t.recordChange(res)
 }
@@ -85,6 +86,8 @@
 	return out
 }
 
+// resolve follows aliases to an owner in the catalogue. Each step follows one
+// accepted merge; the bound only ends a cycle of aliases.
 func resolve(name string, c *structs.Catalogue, aliases map[string]string) string {
 	for range len(aliases) + 1 {
 		if _, ok := c.Owners[name]; ok {
@@ -176,6 +179,8 @@
 		switch {
 		case !ok:
 			lost = append(lost, fmt.Sprintf("entry %q (%d unfinished jobs)", name, e.liveJobs))
+		case entry.Resources.IsZero() && !t.catalogue.Entries[name].Resources.IsZero():
+			lost = append(lost, fmt.Sprintf("the size of entry %q (%d unfinished jobs)", name, e.liveJobs))
 		case owner != "" && entry.Owner != owner:
 			lost = append(lost, fmt.Sprintf("entry %q given to %q (%d unfinished jobs of %q)", name, entry.Owner, e.liveJobs, owner))
 		}
@@ -198,17 +203,26 @@
 	return ""
 }
 
-// moveMerged gives the jobs, keys and claims of former owners to the owners they were merged into.
-func (t *Tables) moveMerged() {
+// movedOwners returns the former owners whose current owner changes, with the new one.
+func (t *Tables) movedOwners(next *structs.Catalogue, aliases map[string]string) map[string]string {
 	moved := map[string]string{}
-	for _, name := range slices.Sorted(maps.Keys(t.aliases)) {
-		to := t.ResolveOwner(name)
-		if to == "" {
-			continue
+	for name := range aliases {
+		to := resolve(name, next, aliases)
+		if to != "" && to != t.ResolveOwner(name) {
+			moved[name] = to
 		}
-		moved[name] = to
+	}
+	return moved
+}
+
+// moveMerged gives the jobs, keys and claims of former owners to the owners they were merged into.
+func (t *Tables) moveMerged(moved map[string]string) {
+	if len(moved) == 0 {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(moved)) {
 		if o := t.owners[name]; o != nil {
-			t.moveJobs(o, t.owner(to))
+			t.moveJobs(o, t.owner(moved[name]))
 			delete(t.owners, name)
 		}
 	}
@@ -223,7 +237,9 @@
 	for a != nil || b != nil {
 		if b == nil || a != nil && a.Value.(*jobRec).ID < b.Value.(*jobRec).ID {
 			j := a.Value.(*jobRec)
-			j.owner, j.Owner = to, to.name
+			renamed := *j.Job
+			renamed.Owner = to.name
+			j.owner, j.Job = to, &renamed
 			j.ownerElem = joined.PushBack(j)
 			a = a.Next()
 			continue
@@ -236,6 +252,9 @@
 	to.usage = to.usage.Add(from.usage)
 	to.liveJobs += from.liveJobs
 	to.liveTasks += from.liveTasks
+	to.payload += from.payload
+	to.answers += from.answers
+	to.claims += from.claims
 }
 
 // moveKeys keeps the keys of both owners. The new owner's own key comes first
@@ -247,12 +266,15 @@
 			return
 		}
 		t.unlinkKey(k)
-		k.Owner = to
-		at := ownerKey{k.Owner, k.Key}
-		t.keys[at] = append(t.keys[at], k)
+		renamed := *k
+		renamed.Owner, renamed.rank = to, 0
+		t.linkKey(&renamed)
+		if k.elem != nil {
+			k.elem.Value = &renamed
+		}
 	}
 	for e := t.jobOrder.Front(); e != nil; e = e.Next() {
-		if j := e.Value.(*jobRec); j.key != nil {
+		if j := e.Value.(*jobRec); j.key != nil && j.key.elem == nil {
 			move(j.key)
 		}
 	}
@@ -279,9 +301,10 @@
 			continue
 		}
 		t.unlinkClaim(c)
-		c.Owner = to
-		at := ownerKey{c.Owner, c.Key}
-		t.claims[at] = append(t.claims[at], c)
+		renamed := *c
+		renamed.Owner, renamed.rank = to, 0
+		t.appendClaim(&renamed)
+		e.Value = &renamed
 	}
 }
 
--- a/core/state/check.go
+++ b/core/state/check.go
@@ -85,7 +85,7 @@
 
 // checkIndexes compares the indexes with those of tables rebuilt from the records.
 func (t *Tables) checkIndexes() error {
-	fresh, err := t.Fork().restore()
+	fresh, err := t.Fork().flatten().restore()
 	if err != nil {
 		return errors.Mark(err, ErrInvariant)
 	}
@@ -113,8 +113,8 @@
 		for e := o.jobs.Front(); e != nil; e = e.Next() {
 			jobs = append(jobs, e.Value.(*jobRec).ID)
 		}
-		if len(jobs) > 0 || !o.usage.IsZero() || o.liveJobs+o.liveTasks != 0 {
-			owners[name] = []any{o.usage, jobs, o.liveJobs, o.liveTasks}
+		if sums := []int{o.liveJobs, o.liveTasks, o.payload, o.answers, o.claims}; len(jobs) > 0 || !o.usage.IsZero() || slices.Max(sums) > 0 {
+			owners[name] = []any{o.usage, jobs, sums}
 		}
 	}
 	entries := map[string][]any{}
--- a/core/state/jobs.go
+++ b/core/state/jobs.go
@@ -21,8 +21,9 @@
 	maxLiveTasks = 250_000
 	// maxPayloadBytes is the largest payload of one job.
 	maxPayloadBytes = 64 << 10
-	// maxAllPayloadBytes bounds the payloads of all unfinished jobs.
-	maxAllPayloadBytes = 64 << 20
+	// maxOwnerPayloadBytes and maxAllPayloadBytes bound the payloads of unfinished jobs.
+	maxOwnerPayloadBytes = 16 << 20
+	maxAllPayloadBytes   = 64 << 20
 	// maxKeyBytes is the longest idempotency key or change id.
 	maxKeyBytes = 256
 	// minEveryMS is the shortest period of a recurring job, in milliseconds.
@@ -40,14 +41,17 @@
 )
 
 // keyRec is an idempotency key with the job that it named. It outlives the
-// job's record when finished jobs are dropped for their number.
+// job's record when finished jobs are dropped for their number. It is not
+// changed in place once the job has finished, because images share it.
 type keyRec struct {
 	Owner      string
 	Key        string
 	Digest     [sha256.Size]byte
 	Job        structs.JobID
 	FinishedMS int64
-	elem       *list.Element
+	// rank orders the keys of one name.
+	rank int
+	elem *list.Element
 }
 
 func failure(code structs.ErrorCode, step, format string, args ...any) structs.Result {
@@ -206,6 +210,9 @@
 	if t.counts.liveTasks+spec.Count > maxLiveTasks {
 		return full("%d tasks are unfinished, the limit is %d", t.counts.liveTasks, maxLiveTasks)
 	}
+	if o.payload+len(spec.Payload) > maxOwnerPayloadBytes {
+		return full("payloads of owner %q reach the limit of %d bytes", owner, maxOwnerPayloadBytes)
+	}
 	if t.counts.payloadBytes+len(spec.Payload) > maxAllPayloadBytes {
 		return full("payloads of unfinished jobs reach the limit of %d bytes", maxAllPayloadBytes)
 	}
@@ -218,10 +225,9 @@
 		spec.FirstMS = t.nowMS
 	}
 	j := &jobRec{heapPos: -1}
-	j.Job = structs.Job{ID: id, Owner: owner, Key: key, Spec: spec, Status: structs.StatusPending, SubmittedMS: t.nowMS}
+	j.Job = &structs.Job{ID: id, Owner: owner, Key: key, Spec: spec, Status: structs.StatusPending, SubmittedMS: t.nowMS}
 	t.linkJob(j)
 	t.linkKey(&keyRec{Owner: owner, Key: key, Digest: digest, Job: id})
-	t.counts.payloadBytes += len(spec.Payload)
 	if spec.Kind == structs.KindRecurring {
 		t.addStanding(j)
 		return id
@@ -246,19 +252,33 @@
 	j.ownerElem = j.owner.jobs.PushBack(j)
 	if !j.Status.Finished() {
 		j.owner.liveJobs++
+		t.addPayload(j.owner, len(j.Spec.Payload))
 		t.entry(j.Spec.Entry).liveJobs++
 	}
 }
 
+func (t *Tables) addPayload(o *ownerRec, n int) {
+	o.payload += n
+	t.counts.payloadBytes += n
+}
+
 // linkKey adds a key and joins it to its job, if that is still kept.
 func (t *Tables) linkKey(k *keyRec) {
-	at := ownerKey{k.Owner, k.Key}
-	t.keys[at] = append(t.keys[at], k)
+	t.appendKey(k)
 	if j := t.jobs[k.Job]; j != nil {
 		j.key = k
 	}
 }
 
+func (t *Tables) appendKey(k *keyRec) {
+	at := ownerKey{k.Owner, k.Key}
+	recs := t.keys[at]
+	if n := len(recs); n > 0 {
+		k.rank = recs[n-1].rank + 1
+	}
+	t.keys[at] = append(recs, k)
+}
+
 func (t *Tables) applyCancelJob(c *structs.CancelJob) structs.Result {
 	j := t.jobs[c.Job]
 	if j == nil || j.Owner != t.ResolveOwner(c.Owner) {
--- a/core/state/status.go
+++ b/core/state/status.go
@@ -73,14 +73,20 @@
 func (t *Tables) finishJob(j *jobRec, s structs.JobStatus) {
 	j.Status = s
 	j.FinishedMS = t.nowMS
-	t.counts.payloadBytes -= len(j.Spec.Payload)
+	t.addPayload(j.owner, -len(j.Spec.Payload))
 	j.Spec.Payload = nil
 	j.owner.liveJobs--
 	t.entry(j.Spec.Entry).liveJobs--
-	j.finElem = t.finished.PushBack(j)
+	t.pushFinished(j)
 	t.dropStanding(j)
 	if j.key != nil {
 		j.key.FinishedMS = t.nowMS
 		j.key.elem = t.keyOrder.PushBack(j.key)
 	}
 }
+
+func (t *Tables) pushFinished(j *jobRec) {
+	t.ended++
+	j.ended = t.ended
+	j.finElem = t.finished.PushBack(j)
+}
--- a/core/state/tables.go
+++ b/core/state/tables.go
@@ -36,6 +36,7 @@
 	jobs     map[structs.JobID]*jobRec
 	jobOrder *list.List
 	finished *list.List
+	ended    uint64
 	owners   map[string]*ownerRec
 	entries  map[string]*entryRec
 	pending  []string
@@ -69,8 +70,10 @@
 	changed   bool
 }
 
+// jobRec is a job with its tasks. Neither the Job nor the tasks of a finished
+// job are changed in place, because images of the tables share them.
 type jobRec struct {
-	structs.Job
+	*structs.Job
 	// tasks holds the tasks with indexes base, base+1 and so on.
 	tasks     []*taskRec
 	base      int64
@@ -80,8 +83,10 @@
 	ownerElem *list.Element
 	orderElem *list.Element
 	finElem   *list.Element
-	key       *keyRec
-	heapPos   int
+	// ended numbers finished jobs in the order of their ends, from 1.
+	ended   uint64
+	key     *keyRec
+	heapPos int
 }
 
 type taskRec struct {
@@ -97,6 +102,10 @@
 	jobs      *list.List
 	liveJobs  int
 	liveTasks int
+	// payload and answers are bytes of unfinished jobs and recorded answers.
+	payload int
+	answers int
+	claims  int
 }
 
 type entryRec struct {
@@ -170,7 +179,7 @@
 // Job returns a job, or nil.
 func (t *Tables) Job(id structs.JobID) *structs.Job {
 	if j := t.jobs[id]; j != nil {
-		return &j.Job
+		return j.Job
 	}
 	return nil
 }
@@ -216,7 +225,7 @@
 			return
 		}
 		for e := o.jobs.Front(); e != nil; e = e.Next() {
-			if !yield(&e.Value.(*jobRec).Job) {
+			if !yield(e.Value.(*jobRec).Job) {
 				return
 			}
 		}
@@ -291,18 +300,15 @@
 // ResolveOwner returns the current owner that name belongs to, following
 // merges. It returns the empty string when there is none.
 func (t *Tables) ResolveOwner(name string) string {
-	// Each step follows one accepted merge; the bound only ends a cycle of aliases.
-	for range len(t.aliases) + 1 {
-		if _, ok := t.catalogue.Owners[name]; ok {
-			return name
-		}
-		next, ok := t.aliases[name]
-		if !ok {
-			return ""
-		}
-		name = next
+	return resolve(name, t.catalogue, t.aliases)
+}
+
+// OpenTasks returns the number of a job's kept tasks that are not finished.
+func (t *Tables) OpenTasks(id structs.JobID) int {
+	if j := t.jobs[id]; j != nil {
+		return j.open()
 	}
-	return ""
+	return 0
 }
 
 // SizeOf returns the declared size of one task of a job.
@@ -313,7 +319,7 @@
 	return t.catalogue.Entries[j.Spec.Entry].Resources
 }
 
-// Counts is a summary of the tables for metrics.
+// Counts is a summary of the tables for metrics. Keys counts those of finished jobs.
 type Counts struct {
 	Jobs, LiveJobs                      int
 	Tasks, LiveTasks, Pending, Attempts int
--- /dev/null
+++ b/host/localcluster/loss_test.go
@@ -0,0 +1,115 @@
+package localcluster
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"gooseberrypond/core/structs"
+	"gooseberrypond/host/rpc"
+)
+
+// Guards against lost answers and doubled jobs: the leader is killed twice while
+// clients submit jobs and edit the catalogue, and every call is repeated until
+// it is answered.
+func TestLeaderLossDuringSubmits(t *testing.T) {
+	const clients, jobsEach, edits = 6, 15, 12
+	b := newBed(t, 3, 0)
+	b.put(b.Client())
+	b.Workers(6)
+
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	ids := map[string]map[structs.JobID]bool{}
+	progress := make(chan struct{}, clients*jobsEach)
+	for n := range clients {
+		cl := b.Client()
+		wg.Go(func() {
+			for j := range jobsEach {
+				key := fmt.Sprintf("c%d-%d", n, j)
+				job := structs.SubmitJob{Owner: "dev", Key: key, Spec: structs.JobSpec{Entry: "report", Kind: structs.KindBatch, Payload: []byte(`{"run_ms":20}`)}}
+				for range 2 { // the second submission is a resend
+					res := ask(b, func() (structs.SubmitResult, error) { return cl.Submit(b.ctx, job) })
+					mu.Lock()
+					if ids[key] == nil {
+						ids[key] = map[structs.JobID]bool{}
+					}
+					ids[key][res.Job] = true
+					mu.Unlock()
+				}
+				progress <- struct{}{}
+			}
+		})
+	}
+	var version uint64
+	editor := b.Client()
+	wg.Go(func() { version = editCatalogue(b, editor, edits) })
+
+	for kill := range 2 { // each kill falls into the middle of the submissions
+		for range clients * jobsEach / 4 {
+			<-progress
+		}
+		leader := b.leader()
+		b.Kill(leader)
+		if kill == 0 {
+			b.leader()
+			b.start(leader)
+		}
+	}
+	wg.Wait()
+	if want := uint64(1 + edits); version != want {
+		t.Errorf("catalogue version %d after %d edits, want %d", version, edits, want)
+	}
+	checkJobs(b, ids, clients*jobsEach)
+}
+
+// editCatalogue makes edits one after the other and returns the last version.
+func editCatalogue(b *bed, cl *rpc.Client, edits int) uint64 {
+	version := uint64(1)
+	for i := range edits {
+		put := &structs.PutCatalogue{ChangeID: fmt.Sprintf("edit-%d", i), BaseVersion: version, Catalogue: Catalogue()}
+		var first *structs.ChangeResult
+		for range 2 { // the second one is a resend
+			res := ask(b, func() (*structs.ChangeResult, error) { return cl.ApplyCatalogue(b.ctx, put) })
+			if first == nil {
+				first = res
+			}
+			if !res.Accepted || res.Version != first.Version {
+				b.t.Errorf("edit %d on version %d: %+v, first %+v", i, version, res, first)
+			}
+		}
+		version = first.Version
+	}
+	return version
+}
+
+// checkJobs requires one finished job per key, each run once.
+func checkJobs(b *bed, ids map[string]map[structs.JobID]bool, want int) {
+	b.t.Helper()
+	cl := b.Client()
+	seen := map[structs.JobID]string{}
+	for key, jobs := range ids {
+		if len(jobs) != 1 {
+			b.t.Errorf("key %s has jobs %v", key, jobs)
+		}
+		for id := range jobs {
+			if other, dup := seen[id]; dup {
+				b.t.Errorf("keys %s and %s share job %s", key, other, id)
+			}
+			seen[id] = key
+			if view := b.finished(cl, id); view.Job.Status != structs.StatusDone {
+				b.t.Errorf("job %s: %+v", id, view)
+			}
+			if n := b.Ledger.Finished(structs.TaskID{Job: id}); n != 1 {
+				b.t.Errorf("job %s finished %d times", id, n)
+			}
+		}
+	}
+	all := ask(b, func() ([]structs.Job, error) { return cl.ListJobs(b.ctx, rpc.ListJobs{Owner: "dev", Limit: 1000}) })
+	if len(all) != want || len(seen) != want {
+		b.t.Errorf("%d jobs listed, %d answered, want %d", len(all), len(seen), want)
+	}
+	if v := b.Ledger.Violations(); len(v) > 0 {
+		b.t.Error(v)
+	}
+}
