Weigh interference samples by measured error; save up room for drained services

The confidence weight had never been compared on its own. A service on a domain that leaves now has room saved up elsewhere instead of only waiting for room to appear.

--- a/bench/policy/measure.go
+++ b/bench/policy/measure.go
@@ -25,7 +25,10 @@
 	UrgentP99 float64
 	// Checkpoints, GuardStops and Lost are the parts of Evictions.
 	Checkpoints, GuardStops, Lost float64
-	// Finished counts batch tasks, Late those past their deadline.
+	// EarlyError and LateError are the mean errors of predicted slowdown in the
+	// first minutes and after them; 0 for a policy that predicts nothing.
+	EarlyError, LateError float64
+	// Finished counts batch tasks.
 	Finished float64
 }
 
--- a/bench/policy/run.go
+++ b/bench/policy/run.go
@@ -32,6 +32,14 @@
 	Throttles(worker structs.WorkerID) []structs.TaskID
 }
 
+// predictor is a policy that predicts slowdowns.
+type predictor interface {
+	PredictionError() (mean float64, reports int)
+}
+
+// earlyUntil is the second up to which predictions count as early.
+const earlyUntil = 120
+
 // run is one policy in one scenario.
 type run struct {
 	*world
@@ -43,6 +51,9 @@
 	// silent holds the seconds at which silent workers' leases end.
 	silent  map[int][]*worker
 	arrival *rand.Rand
+	// earlyError and earlyReports are the error of prediction up to earlyUntil.
+	earlyError   float64
+	earlyReports int
 }
 
 // Run measures one policy at one size. Equal arguments give equal results.
@@ -69,6 +80,7 @@
 	}
 	for at := range duration {
 		r.second(at)
+		r.noteEarly(at)
 		if at%checkEvery != 0 {
 			continue
 		}
@@ -76,7 +88,20 @@
 			return Result{}, err
 		}
 	}
-	return r.m.result(name, seed), nil
+	res := r.m.result(name, seed)
+	res.EarlyError = r.earlyError
+	if p, ok := p.(predictor); ok && r.earlyReports > 0 {
+		mean, n := p.PredictionError()
+		res.LateError = (mean*float64(n) - r.earlyError*float64(r.earlyReports)) / float64(max(1, n-r.earlyReports))
+	}
+	return res, nil
+}
+
+// noteEarly takes the error of prediction at the end of the first minutes.
+func (r *run) noteEarly(at int) {
+	if p, ok := r.policy.(predictor); ok && at == earlyUntil {
+		r.earlyError, r.earlyReports = p.PredictionError()
+	}
 }
 
 func (r *run) apply(c *structs.Command) structs.Result {
--- a/core/sched/drain.go
+++ b/core/sched/drain.go
@@ -83,18 +83,30 @@
 		if tierOf(it.info) == tierBatch && it.job.Spec.Kind != structs.KindService {
 			return
 		}
-		if waited < serviceDrainLimit && int(p.held(it.info.id)) >= max(1, p.spread.count(it.info.id)/movingPart) {
-			return
-		}
-		if n := p.best(it, p.feasible(it)); n != nil {
-			p.reserveRoom(it, n)
-			p.evict(task, "failure domain out of service; place reserved on "+string(n.worker.ID))
-		} else if waited >= serviceDrainLimit {
+		h, held := p.holds[task.ID]
+		switch {
+		case held && it.need.Fits(h.node.free().Add(h.need)):
+			p.evict(task, "failure domain out of service; place reserved on "+string(h.node.worker.ID))
+		case waited >= serviceDrainLimit:
 			p.evict(task, "failure domain out of service; no place elsewhere in time")
+		case held || int(p.held(it.info.id)) >= max(1, p.spread.count(it.info.id)/movingPart):
+		default:
+			p.startMove(task, it)
 		}
 	})
 }
 
+// startMove evicts the task if there is a place for it elsewhere; otherwise it
+// has room saved up, and the task goes on until that is there.
+func (p *planner) startMove(task *structs.Task, it *item) {
+	if n := p.best(it, p.feasible(it)); n != nil {
+		p.reserveRoom(it, n)
+		p.evict(task, "failure domain out of service; place reserved on "+string(n.worker.ID))
+		return
+	}
+	p.saveRoom(it)
+}
+
 // drainBatch moves batch work that has a place elsewhere or has waited long enough.
 func (p *planner) drainBatch() {
 	p.eachDraining(func(task *structs.Task, it *item, waited time.Duration) {
--- a/core/sched/interference.go
+++ b/core/sched/interference.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -10,11 +11,11 @@
 
 const (
 	// confidenceSamples is k in the weight n/(n+k) of an observed mean against the prior.
-	confidenceSamples = 5.0
+	confidenceSamples = 2
 	// entrySamples and overallSamples are k for the means over many pairs. They
 	// are larger, since one report enters several of these means at once.
-	entrySamples   = 20.0
-	overallSamples = 50.0
+	entrySamples   = 5.0
+	overallSamples = 10.0
 	// maxPairWeight bounds the weight of past samples, so that estimates follow load.
 	maxPairWeight = 200.0
 	// maxExcess bounds the slowdown counted from one report; longer outliers
@@ -60,6 +61,9 @@
 	// fifth of the time of a plan.
 	table  [][]float32
 	cursor int
+	// errors and errorCount sum up how far estimates were from reports.
+	errors     float64
+	errorCount int
 	// present is scratch space for one report.
 	present []neighbour
 }
@@ -86,9 +90,6 @@
 			if f.plainMean && pair.weight > 0 {
 				return float64(pair.mean)
 			}
-			if pair.weight > 20*confidenceSamples {
-				return float64(pair.mean)
-			}
 			return pair.toward(f.prior(victim, aggressor), confidenceSamples)
 		}
 	}
@@ -120,20 +121,21 @@
 }
 
 // prior estimates a pair from the victim's sensitivity and the aggressor's
-// noise, both relative to the overall mean.
+// noise, both relative to the overall mean. It is at most the larger of the
+// two, since with few reports the same one stands behind both.
 func (f *interference) prior(victim, aggressor int32) float64 {
 	overall := f.overall.toward(tablePriorExcess, overallSamples)
 	if f.plainMean || overall <= 0 {
 		return overall
 	}
-	p := overall
+	sensitivity, noise := overall, overall
 	if int(victim) < len(f.rows) {
-		p *= f.rows[victim].all.toward(overall, entrySamples) / overall
+		sensitivity = f.rows[victim].all.toward(overall, entrySamples)
 	}
 	if int(aggressor) < len(f.noise) {
-		p *= f.noise[aggressor].toward(overall, entrySamples) / overall
+		noise = f.noise[aggressor].toward(overall, entrySamples)
 	}
-	return p
+	return min(sensitivity*noise/overall, max(sensitivity, noise))
 }
 
 // observe learns from one report: the excess slowdown is divided among the
@@ -151,6 +153,8 @@
 		nb.estimate = f.excess(victim, nb.entry) + excessFloor
 		sum += nb.n * nb.estimate
 	}
+	f.errors += math.Abs(sum - excess)
+	f.errorCount++
 	f.rows = grow(f.rows, victim)
 	for _, nb := range f.present {
 		f.learn(victim, nb.entry, excess*nb.estimate/sum, weight)
@@ -187,6 +191,14 @@
 	f.overall.add(excess, weight, 10*maxPairWeight)
 }
 
+// PredictionError is the mean absolute difference between the estimated and
+// the reported excess slowdown, each estimated before it was learned from, and
+// the number of reports.
+func (s *Scheduler) PredictionError() (mean float64, reports int) {
+	n := s.interference.errorCount
+	return s.interference.errors / float64(max(1, n)), n
+}
+
 // Observe takes in a worker's usage reports.
 func (s *Scheduler) Observe(now time.Time, worker structs.WorkerID, usage []structs.Usage, t *state.Tables) {
 	n := s.nodes[worker]
--- a/core/sched/learn_test.go
+++ b/core/sched/learn_test.go
@@ -100,3 +100,49 @@
 		}
 	}
 }
+
+// predictionError learns a catalogue of many entries from few reports per pair
+// and returns the mean error of prediction.
+func predictionError(plain bool, seed uint64, entries, reports int) float64 {
+	rng := rand.New(rand.NewPCG(seed, 9))
+	truth := make([][]float64, entries)
+	noise, sensitivity := make([]float64, entries), make([]float64, entries)
+	for i := range entries {
+		noise[i], sensitivity[i] = 0.3*rng.Float64(), rng.Float64()
+	}
+	for v := range entries {
+		truth[v] = make([]float64, entries)
+		for a := range entries {
+			truth[v][a] = sensitivity[v] * noise[a] * math.Exp(0.8*rng.NormFloat64()-0.32)
+		}
+	}
+	s := New(Options{PlainMean: plain})
+	for range reports {
+		victim, sum := rng.IntN(entries), 0.0
+		var neighbours []int32
+		for range 12 {
+			a := rng.IntN(entries)
+			neighbours = append(neighbours, int32(a))
+			sum += truth[victim][a]
+		}
+		s.interference.observe(int32(victim), 1+max(0, sum*(1+0.1*rng.NormFloat64())), 15_000, neighbours)
+	}
+	mean, _ := s.PredictionError()
+	return mean
+}
+
+// Guards against the confidence weight predicting worse than the plain mean
+// that it was chosen over, when each pair has few reports.
+func TestConfidencePredictsBetterThanPlainMean(t *testing.T) {
+	for _, reports := range []int{300, 2000} {
+		confidence, plain := 0.0, 0.0
+		for seed := range uint64(5) {
+			confidence += predictionError(false, seed, 60, reports) / 5
+			plain += predictionError(true, seed, 60, reports) / 5
+		}
+		t.Logf("%d reports, 60 entries: mean error %.4f with the confidence weight, %.4f with the plain mean", reports, confidence, plain)
+		if confidence > plain {
+			t.Errorf("%d reports: error %.4f with the confidence weight, %.4f with the plain mean", reports, confidence, plain)
+		}
+	}
+}
--- a/core/sched/starve.go
+++ b/core/sched/starve.go
@@ -14,8 +14,10 @@
 	batchPatience   = 2 * time.Minute
 	// saveTime is how long room is saved up on one worker.
 	saveTime = 2 * time.Minute
-	// savingPart bounds the workers on which room is saved up: one in savingPart.
-	savingPart = 32
+	// savingPart bounds the workers on which room is saved up for batch work: one
+	// in savingPart; latencySavingPart is the same for latency-critical tasks.
+	savingPart        = 32
+	latencySavingPart = 4
 	// saveCandidates is the number of workers looked at.
 	saveCandidates = 24
 )
@@ -23,12 +25,12 @@
 // saveRoom reserves a worker's future free capacity for an item that has
 // waited long for a place.
 func (p *planner) saveRoom(it *item) {
-	patience := batchPatience
+	patience, limit := batchPatience, len(p.order)/savingPart
 	if tierOf(it.info) == tierLatency {
-		patience = latencyPatience
+		patience, limit = latencyPatience, len(p.order)/latencySavingPart
 	}
 	waited := time.Duration(p.nowMS-it.task.PendingSinceMS) * time.Millisecond
-	if waited < patience || p.saving > len(p.order)/savingPart || len(p.order) == 0 {
+	if waited < patience || p.saving > limit || len(p.order) == 0 {
 		return
 	}
 	var best *node
