--- a/host/entry/run_test.go
+++ b/host/entry/run_test.go
@@ -367,3 +367,38 @@
 		t.Errorf("recorded answer %+v", a)
 	}
 }
+
+// Guards against a hedge whose answer is lost, or that leaves the slow attempt running.
+func TestHedgedRequest(t *testing.T) {
+	control := newFakeControl("e1")
+	control.catalogue.Entries["book"] = structs.Entry{Owner: "desk", Class: structs.ClassLatency, Hedge: true, RequestTimeoutMS: 30000}
+	f := newFixture(t, control)
+	var slow atomic.Bool
+	arrived, cancelled := make(chan struct{}, 1), make(chan struct{}, 1)
+	for _, name := range []string{"u1", "u2"} {
+		f.upstream(t, name, 4, func(w http.ResponseWriter, r *http.Request) {
+			f.ahead.Add(int64(time.Millisecond))
+			if slow.CompareAndSwap(true, false) {
+				arrived <- struct{}{}
+				<-r.Context().Done()
+				cancelled <- struct{}{}
+				return
+			}
+			_, _ = io.WriteString(w, name)
+		})
+	}
+	f.ready(t)
+	for range 20 {
+		f.call(t.Context(), http.MethodGet, "/", "")
+	}
+	slow.Store(true)
+	answer := make(chan reply, 1)
+	go func() { answer <- f.call(t.Context(), http.MethodGet, "/", "") }()
+	receive(t, arrived)
+	f.ahead.Add(int64(500 * time.Millisecond))
+	if r := receive(t, answer); r.status != http.StatusOK || r.body == "" {
+		t.Errorf("status %d %q %v %v", r.status, r.body, r.refuse, r.err)
+	}
+	receive(t, cancelled)
+	until(t, func() bool { return f.Dump().Routing.InFlight == 0 })
+}
