--- a/bench/cmd/routing/main.go
+++ b/bench/cmd/routing/main.go
@@ -13,6 +13,7 @@
 // cli is the command line.
 type cli struct {
 	Latency latencyCmd `cmd:"" help:"Latency of routed and direct requests."`
+	Loss    lossCmd    `cmd:"" help:"What callers see when the leader of a whole cluster is lost."`
 	Traffic trafficCmd `cmd:"" help:"Bytes per second between an entry host and the leader."`
 }
 
