Reach a replica at the address it was last heard from

Cause: after a change of its address in the settings a replica was sent to at the address in the membership and never caught up.

A graceful stop with a request in flight is tested too.

Conclusion: addresses change by settings and a restart of that host alone.

--- /dev/null
+++ b/host/localcluster/address_test.go
@@ -0,0 +1,36 @@
+package localcluster
+
+import (
+	"testing"
+
+	"gooseberrypond/core/structs"
+	"gooseberrypond/host/config"
+)
+
+// Guards against a replica that is lost to the others when its settings give
+// it another address.
+func TestReplicaMovesToAnotherAddress(t *testing.T) {
+	b := newBed(t, 3, 0)
+	cl := b.Client()
+	b.put(cl)
+	leader := b.leader()
+	moved, other := (leader+1)%3, (leader+2)%3
+	b.Kill(moved)
+	s := b.Settings[moved]
+	s.Hosts = append([]config.Host(nil), s.Hosts...)
+	s.Hosts[moved].Peer = b.address(moved, 7505)
+	s.Listeners.Peer.Address = s.Hosts[moved].Peer
+	b.start(moved)
+	for target := b.Nodes[leader].Control().Applied(); b.Nodes[moved].Control().Applied() < target; {
+		if err := Pause(b.ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	b.Kill(other) // the moved one is now needed for every commit
+	res := ask(b, func() (*structs.ChangeResult, error) {
+		return cl.ApplyCatalogue(b.ctx, &structs.PutCatalogue{ChangeID: "moved", BaseVersion: 1, Catalogue: Catalogue()})
+	})
+	if !res.Accepted {
+		t.Errorf("change after the move: %+v", res)
+	}
+}
--- a/host/node/dev.go
+++ b/host/node/dev.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"crypto/sha256"
 	_ "embed"
@@ -42,7 +43,9 @@
 	// Domains and WorkersPerDomain give the number of stand-in workers.
 	Domains          int
 	WorkersPerDomain int
-	Log              zerolog.Logger
+	// Delay is how long the upstream takes for a request; 0 means 5 ms.
+	Delay time.Duration
+	Log   zerolog.Logger
 }
 
 // Dev is a development cluster in one process.
@@ -175,7 +178,7 @@
 	d.Upstream = standin.NewUpstream(standin.UpstreamConfig{
 		Upstream: structs.Upstream{Name: "upstream-1", Entry: "echo", Domain: "domain-1", Slots: 8, Connections: 60},
 		Announce: []string{"http://" + d.Node.Address("upstream")},
-		Delay:    5 * time.Millisecond,
+		Delay:    cmp.Or(o.Delay, 5*time.Millisecond),
 	})
 	d.wg.Go(func() {
 		if err := d.Upstream.Run(ctx, l); err != nil {
--- a/host/node/dev_test.go
+++ b/host/node/dev_test.go
@@ -21,7 +21,7 @@
 func TestDevRunsJob(t *testing.T) {
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	defer cancel()
-	d, err := StartDev(ctx, DevOptions{Folder: t.TempDir(), Address: "127.0.0.1", Domains: 3, WorkersPerDomain: 1, Log: zerolog.New(zerolog.NewTestWriter(t))})
+	d, err := StartDev(ctx, DevOptions{Folder: t.TempDir(), Address: "127.0.0.1", Domains: 3, WorkersPerDomain: 1, Log: zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.InfoLevel)})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -40,30 +40,79 @@
 	}
 }
 
-// checkRequest sends one request through the entry role to the upstream.
+// Guards against a graceful stop that interrupts a request in flight.
+func TestDrainFinishesRequests(t *testing.T) {
+	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
+	defer cancel()
+	d, err := StartDev(ctx, DevOptions{Folder: t.TempDir(), Address: "127.0.0.1", Delay: 500 * time.Millisecond, Log: zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.InfoLevel)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer d.Kill()
+	checkRequest(ctx, t, d) // the upstream is known from here on
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		checkRequest(ctx, t, d)
+	}()
+	for total := 0; total < 2 && ctx.Err() == nil; {
+		pause(ctx)
+		total, _, _ = d.Upstream.Counts()
+	}
+	if err := d.Node.Drain(ctx); err != nil {
+		t.Error(err)
+	}
+	<-done
+	if status, _, err := request(ctx, d); err == nil {
+		t.Errorf("status %d after the stop", status)
+	}
+}
+
+// pause waits between two looks at a condition.
+func pause(ctx context.Context) {
+	t := time.NewTimer(5 * time.Millisecond)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// request sends one request through the entry role to the upstream.
+func request(ctx context.Context, d *Dev) (int, string, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Node.Address("caller")+"/v1/run/echo/", strings.NewReader("hello"))
+	if err != nil {
+		return 0, "", err
+	}
+	req.Header.Set("Authorization", "Bearer "+DevToken)
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, "", err
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	return res.StatusCode, string(body), err
+}
+
+// checkRequest requires a whole answer, once the upstream is announced.
 func checkRequest(ctx context.Context, t *testing.T, d *Dev) {
 	t.Helper()
 	for {
-		req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+d.Node.Address("caller")+"/v1/run/echo/", strings.NewReader("hello"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		req.Header.Set("Authorization", "Bearer "+DevToken)
-		res, err := http.DefaultClient.Do(req)
-		if err != nil {
-			t.Fatal(err)
-		}
-		body, err := io.ReadAll(res.Body)
-		res.Body.Close()
-		if res.StatusCode == http.StatusOK {
-			if string(body) != "hello" {
-				t.Errorf("answer %q, %v", body, err)
+		status, body, err := request(ctx, d)
+		switch {
+		case err != nil:
+			t.Errorf("request: %v", err)
+			return
+		case status == http.StatusOK:
+			if body != "hello" {
+				t.Errorf("answer %q", body)
 			}
 			return
+		case status != http.StatusServiceUnavailable: // the upstream is not announced yet
+			t.Errorf("status %d: %s", status, body)
+			return
 		}
-		if res.StatusCode != http.StatusServiceUnavailable { // the upstream is not announced yet
-			t.Fatalf("status %d: %s", res.StatusCode, body)
-		}
+		pause(ctx)
 	}
 }
 
--- a/store/replica/effects.go
+++ b/store/replica/effects.go
@@ -62,8 +62,10 @@
 	}
 	members := r.core.Members()
 	for id, ms := range byPeer {
+		// Where a replica was last heard from counts more than the address in
+		// the membership, which is that of the day it was added.
 		address := r.in.learned[id]
-		if x, ok := members.Get(id); ok {
+		if x, ok := members.Get(id); ok && address == "" {
 			address = x.Address
 		}
 		r.net.Send(id, address, ms)
