Make histograms of measured sizes only when there are reports

Four histograms for each entry took 37 KB even for entries that never ran, 37 MB for a catalogue of a thousand entries. They are now made with the first report, the second window when it is needed.

Tests run: core/sched under -race.

--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -38,29 +38,37 @@
 )
 
 // ratioWindow is the distribution of measured over declared use in one
-// dimension, over the last one to two windows of reports.
+// dimension, over the last one to two windows of reports. A histogram takes
+// about 9 KB and is made when it is needed, since a catalogue has many entries.
 type ratioWindow struct {
 	current, previous *hdrhistogram.Histogram
 }
 
-func newRatioWindow() ratioWindow {
-	return ratioWindow{current: hdrhistogram.New(1, maxRatio, 2), previous: hdrhistogram.New(1, maxRatio, 2)}
-}
-
 func (w *ratioWindow) add(used, declared int64) {
 	if declared <= 0 {
 		return
 	}
-	if w.current.TotalCount() >= windowSamples {
+	if w.current != nil && w.current.TotalCount() >= windowSamples {
 		w.current, w.previous = w.previous, w.current
-		w.current.Reset()
+		if w.current != nil {
+			w.current.Reset()
+		}
+	}
+	if w.current == nil {
+		w.current = hdrhistogram.New(1, maxRatio, 2)
 	}
 	// The value is within the histogram's range, so recording cannot fail.
 	_ = w.current.RecordValue(min(max(used*ratioScale/declared, 1), maxRatio))
 }
 
 func (w *ratioWindow) quantile(q float64) int64 {
-	return max(w.current.ValueAtQuantile(q), w.previous.ValueAtQuantile(q))
+	high := int64(0)
+	for _, h := range []*hdrhistogram.Histogram{w.current, w.previous} {
+		if h != nil {
+			high = max(high, h.ValueAtQuantile(q))
+		}
+	}
+	return high
 }
 
 // entryEstimate is what was learned of one entry's tasks.
@@ -80,7 +88,6 @@
 	s.estimates = grow(s.estimates, entry)
 	if s.estimates[entry] == nil {
 		s.estimates[entry] = &entryEstimate{
-			cpu: newRatioWindow(), memory: newRatioWindow(),
 			cpuRatio: ratioScale, memoryRatio: ratioScale,
 			failedOn: map[structs.WorkerID]struct{}{},
 		}
