Never reserve less than the declared memory, nor for latency-critical tasks less processors

Cause: reservations followed measured use down in every dimension. A batch task above its reserved memory is stopped by the worker's guards, and a latency-critical task loses the processors that it needs in the next wave. core/state now drops assignments below structs.ReservationFloor, whichever leader plans them.

--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -132,7 +132,7 @@
 }
 
 // reserve is the size to reserve for one task: the declared size corrected by
-// what was measured. A correction that no kind of worker has room for is dropped.
+// what was measured, and at least structs.ReservationFloor. A correction that no kind of worker has room for is dropped.
 func (s *Scheduler) reserve(info *entryInfo, declared structs.Resources) structs.Resources {
 	e := s.estimate(info.id)
 	if e.cpuRatio == ratioScale && e.memoryRatio == ratioScale {
@@ -141,6 +141,7 @@
 	need := declared
 	need.CPUMilli = (declared.CPUMilli*e.cpuRatio + ratioScale - 1) / ratioScale
 	need.MemoryMB = (declared.MemoryMB*e.memoryRatio + ratioScale - 1) / ratioScale
+	need = need.Max(structs.ReservationFloor(info.Class, declared))
 	if !s.fitsSomeKind(need) {
 		return declared
 	}
--- a/core/sched/learn_test.go
+++ b/core/sched/learn_test.go
@@ -51,22 +51,25 @@
 	declared := structs.Resources{CPUMilli: 4000, MemoryMB: 10_000, Accelerators: 1}
 	tests := []struct {
 		name    string
+		class   structs.Class
 		reports int
 		used    structs.Resources
 		low     structs.Resources
 		high    structs.Resources
 	}{
-		{"no report", 0, structs.Resources{}, declared, declared},
-		{"too few to lower", lowerSamples - 1, structs.Resources{CPUMilli: 1000, MemoryMB: 2000}, declared, declared},
-		{"lowered", 500, structs.Resources{CPUMilli: 1000, MemoryMB: 2000}, structs.Resources{CPUMilli: 1000, MemoryMB: 2000}, structs.Resources{CPUMilli: 1300, MemoryMB: 2500}},
-		{"raised", 20, structs.Resources{CPUMilli: 6000, MemoryMB: 15_000}, structs.Resources{CPUMilli: 6000, MemoryMB: 15_000}, structs.Resources{CPUMilli: 7500, MemoryMB: 18_000}},
-		{"above every worker", 20, structs.Resources{CPUMilli: 6000, MemoryMB: 125_000}, declared, declared},
+		{"no report", structs.ClassBatch, 0, structs.Resources{}, declared, declared},
+		{"too few to lower", structs.ClassBatch, lowerSamples - 1, structs.Resources{CPUMilli: 1000, MemoryMB: 2000}, declared, declared},
+		{"processors lowered, memory not", structs.ClassBatch, 500, structs.Resources{CPUMilli: 1000, MemoryMB: 2000}, structs.Resources{CPUMilli: 1000, MemoryMB: 10_000}, structs.Resources{CPUMilli: 1300, MemoryMB: 10_000}},
+		{"latency-critical not lowered", structs.ClassLatency, 500, structs.Resources{CPUMilli: 1000, MemoryMB: 2000}, declared, declared},
+		{"raised", structs.ClassBatch, 20, structs.Resources{CPUMilli: 6000, MemoryMB: 15_000}, structs.Resources{CPUMilli: 6000, MemoryMB: 15_000}, structs.Resources{CPUMilli: 7500, MemoryMB: 18_000}},
+		{"above every worker", structs.ClassBatch, 20, structs.Resources{CPUMilli: 6000, MemoryMB: 125_000}, declared, declared},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := New(Options{})
 			s.kinds = []kind{{capacity: structs.Resources{CPUMilli: 32000, MemoryMB: 125_000, Accelerators: 2}}}
 			info := &entryInfo{id: s.entryID("e")}
+			info.Class = tt.class
 			for range tt.reports {
 				s.estimate(info.id).observe(declared, tt.used, false)
 			}
--- a/core/state/plan.go
+++ b/core/state/plan.go
@@ -39,7 +39,7 @@
 		return false
 	}
 	entry, ok := t.catalogue.Entries[r.job.Spec.Entry]
-	if !ok || !validReservation(a.Reserved, t.SizeOf(r.job.Job)) {
+	if !ok || !validReservation(a.Reserved, structs.ReservationFloor(entry.Class, t.SizeOf(r.job.Job))) {
 		return false
 	}
 	if !w.committed.Add(a.Reserved).Fits(w.Capacity) {
@@ -52,14 +52,12 @@
 	return true
 }
 
-// validReservation reports whether a reservation may stand for a task of the
-// declared size. Processors and memory may be estimated lower than declared;
-// accelerators cannot be shared.
-func validReservation(reserved, declared structs.Resources) bool {
+// validReservation reports whether a reservation is sane and not below the floor.
+func validReservation(reserved, floor structs.Resources) bool {
 	if reserved.HasNegative() || reserved.IsZero() || tooLarge(reserved) {
 		return false
 	}
-	return reserved.Accelerators >= declared.Accelerators
+	return floor.Fits(reserved)
 }
 
 // WithinQuota reports whether usage is within quota; zero dimensions of quota are unlimited.
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -193,13 +193,34 @@
 	}
 }
 
-// Guards against a reservation that shares an accelerator.
-func TestAcceleratorsAreReservedWhole(t *testing.T) {
+// Guards against a reservation that shares an accelerator or commits a worker
+// to less than what it must give.
+func TestReservationFloor(t *testing.T) {
+	need := structs.Resources{CPUMilli: 1000, MemoryMB: 64, Accelerators: 1}
+	half := structs.Resources{CPUMilli: 500, MemoryMB: 64, Accelerators: 1}
+	tests := []struct {
+		name  string
+		class structs.Class
+		ask   structs.Resources
+		want  bool
+	}{
+		{"declared", structs.ClassLatency, need, true},
+		{"no accelerator", structs.ClassBatch, structs.Resources{CPUMilli: 1000, MemoryMB: 64}, false},
+		{"less memory", structs.ClassBatch, structs.Resources{CPUMilli: 1000, MemoryMB: 63, Accelerators: 1}, false},
+		{"fewer processors for batch", structs.ClassBatch, half, true},
+		{"fewer processors for latency-critical", structs.ClassLatency, half, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			if got := validReservation(tt.ask, structs.ReservationFloor(tt.class, need)); got != tt.want {
+				t.Errorf("valid = %v, want %v", got, tt.want)
+			}
+		})
+	}
 	b := newBed(t)
-	need := structs.Resources{CPUMilli: 1000, Accelerators: 1}
 	task := b.batch("k", func(s *structs.JobSpec) { s.Resources = need })
 	b.do(&structs.Command{RegisterWorker: &structs.WorkerRegister{ID: "w2", Incarnation: 1, Domain: "d1", Capacity: need}})
-	if b.assignTo(task, "w2", structs.Resources{CPUMilli: 1000}) || !b.assignTo(task, "w2", structs.Resources{CPUMilli: 500, Accelerators: 1}) {
+	if b.assignTo(task, "w2", structs.Resources{CPUMilli: 1000, MemoryMB: 64}) || !b.assignTo(task, "w2", half) {
 		t.Error("want the assignment with its accelerator only")
 	}
 }
--- a/core/structs/resources.go
+++ b/core/structs/resources.go
@@ -37,6 +37,23 @@
 	return r == Resources{}
 }
 
+// Max returns the larger of r and o in each dimension.
+func (r Resources) Max(o Resources) Resources {
+	return Resources{max(r.CPUMilli, o.CPUMilli), max(r.MemoryMB, o.MemoryMB), max(r.Accelerators, o.Accelerators)}
+}
+
+// ReservationFloor is the least that may be reserved for a task of the declared
+// size. A task over its memory would be stopped and lose work, and accelerators
+// are whole. Processors can be shared for a moment, but not those of a
+// latency-critical task, which needs them in the next wave of load.
+func ReservationFloor(class Class, declared Resources) Resources {
+	if class == ClassLatency {
+		return declared
+	}
+	declared.CPUMilli = 0
+	return declared
+}
+
 // HasNegative reports whether any dimension is below zero.
 func (r Resources) HasNegative() bool {
 	return r.CPUMilli < 0 || r.MemoryMB < 0 || r.Accelerators < 0
