--- a/host/localcluster/repair_test.go
+++ b/host/localcluster/repair_test.go
@@ -69,13 +69,13 @@
 		}
 	}
 	until("all tasks run", func() bool { return workers[0].Running()+workers[1].Running() == 4 })
-	cut := workers[0]
+	cut, other := workers[0], workers[1]
 	if cut.Running() == 0 {
-		cut = workers[1]
+		cut, other = other, cut
 	}
 	cut.SetCutOff(true)
 	until("the cut-off worker stops", func() bool { return cut.Running() == 0 })
-	until("the tasks resume", func() bool { return workers[0].Running()+workers[1].Running() == 4 })
+	until("the tasks resume", func() bool { return other.Running() == 4 })
 	view := ask(b, func() (*structs.JobView, error) { return cl.GetJob(b.ctx, rpc.GetJob{Owner: "dev", Job: res.Job}) })
 	if view.Counts[structs.StatusRunning]+view.Counts[structs.StatusPending] != 4 {
 		t.Errorf("tasks: %v", view.Counts)
