store: tell a removed replica of its removal

Cause: a replica that was removed while it ran received nothing more, so its status showed old members and it asked for votes for ever.

A joining replica that reads memberships older than itself is not removed.

--- a/store/consensus/change.go
+++ b/store/consensus/change.go
@@ -121,7 +121,7 @@
 	}
 	for id := range c.lead.peers {
 		if _, ok := next.Get(id); !ok {
-			delete(c.lead.peers, id)
+			c.leave(now, id)
 		}
 	}
 	for _, x := range next.Members {
--- a/store/consensus/core.go
+++ b/store/consensus/core.go
@@ -27,6 +27,8 @@
 	// configIndex is its entry.
 	members     Membership
 	configIndex uint64
+	// wasMember is set once a membership has included this replica.
+	wasMember bool
 
 	role   Role
 	leader ID
@@ -69,6 +71,9 @@
 	if err := c.reloadMembers(); err != nil {
 		return nil, err
 	}
+	if err := c.noteSavedMembers(); err != nil {
+		return nil, err
+	}
 	c.resetDeadline(now)
 	return c, nil
 }
@@ -180,6 +185,7 @@
 				return errors.Wrapf(err, "entry %d", e.Index)
 			}
 			c.members, c.configIndex = m, e.Index
+			c.noteMember(m)
 		}
 	}
 	return nil
@@ -260,6 +266,8 @@
 	// TermStart is the first entry of the leader's term, on the leader.
 	TermStart uint64
 	ElectedAt time.Time
+	// Removed is set once this replica's removal is committed.
+	Removed bool
 	// Transferring is set while the leader hands over leadership.
 	Transferring bool
 	// Peers is set on the leader.
@@ -280,7 +288,7 @@
 	s := Status{
 		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader,
 		Commit: c.commit, Last: c.log.last().Index, Base: c.log.base.Index,
-		Snapshot: c.snap.Last.Index, Membership: c.members,
+		Snapshot: c.snap.Last.Index, Membership: c.members, Removed: c.Removed(),
 	}
 	if c.role != Leader {
 		return s
--- a/store/consensus/follower.go
+++ b/store/consensus/follower.go
@@ -136,6 +136,7 @@
 	c.commit, c.handed, c.stable = meta.Last.Index, meta.Last.Index, meta.Last.Index
 	c.unsavedFrom = 0
 	c.members, c.configIndex = meta.Membership, meta.Last.Index
+	c.noteMember(meta.Membership)
 	if in != nil && c.role == Follower && c.leader == in.from {
 		c.send(Message{Kind: MsgSnapshotReply, To: in.from, Index: meta.Last.Index, Done: true})
 	}
--- a/store/consensus/leader.go
+++ b/store/consensus/leader.go
@@ -13,6 +13,7 @@
 	nextBeat  time.Time
 	reads     []pendingRead
 	transfer  *transfer
+	leaving   []leavingPeer
 }
 
 type pendingRead struct {
@@ -101,6 +102,7 @@
 			c.sendChunk(now, x.ID, p)
 		}
 	}
+	c.beatLeaving(now)
 }
 
 func (c *Core) sendHeartbeat(now time.Time, id ID, p *progress) {
@@ -175,7 +177,7 @@
 	if c.role != Leader || m.Term != c.term {
 		return nil
 	}
-	p := c.lead.peers[m.From]
+	p := c.progressOf(m.From)
 	if p == nil {
 		return nil
 	}
--- a/store/consensus/rules_test.go
+++ b/store/consensus/rules_test.go
@@ -223,3 +223,21 @@
 		t.Fatal("no snapshot is sent")
 	}
 }
+
+// Guards against a joining replica that takes a membership older than itself
+// for its removal.
+func TestOldMembershipIsNoRemoval(t *testing.T) {
+	for _, x := range []struct {
+		members Membership
+		removed bool
+	}{{bound(), true}, {bound().Without("n1"), false}} {
+		c, now := lone(t, HardState{Term: 1, Commit: 1})
+		c.members, c.wasMember = x.members, false
+		c.noteMember(x.members)
+		e := Entry{Index: 2, Term: 1, Kind: EntryConfig, Data: bound().Without("n1").Encode()}
+		from(t, c, now, "n2", Message{Kind: MsgAppend, Term: 1, Index: 1, LogTerm: 1, Entries: []Entry{e}, Commit: 2})
+		if c.Removed() != x.removed {
+			t.Fatalf("removed %v, want %v", c.Removed(), x.removed)
+		}
+	}
+}
--- a/store/consensus/transfer.go
+++ b/store/consensus/transfer.go
@@ -51,7 +51,7 @@
 // SnapshotMissing tells that the snapshot being sent to a replica cannot be
 // read any more; the transfer starts again with the latest one.
 func (c *Core) SnapshotMissing(now time.Time, to ID, index uint64) {
-	p := c.lead.peers[to]
+	p := c.progressOf(to)
 	if c.role != Leader || p == nil || p.state != stateSnapshot || p.snap.Last.Index != index {
 		return
 	}
--- a/store/replica/effects.go
+++ b/store/replica/effects.go
@@ -137,7 +137,9 @@
 // that depends on it is sent, and tells of a change of leader.
 func (r *Replica) publish(now time.Time) {
 	s := r.core.Status()
-	r.status.Store(&s)
+	if old := r.status.Swap(&s); s.Removed && (old == nil || !old.Removed) {
+		r.cfg.Logger.Warn().Str("replica", r.cfg.ID).Msg("replica is no longer a member")
+	}
 	r.lease.Store(&lease{until: r.core.LeaseUntil(now), termStart: s.TermStart})
 	leading := s.Role == consensus.Leader
 	if r.led != 0 && (!leading || s.Term != r.led) {
--- a/store/replica/failure_test.go
+++ b/store/replica/failure_test.go
@@ -138,8 +138,29 @@
 	if got := r.cfg.StateMachine.(*register).get(); got != 1001 {
 		t.Fatalf("new member holds %d, want 1001", got)
 	}
-	if n := len(g.leader().Status().Members); n != 3 {
-		t.Fatalf("%d members, want 3", n)
+	if n := len(g.leader().Status().Members); n != 3 || r.Status().Removed {
+		t.Fatalf("%d members, want 3; new member removed: %v", n, r.Status().Removed)
+	}
+}
+
+// Guards against a removed replica that never learns of it, and against a
+// joining replica that takes old memberships for its removal.
+func TestRemovedReplicaLearnsOfIt(t *testing.T) {
+	g := newTestGroup(t, 3, nil)
+	g.write(1)
+	joining := g.start("c4", nil)
+	g.retry("add learner", func(l *Replica) error { return orExists(l.AddLearner(g.ctx, "c4", "")) })
+	g.awaitApplied(joining)
+	id := follower(g)
+	g.retry("remove", func(l *Replica) error {
+		if err := l.Remove(g.ctx, id); !errors.Is(err, consensus.ErrUnknownMember) {
+			return err
+		}
+		return nil
+	})
+	await(g.ctx, t, "notice of the removal", func() bool { return g.rs[id].Status().Removed })
+	if joining.Status().Removed {
+		t.Fatal("joining replica takes itself for removed")
 	}
 }
 
--- a/store/replica/status.go
+++ b/store/replica/status.go
@@ -18,6 +18,9 @@
 	// Snapshot is the last entry in the latest snapshot.
 	Snapshot uint64
 	Members  []MemberStatus
+	// Removed is set once this replica is no longer a member. It is then of no
+	// more use and may be closed.
+	Removed bool
 	// Stopped says why the replica stopped; empty while it runs.
 	Stopped string
 }
@@ -40,7 +43,7 @@
 	s := r.status.Load()
 	out := Status{
 		ID: s.ID, Role: s.Role.String(), Term: s.Term, LeaderID: s.Leader,
-		Commit: s.Commit, Applied: r.AppliedIndex(), Last: s.Last, Snapshot: s.Snapshot,
+		Commit: s.Commit, Applied: r.AppliedIndex(), Last: s.Last, Snapshot: s.Snapshot, Removed: s.Removed,
 	}
 	for _, x := range s.Membership.Members {
 		m := MemberStatus{ID: x.ID, Address: x.Address, Voter: x.Voter}
