--- a/store/replica/effects.go
+++ b/store/replica/effects.go
@@ -38,12 +38,15 @@
 }
 
 func (r *Replica) persist(e *consensus.Effects) error {
+	start := r.cfg.Now()
 	if err := r.log.Save(e.State, e.Entries); err != nil {
 		return err
 	}
+	now := r.cfg.Now()
+	r.synced(start, now)
 	if n := len(e.Entries); n > 0 {
 		last := e.Entries[n-1]
-		r.core.Persisted(r.cfg.Now(), consensus.Marker{Index: last.Index, Term: last.Term})
+		r.core.Persisted(now, consensus.Marker{Index: last.Index, Term: last.Term})
 	}
 	return nil
 }
@@ -105,6 +108,8 @@
 		return err
 	}
 	r.core.SnapshotInstalled(meta)
+	r.counters.installed.Add(1)
+	r.counters.snapshotBytes.Store(int64(len(data)))
 	r.apply.push(applyItem{restore: &restore{meta: meta, data: data}})
 	r.cfg.Logger.Info().Str("peer", ch.From).Uint64("index", meta.Last.Index).Int("bytes", len(data)).
 		Msg("installed snapshot from leader")
@@ -134,7 +139,9 @@
 // that depends on it is sent, and tells of a change of leader.
 func (r *Replica) publish(now time.Time) {
 	s := r.core.Status()
-	r.status.Store(&s)
+	if old := r.status.Swap(&s); s.Removed && (old == nil || !old.Removed) {
+		r.cfg.Logger.Warn().Str("replica", r.cfg.ID).Msg("replica is no longer a member")
+	}
 	r.lease.Store(&lease{until: r.core.LeaseUntil(now), termStart: s.TermStart})
 	leading := s.Role == consensus.Leader
 	if r.led != 0 && (!leading || s.Term != r.led) {
@@ -144,6 +151,9 @@
 	if leading {
 		r.led = s.Term
 	}
+	if leading && !(r.leader.Leading && r.leader.Term == s.Term) {
+		r.counters.elections.Add(1)
+	}
 	ch := LeaderChange{LeaderID: s.Leader, Term: s.Term, Leading: leading, ElectedAt: s.ElectedAt}
 	if ch != r.leader {
 		r.leader = ch
--- a/store/replica/failure_test.go
+++ b/store/replica/failure_test.go
@@ -77,7 +77,7 @@
 // the leader has dropped them from its log; the snapshot takes several chunks.
 func TestCatchUpFromSnapshot(t *testing.T) {
 	g := newTestGroup(t, 3, func(c *Config) {
-		c.SnapshotEntries = 200
+		c.SnapshotEntries, c.SnapshotInterval = 200, 1
 		c.StateMachine.(*register).pad = make([]byte, 4*chunkBytes)
 	})
 	g.write(0)
@@ -100,6 +100,9 @@
 	if sm.get() != 999 || sm.counted() < 1001 || r.Status().Snapshot < 400 {
 		t.Fatalf("value %d after %d writes, snapshot at %d", sm.get(), sm.counted(), r.Status().Snapshot)
 	}
+	if n := r.Stats().SnapshotsInstalled; n == 0 {
+		t.Fatal("no snapshot was installed")
+	}
 	g.stop(behind)
 	g.write(5)
 	r = g.start(behind, g.members)
@@ -112,7 +115,7 @@
 // Guards against a repair that leaves the group unable to survive the next
 // loss: a dead member is replaced, then another one is lost for good.
 func TestReplaceDeadMemberThenLoseAnother(t *testing.T) {
-	g := newTestGroup(t, 3, func(c *Config) { c.SnapshotEntries = 50 })
+	g := newTestGroup(t, 3, func(c *Config) { c.SnapshotEntries, c.SnapshotInterval = 50, 1 })
 	for i := range 200 {
 		g.write(i)
 	}
@@ -135,8 +138,29 @@
 	if got := r.cfg.StateMachine.(*register).get(); got != 1001 {
 		t.Fatalf("new member holds %d, want 1001", got)
 	}
-	if n := len(g.leader().Status().Members); n != 3 {
-		t.Fatalf("%d members, want 3", n)
+	if n := len(g.leader().Status().Members); n != 3 || r.Status().Removed {
+		t.Fatalf("%d members, want 3; new member removed: %v", n, r.Status().Removed)
+	}
+}
+
+// Guards against a removed replica that never learns of it, and against a
+// joining replica that takes old memberships for its removal.
+func TestRemovedReplicaLearnsOfIt(t *testing.T) {
+	g := newTestGroup(t, 3, nil)
+	g.write(1)
+	joining := g.start("c4", nil)
+	g.retry("add learner", func(l *Replica) error { return orExists(l.AddLearner(g.ctx, "c4", "")) })
+	g.awaitApplied(joining)
+	id := follower(g)
+	g.retry("remove", func(l *Replica) error {
+		if err := l.Remove(g.ctx, id); !errors.Is(err, consensus.ErrUnknownMember) {
+			return err
+		}
+		return nil
+	})
+	await(g.ctx, t, "notice of the removal", func() bool { return g.rs[id].Status().Removed })
+	if joining.Status().Removed {
+		t.Fatal("joining replica takes itself for removed")
 	}
 }
 
