--- a/host/localcluster/cluster.go
+++ b/host/localcluster/cluster.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -36,6 +37,7 @@
 
 	log     zerolog.Logger
 	folder  string
+	tls     config.TLS
 	net     string
 	cut     []*atomic.Bool
 	clients []*rpc.Client
@@ -51,12 +53,16 @@
 	Control, Entry int
 	// SnapshotEntries is the number of log entries between snapshots; 0 means the default.
 	SnapshotEntries int
-	Log             zerolog.Logger
+	// Net is the first three bytes of the hosts' addresses; empty means random ones.
+	Net string
+	// TLS protects the connections between hosts.
+	TLS config.TLS
+	Log zerolog.Logger
 }
 
 // Start starts all hosts.
 func Start(o Options) (*Cluster, error) {
-	c := &Cluster{Nodes: make([]*node.Node, o.Control+o.Entry), Ledger: standin.NewLedger(), log: o.Log, folder: o.Folder}
+	c := &Cluster{Nodes: make([]*node.Node, o.Control+o.Entry), Ledger: standin.NewLedger(), log: o.Log, folder: o.Folder, tls: o.TLS}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.settings(o)
 	for i := range c.Settings {
@@ -72,7 +78,9 @@
 // settings makes the settings of all hosts. Addresses outside 127.0.0.x with
 // fixed ports cannot meet ports that the system hands out to other programs.
 func (c *Cluster) settings(o Options) {
-	c.net = fmt.Sprintf("127.%d.%d", 64+rand.IntN(64), rand.IntN(256))
+	if c.net = o.Net; c.net == "" {
+		c.net = fmt.Sprintf("127.%d.%d", 64+rand.IntN(64), rand.IntN(256))
+	}
 	both := []config.Role{config.RoleControl, config.RoleEntry}
 	var hosts []config.Host
 	for i := range o.Control + o.Entry {
@@ -95,7 +103,7 @@
 	l := func(port int) config.Listener { return config.Listener{Address: c.address(i, port)} }
 	s := &config.Settings{
 		ClusterID: "local", HostID: h.ID, Roles: h.Roles, FailureDomain: fmt.Sprintf("d%d", i%3+1), Region: "r",
-		Hosts: hosts, Limits: config.DefaultLimits(),
+		Hosts: hosts, Limits: config.DefaultLimits(), ControlTLS: c.tls,
 		Listeners: config.Listeners{Platform: l(7403), Operator: l(7404), Health: l(7407)},
 	}
 	if s.Has(config.RoleEntry) {
@@ -104,6 +112,7 @@
 	if s.Has(config.RoleControl) {
 		s.DataFolder = filepath.Join(c.folder, h.ID)
 		s.Listeners.Peer, s.Listeners.Control = l(7405), l(7406)
+		s.Listeners.Peer.TLS, s.Listeners.Control.TLS = c.tls, c.tls
 	}
 	if snapshotEntries > 0 {
 		s.Limits.SnapshotEntries = snapshotEntries
@@ -132,7 +141,7 @@
 // StartHost starts a host, also again after Kill.
 func (c *Cluster) StartHost(i int) error {
 	hooks := node.Hooks{Transport: func(cfg replica.Config) (transport.Transport, error) {
-		tr, err := transport.NewRPC(transport.RPCConfig{ClusterID: cfg.ClusterID, Listen: cfg.Listen, Advertise: cfg.Advertise})
+		tr, err := transport.NewRPC(transport.RPCConfig{ClusterID: cfg.ClusterID, Listen: cfg.Listen, Advertise: cfg.Advertise, TLS: cfg.TLS})
 		if err != nil {
 			return nil, err
 		}
@@ -171,12 +180,15 @@
 }
 
 // Client returns a client of its own, closed with the cluster.
-func (c *Cluster) Client() *rpc.Client {
+func (c *Cluster) Client() *rpc.Client { return c.ClientWith(nil) }
+
+// ClientWith returns a client with its own TLS configuration; nil means plain TCP.
+func (c *Cluster) ClientWith(tlsConfig *tls.Config) *rpc.Client {
 	var peers []rpc.Peer
 	for _, h := range c.Settings[0].With(config.RoleControl) {
 		peers = append(peers, rpc.Peer{ID: h.ID, Address: h.Control})
 	}
-	cl := rpc.NewClient(rpc.ClientConfig{Cluster: "local", Host: "client", Peers: peers})
+	cl := rpc.NewClient(rpc.ClientConfig{Cluster: "local", Host: "client", Peers: peers, TLS: tlsConfig})
 	c.clients = append(c.clients, cl)
 	return cl
 }
--- a/host/localcluster/cluster_test.go
+++ b/host/localcluster/cluster_test.go
@@ -23,9 +23,15 @@
 }
 
 func newBed(t *testing.T, control, entry int) *bed {
+	t.Helper()
+	return newBedWith(t, Options{Control: control, Entry: entry})
+}
+
+func newBedWith(t *testing.T, o Options) *bed {
 	t.Helper()
 	log := zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.WarnLevel)
-	c, err := Start(Options{Folder: t.TempDir(), Control: control, Entry: entry, SnapshotEntries: 200, Log: log})
+	o.Folder, o.SnapshotEntries, o.Log = t.TempDir(), 200, log
+	c, err := Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
