--- /dev/null
+++ b/core/sched/interference.go
@@ -0,0 +1,218 @@
+package sched
+
+import (
+	"slices"
+	"time"
+
+	"gooseberrypond/core/state"
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// confidenceSamples is k in the weight n/(n+k) of an observed mean against the prior.
+	confidenceSamples = 5.0
+	// entrySamples and overallSamples are k for the means over many pairs. They
+	// are larger, since one report enters several of these means at once.
+	entrySamples   = 20.0
+	overallSamples = 50.0
+	// maxPairWeight bounds the weight of past samples, so that estimates follow load.
+	maxPairWeight = 200.0
+	// maxExcess bounds the slowdown counted from one report; longer outliers
+	// come from faults rather than from neighbours.
+	maxExcess = 5.0
+	// excessFloor is the least share of blame of any neighbour, so that a pair
+	// that was never blamed can be found out later.
+	excessFloor = 0.0005
+	// reportHalfAgeMS is the age at which a report counts half.
+	reportHalfAgeMS = 30_000.0
+	// tablePriorExcess is the excess slowdown assumed for a pair before any report.
+	tablePriorExcess = 0.02
+)
+
+// meanStat is a weighted running mean.
+type meanStat struct {
+	weight float32
+	mean   float32
+}
+
+func (m *meanStat) add(x, weight float64, limit float32) {
+	m.weight = min(m.weight+float32(weight), limit)
+	m.mean += (float32(x) - m.mean) * float32(weight) / m.weight
+}
+
+// toward blends the mean with a prior by the weight n/(n+k).
+func (m *meanStat) toward(prior, k float64) float64 {
+	c := float64(m.weight) / (float64(m.weight) + k)
+	return float64(m.mean)*c + prior*(1-c)
+}
+
+// interference estimates, for each ordered pair of entries, the excess
+// slowdown that one task of the aggressor adds to a task of the victim.
+type interference struct {
+	// plainMean uses observed means as they are, for comparison.
+	plainMean bool
+	rows      []interferenceRow
+	overall   meanStat
+	// noise is the mean excess that an entry adds to any victim.
+	noise []meanStat
+	// table holds the estimates by victim and aggressor for ranking. One row is
+	// renewed each tick, since computing each estimate when it is needed took a
+	// fifth of the time of a plan.
+	table  [][]float32
+	cursor int
+	// present is scratch space for one report.
+	present []neighbour
+}
+
+// interferenceRow holds one victim's estimates by aggressor.
+type interferenceRow struct {
+	pairs []meanStat
+	// all is the mean over every aggressor: the victim's sensitivity.
+	all meanStat
+}
+
+func grow[T any](list []T, id int32) []T {
+	if int(id) < len(list) {
+		return list
+	}
+	return append(list, make([]T, int(id)+1-len(list))...)
+}
+
+// excess is the estimated excess slowdown of victim beside one aggressor.
+func (f *interference) excess(victim, aggressor int32) float64 {
+	if int(victim) < len(f.rows) {
+		if row := &f.rows[victim]; int(aggressor) < len(row.pairs) {
+			pair := &row.pairs[aggressor]
+			if f.plainMean && pair.weight > 0 {
+				return float64(pair.mean)
+			}
+			if pair.weight > 20*confidenceSamples {
+				return float64(pair.mean)
+			}
+			return pair.toward(f.prior(victim, aggressor), confidenceSamples)
+		}
+	}
+	return f.prior(victim, aggressor)
+}
+
+// renew recomputes one row of the table for the given number of entries.
+func (f *interference) renew(entries int) {
+	if entries == 0 {
+		return
+	}
+	f.table = grow(f.table, int32(entries-1))
+	f.cursor = (f.cursor + 1) % entries
+	row := grow(f.table[f.cursor], int32(entries-1))
+	for a := range row {
+		row[a] = float32(f.excess(int32(f.cursor), int32(a)))
+	}
+	f.table[f.cursor] = row
+}
+
+// lookup is excess as of the last renewal of the victim's row.
+func (f *interference) lookup(victim, aggressor int32) float64 {
+	if int(victim) < len(f.table) {
+		if row := f.table[victim]; int(aggressor) < len(row) {
+			return float64(row[aggressor])
+		}
+	}
+	return f.excess(victim, aggressor)
+}
+
+// prior estimates a pair from the victim's sensitivity and the aggressor's
+// noise, both relative to the overall mean.
+func (f *interference) prior(victim, aggressor int32) float64 {
+	overall := f.overall.toward(tablePriorExcess, overallSamples)
+	if f.plainMean || overall <= 0 {
+		return overall
+	}
+	p := overall
+	if int(victim) < len(f.rows) {
+		p *= f.rows[victim].all.toward(overall, entrySamples) / overall
+	}
+	if int(aggressor) < len(f.noise) {
+		p *= f.noise[aggressor].toward(overall, entrySamples) / overall
+	}
+	return p
+}
+
+// observe learns from one report: the excess slowdown is divided among the
+// neighbours in proportion to their present estimates.
+func (f *interference) observe(victim int32, slowdown float64, ageMS int64, neighbours []int32) {
+	if len(neighbours) == 0 || slowdown <= 0 {
+		return
+	}
+	excess := min(max(slowdown-1, 0), maxExcess)
+	weight := reportHalfAgeMS / (reportHalfAgeMS + float64(max(0, ageMS)))
+	f.present = countEach(f.present[:0], neighbours)
+	sum := 0.0
+	for i := range f.present {
+		nb := &f.present[i]
+		nb.estimate = f.excess(victim, nb.entry) + excessFloor
+		sum += nb.n * nb.estimate
+	}
+	f.rows = grow(f.rows, victim)
+	for _, nb := range f.present {
+		f.learn(victim, nb.entry, excess*nb.estimate/sum, weight)
+	}
+}
+
+// neighbour is one entry among the neighbours of a report.
+type neighbour struct {
+	entry    int32
+	n        float64
+	estimate float64
+}
+
+// countEach appends each entry of the list with its number of occurrences.
+func countEach(dst []neighbour, list []int32) []neighbour {
+	for _, a := range list {
+		i := slices.IndexFunc(dst, func(nb neighbour) bool { return nb.entry == a })
+		if i < 0 {
+			i = len(dst)
+			dst = append(dst, neighbour{entry: a})
+		}
+		dst[i].n++
+	}
+	return dst
+}
+
+func (f *interference) learn(victim, aggressor int32, excess, weight float64) {
+	row := &f.rows[victim]
+	row.pairs = grow(row.pairs, aggressor)
+	f.noise = grow(f.noise, aggressor)
+	row.pairs[aggressor].add(excess, weight, maxPairWeight)
+	row.all.add(excess, weight, maxPairWeight)
+	f.noise[aggressor].add(excess, weight, maxPairWeight)
+	f.overall.add(excess, weight, 10*maxPairWeight)
+}
+
+// Observe takes in a worker's usage reports.
+func (s *Scheduler) Observe(now time.Time, worker structs.WorkerID, usage []structs.Usage, t *state.Tables) {
+	n := s.nodes[worker]
+	for i := range usage {
+		u := &usage[i]
+		task := t.Task(u.Task)
+		job := t.Job(u.Task.Job)
+		if task == nil || job == nil {
+			continue
+		}
+		id := s.entryID(job.Spec.Entry)
+		s.neighbours = s.neighbours[:0]
+		for _, name := range u.Neighbours {
+			s.neighbours = append(s.neighbours, s.entryID(name))
+		}
+		s.interference.observe(id, u.Slowdown, u.AgeMS, s.neighbours)
+		info := s.infos[job.Spec.Entry]
+		if info == nil {
+			continue
+		}
+		s.estimate(id).observe(declaredSize(info, job), u.Used, info.Class == structs.ClassLatency)
+		if n != nil && info.Class == structs.ClassLatency && u.Slowdown > 0 {
+			n.suffer(u.Task, u.Slowdown, now.Add(-time.Duration(u.AgeMS)*time.Millisecond))
+		}
+	}
+	if n != nil {
+		s.adjustThrottles(n, now, t)
+	}
+}
--- /dev/null
+++ b/core/sched/setaside.go
@@ -0,0 +1,143 @@
+package sched
+
+import (
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	// failuresToSetAside is the number of failures in a row after which a worker is set aside.
+	failuresToSetAside = 3
+	// setAsideMin and setAsideMax bound the time until a worker is tried again.
+	setAsideMin = 10 * time.Second
+	setAsideMax = 10 * time.Minute
+	// probeRun is the run time after which a task counts as a success of its worker.
+	probeRun = 10 * time.Second
+	// entryFaultWorkers is the number of workers on which an entry must fail in
+	// a row before its failures are taken as its own and not the workers'.
+	entryFaultWorkers = 3
+)
+
+// health is a worker's record of failures.
+type health struct {
+	failures int
+	backoff  time.Duration
+	untilMS  int64
+	// probing is set while a worker that was set aside may run one task at a
+	// time; probe is that task when probed is set.
+	probing, probed bool
+	probe           structs.TaskID
+}
+
+// RecordEnd takes in the end of an attempt. task is its record before the end.
+func (s *Scheduler) RecordEnd(ev structs.TaskEvent, task *structs.Task, entry string, nowMS int64) {
+	if n := s.nodes[task.Worker]; n != nil {
+		s.markDirty(n)
+	}
+	est := s.estimate(s.entryID(entry))
+	switch ev.Type {
+	case structs.EventFinished:
+		s.recordRuntime(est, task, nowMS)
+		s.recordSuccess(est, task)
+	case structs.EventCheckpointed:
+		s.ran[task.ID] += ranMS(task, nowMS)
+		delete(s.health, task.Worker)
+	case structs.EventFailed:
+		s.recordFailure(est, task, nowMS)
+	case structs.EventStopped:
+		delete(s.ran, task.ID)
+	}
+}
+
+func ranMS(task *structs.Task, nowMS int64) int64 {
+	if task.StartedMS <= 0 {
+		return 0
+	}
+	return max(0, nowMS-task.StartedMS)
+}
+
+func (s *Scheduler) recordRuntime(est *entryEstimate, task *structs.Task, nowMS int64) {
+	if task.StartedMS > 0 {
+		est.runtime.add(float64(s.ran[task.ID]+ranMS(task, nowMS)), 1, runtimeSamples)
+	}
+	delete(s.ran, task.ID)
+}
+
+func (s *Scheduler) recordSuccess(est *entryEstimate, task *structs.Task) {
+	clear(est.failedOn)
+	delete(s.health, task.Worker)
+	delete(s.failedOn, task.ID)
+}
+
+// recordFailure counts a failure against the worker, unless the entry has
+// failed on several workers in a row.
+func (s *Scheduler) recordFailure(est *entryEstimate, task *structs.Task, nowMS int64) {
+	s.failedOn[task.ID] = task.Worker
+	_, again := est.failedOn[task.Worker]
+	if !again && len(est.failedOn) >= entryFaultWorkers {
+		return
+	}
+	est.failedOn[task.Worker] = struct{}{}
+	h := s.health[task.Worker]
+	if h == nil {
+		h = &health{}
+		s.health[task.Worker] = h
+	}
+	h.failures++
+	if h.failures >= failuresToSetAside {
+		h.setAside(nowMS)
+	}
+}
+
+func (h *health) setAside(nowMS int64) {
+	if nowMS < h.untilMS {
+		return
+	}
+	h.backoff = min(max(2*h.backoff, setAsideMin), setAsideMax)
+	h.untilMS = nowMS + h.backoff.Milliseconds()
+	h.probing, h.probed = true, false
+}
+
+// setAside reports whether the worker takes no task because of its failures.
+// Once its time is over it takes one task, and more when that one succeeds or
+// has run for probeRun; a service task never ends by itself.
+func (p *planner) setAside(n *node) bool {
+	h := p.health[n.worker.ID]
+	if h == nil || !h.probing {
+		return false
+	}
+	if p.nowMS < h.untilMS {
+		return true
+	}
+	if !h.probed {
+		return false
+	}
+	task := p.t.Task(h.probe)
+	if task == nil || task.Worker != n.worker.ID {
+		h.probed = p.probedNow(h.probe)
+		return h.probed
+	}
+	if task.State == structs.AttemptRunning && ranMS(task, p.nowMS) >= probeRun.Milliseconds() {
+		delete(p.health, n.worker.ID)
+		return false
+	}
+	return true
+}
+
+// probedNow reports whether the task was placed by the current plan.
+func (p *planner) probedNow(id structs.TaskID) bool {
+	for i := range p.plan.Assign {
+		if p.plan.Assign[i].Task == id {
+			return true
+		}
+	}
+	return false
+}
+
+// noteProbe records the task that tries a worker out.
+func (p *planner) noteProbe(n *node, id structs.TaskID) {
+	if h := p.health[n.worker.ID]; h != nil && h.probing {
+		h.probe, h.probed = id, true
+	}
+}
--- /dev/null
+++ b/core/sched/sync.go
@@ -0,0 +1,227 @@
+package sched
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"gooseberrypond/core/state"
+	"gooseberrypond/core/structs"
+)
+
+// planner is the state of one call of Plan.
+type planner struct {
+	*Scheduler
+	now   time.Time
+	nowMS int64
+	t     *state.Tables
+	live  LiveView
+	plan  *structs.Plan
+	// usage holds the owners' reservations including this plan.
+	usage map[string]structs.Resources
+	// evicted and noted hold the tasks and jobs already named in this plan.
+	evicted  map[structs.TaskID]struct{}
+	noted    map[structs.JobID]bool
+	preempts int
+}
+
+// syncCatalogue derives entry values again after a change of the catalogue.
+func (p *planner) syncCatalogue() {
+	c := p.t.Catalogue()
+	if c == p.catalogue || c == nil {
+		return
+	}
+	p.catalogue = c
+	clear(p.infos)
+	for _, name := range slices.Sorted(maps.Keys(c.Entries)) {
+		e := c.Entries[name]
+		p.infos[name] = &entryInfo{Entry: e, name: name, id: p.entries.id(name), owner: p.t.ResolveOwner(e.Owner)}
+	}
+	p.setWeights()
+	p.freed++
+}
+
+// setWeights derives how much a slowdown of each entry counts.
+func (s *Scheduler) setWeights() {
+	s.weights = s.weights[:0]
+	for _, name := range s.entries.names {
+		w := 1.0
+		if info := s.infos[name]; info != nil && info.Class == structs.ClassLatency {
+			w = latencyWeight
+		}
+		s.weights = append(s.weights, w)
+	}
+}
+
+// entryID is the number of a catalogue entry, also of a former one.
+func (s *Scheduler) entryID(name string) int32 {
+	id := s.entries.id(name)
+	for int(id) >= len(s.weights) {
+		s.weights = append(s.weights, 1)
+	}
+	return id
+}
+
+// markDirty has the node copied from the tables in the next tick.
+func (s *Scheduler) markDirty(n *node) {
+	if !n.dirty {
+		n.dirty = true
+		s.dirty = append(s.dirty, n)
+	}
+}
+
+// syncWorkers brings the copies of workers up to date: all of them after a
+// change of domains, else the changed ones and a rotating part of the rest.
+func (p *planner) syncWorkers() {
+	if p.syncDomains() {
+		for _, n := range p.order {
+			p.markDirty(n)
+		}
+	}
+	changed := p.t.TakeChangedWorkers()
+	if p.now.Sub(p.comparedAt) >= membershipAge || len(p.order) == 0 {
+		p.comparedAt = p.now
+		p.syncMembership()
+	}
+	for _, id := range changed {
+		if n := p.nodes[id]; n != nil {
+			p.markDirty(n)
+		}
+	}
+	for range min(refreshPerTick, len(p.order)) {
+		p.cursor = (p.cursor + 1) % len(p.order)
+		n := p.order[p.cursor]
+		p.markDirty(n)
+		p.noteRunning(n)
+		p.relieve(n)
+	}
+	for _, n := range p.dirty {
+		n.dirty = false
+		p.refresh(n)
+	}
+	p.dirty = p.dirty[:0]
+}
+
+// syncDomains reports whether the set of domains out of service has changed.
+func (p *planner) syncDomains() bool {
+	version := p.t.DomainsVersion()
+	if version == p.domainsVersion && p.ticks > 0 {
+		return false
+	}
+	p.domainsVersion = version
+	out := p.t.DomainsOut()
+	clear(p.out)
+	for _, d := range out {
+		p.out[d] = true
+	}
+	p.noteDomains(out)
+	return true
+}
+
+// syncMembership adds workers that have registered and drops removed ones.
+func (p *planner) syncMembership() {
+	workers := p.t.Workers()
+	p.syncKinds(workers)
+	same := len(workers) == len(p.order)
+	for i := 0; same && i < len(workers); i++ {
+		same = p.order[i].worker.ID == workers[i].ID
+	}
+	if same {
+		return
+	}
+	known := p.nodes
+	p.nodes = make(map[structs.WorkerID]*node, len(workers))
+	p.order = p.order[:0]
+	for _, w := range workers {
+		n := known[w.ID]
+		if n == nil {
+			n = &node{worker: w, blocked: "new", pos: [2]int{-1, -1}}
+			p.markDirty(n)
+		}
+		delete(known, w.ID)
+		p.nodes[w.ID] = n
+		p.order = append(p.order, n)
+	}
+	for _, n := range known {
+		p.countEntries(n, -1)
+		n.entries = n.entries[:0]
+		p.block(n, "removed")
+	}
+}
+
+// refresh copies one worker from the tables.
+func (p *planner) refresh(n *node) {
+	w := p.t.Worker(n.worker.ID)
+	if w == nil {
+		p.block(n, "removed")
+		return
+	}
+	free, blocked := n.free(), n.blocked
+	p.countEntries(n, -1)
+	n.worker = w
+	n.domain = p.domains.id(w.Domain)
+	n.rack = p.racks.id(w.Rack)
+	n.used = p.t.Committed(w.ID)
+	p.copyTasks(n)
+	p.countEntries(n, 1)
+	p.block(n, p.blockReason(n))
+	if n.blocked == "" && (blocked != "" || !n.free().Fits(free)) {
+		p.freed++
+	}
+}
+
+// copyTasks renews the node's attempts. Both lists are in order of task ids,
+// so a record that is still there is found at once.
+func (p *planner) copyTasks(n *node) {
+	known, old := n.tasks, n.tasks
+	n.tasks = p.spare[:0]
+	n.entries = n.entries[:0]
+	for _, task := range p.t.AttemptsOn(n.worker.ID) {
+		for len(known) > 0 && known[0].record != task && compareIDs(known[0].record.ID, task.ID) < 0 {
+			known = known[1:]
+		}
+		nt := nodeTask{record: task}
+		if len(known) > 0 && known[0].record == task {
+			nt = known[0]
+			known = known[1:]
+		} else if job := p.t.Job(task.ID.Job); job != nil {
+			nt.entry = p.entryID(job.Spec.Entry)
+			nt.deadline = job.Spec.DeadlineMS != 0 && job.Spec.Kind == structs.KindBatch
+		}
+		n.tasks = append(n.tasks, nt)
+		n.addEntry(nt.entry, 1)
+	}
+	clear(old)
+	p.spare = old[:0]
+}
+
+func compareIDs(a, b structs.TaskID) int {
+	return cmp.Or(strings.Compare(string(a.Job), string(b.Job)), cmp.Compare(a.Index, b.Index))
+}
+
+// countEntries adds the node's tasks to the spread, or takes them out.
+func (s *Scheduler) countEntries(n *node, sign int32) {
+	for _, c := range n.entries {
+		s.spread.add(c.entry, n, sign*c.n)
+	}
+}
+
+// block sets or clears the reason for which a node takes no tasks.
+func (s *Scheduler) block(n *node, reason string) {
+	s.total = s.total.Sub(n.counted)
+	n.counted = structs.Resources{}
+	if reason == "" {
+		n.counted = n.worker.Capacity
+	}
+	s.total = s.total.Add(n.counted)
+	n.blocked = reason
+	s.reindex(n)
+}
+
+// reindex moves a node to the buckets for its free capacity.
+func (s *Scheduler) reindex(n *node) {
+	s.all.place(n, n.blocked == "")
+	s.accel.place(n, n.blocked == "" && n.free().Accelerators > 0)
+}
--- /dev/null
+++ b/core/state/claims.go
@@ -0,0 +1,178 @@
+package state
+
+import (
+	"container/list"
+	"slices"
+
+	"gooseberrypond/core/structs"
+)
+
+const (
+	stepClaim    = "claim request"
+	stepComplete = "complete request"
+	// maxOwnerClaims and maxClaims bound the claims kept at once.
+	maxOwnerClaims = 25_000
+	maxClaims      = 100_000
+	// maxOwnerAnswerBytes and maxAllAnswerBytes bound the recorded answers;
+	// answers past them are not kept.
+	maxOwnerAnswerBytes = 8 << 20
+	maxAllAnswerBytes   = 48 << 20
+)
+
+// claimRec is the claim of one request. It is not changed in place, because
+// images of the tables share it.
+type claimRec struct {
+	Owner string
+	Key   string
+	structs.ClaimState
+	// rank orders the claims of one key.
+	rank int
+	elem *list.Element
+}
+
+// applyClaim reserves an idempotency key for one request. A claim that was
+// already granted to the same nonce is granted again.
+func (t *Tables) applyClaim(c *structs.Claim) structs.Result {
+	owner := t.ResolveOwner(c.Owner)
+	if owner == "" {
+		return failure(structs.CodeUnauthorized, stepClaim, "owner %q is not in the catalogue", c.Owner)
+	}
+	if c.Key == "" || len(c.Key) > maxKeyBytes || c.Nonce == "" {
+		return failure(structs.CodeBadRequest, stepClaim, "a claim needs a nonce and a key of 1 to %d bytes, not %d", maxKeyBytes, len(c.Key))
+	}
+	at := ownerKey{owner, c.Key}
+	for _, r := range t.claims[at] {
+		if r.Digest == c.Digest {
+			state := r.ClaimState
+			return structs.Result{Claimed: r.Nonce == c.Nonce, Claim: &state}
+		}
+	}
+	if len(t.claims[at]) > 0 {
+		return failure(structs.CodeKeyReused, stepClaim, "key %q already names another request", c.Key)
+	}
+	if n := t.owner(owner).claims; n >= maxOwnerClaims || t.claimOrder.Len() >= maxClaims {
+		res := failure(structs.CodeQueueFull, stepClaim, "%d requests are claimed, %d by owner %q; the limits are %d and %d", t.claimOrder.Len(), n, owner, maxClaims, maxOwnerClaims)
+		res.Error.RetryAfterMS = queueRetryMS
+		return res
+	}
+	r := &claimRec{Owner: owner, Key: c.Key}
+	r.ClaimState = structs.ClaimState{Digest: c.Digest, Host: c.Host, Nonce: c.Nonce, ClaimedMS: t.nowMS}
+	t.linkClaim(r)
+	state := r.ClaimState
+	return structs.Result{Claimed: true, Claim: &state}
+}
+
+func (t *Tables) linkClaim(r *claimRec) {
+	t.appendClaim(r)
+	r.elem = t.claimOrder.PushBack(r)
+	t.owner(r.Owner).claims++
+	t.addAnswer(r, 1)
+}
+
+// addAnswer counts the bytes of a claim's answer, or with sign -1 no longer.
+func (t *Tables) addAnswer(r *claimRec, sign int) {
+	n := sign * answerBytes(r.Answer)
+	t.counts.answerBytes += n
+	t.owner(r.Owner).answers += n
+}
+
+func (t *Tables) appendClaim(r *claimRec) {
+	at := ownerKey{r.Owner, r.Key}
+	recs := t.claims[at]
+	if n := len(recs); n > 0 {
+		r.rank = recs[n-1].rank + 1
+	}
+	t.claims[at] = append(recs, r)
+}
+
+// answer replaces a claim by a copy with an answer.
+func (t *Tables) answer(r *claimRec, a *structs.Answer) *claimRec {
+	answered := *r
+	answered.Answer = t.keptAnswer(r.Owner, a)
+	t.addAnswer(&answered, 1)
+	recs := t.claims[ownerKey{r.Owner, r.Key}]
+	recs[slices.Index(recs, r)] = &answered
+	r.elem.Value = &answered
+	return &answered
+}
+
+func (t *Tables) unlinkClaim(r *claimRec) {
+	at := ownerKey{r.Owner, r.Key}
+	recs := slices.DeleteFunc(t.claims[at], func(o *claimRec) bool { return o == r })
+	if len(recs) == 0 {
+		delete(t.claims, at)
+		return
+	}
+	t.claims[at] = recs
+}
+
+func (t *Tables) removeClaim(r *claimRec) {
+	t.unlinkClaim(r)
+	t.claimOrder.Remove(r.elem)
+	t.owner(r.Owner).claims--
+	t.addAnswer(r, -1)
+}
+
+// applyComplete records the outcome of a claimed request. The first answer
+// stays; a request that has an answer cannot be released as not run.
+func (t *Tables) applyComplete(c *structs.Complete) structs.Result {
+	r := t.findClaim(ownerKey{t.ResolveOwner(c.Owner), c.Key}, c.Nonce)
+	if r == nil {
+		return structs.Result{Error: structs.Errorf(structs.CodeNotFound, stepComplete, "key %q has no claim with this nonce", c.Key)}
+	}
+	switch {
+	case r.Answer != nil && c.NotRun:
+		return structs.Result{Error: structs.Errorf(structs.CodeConflict, stepComplete, "key %q has an answer already", c.Key)}
+	case c.NotRun:
+		t.removeClaim(r)
+		return structs.Result{}
+	case r.Answer == nil && c.Answer != nil:
+		r = t.answer(r, c.Answer)
+	}
+	state := r.ClaimState
+	return structs.Result{Claim: &state}
+}
+
+func (t *Tables) findClaim(at ownerKey, nonce string) *claimRec {
+	for _, r := range t.claims[at] {
+		if r.Nonce == nonce {
+			return r
+		}
+	}
+	return nil
+}
+
+// keptAnswer returns what is recorded of an answer: without header and body
+// when it is over the bound of one answer, of its owner's or of all.
+func (t *Tables) keptAnswer(owner string, a *structs.Answer) *structs.Answer {
+	size := answerBytes(a)
+	full := t.owner(owner).answers+size > maxOwnerAnswerBytes || t.counts.answerBytes+size > maxAllAnswerBytes
+	if a.TooLarge || size > structs.MaxStoredAnswerBytes || full {
+		return &structs.Answer{Status: a.Status, TooLarge: true}
+	}
+	return a
+}
+
+func answerBytes(a *structs.Answer) int {
+	if a == nil {
+		return 0
+	}
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
+}
+
+// Claim returns the claim of a request by owner, key and digest, or nil.
+func (t *Tables) Claim(owner, key, digest string) *structs.ClaimState {
+	for _, r := range t.claims[ownerKey{t.ResolveOwner(owner), key}] {
+		if r.Digest == digest {
+			return &r.ClaimState
+		}
+	}
+	return nil
+}
