store: bound syncs and calls; add LeaseTerm and a failover benchmark

Cause: a burst of proposals was written with one sync and 64 appends of 1 MiB could be joined in one call, which would exceed the call's time limit again and again on a slow link. A caller that checked the lease and the term one after the other could see two different terms.

A turn appends at most 4 MiB, a call carries at most about 2 MiB, 16 appends are sent ahead. LeaseTerm returns the term of the lease held.

Conclusion: bursts cannot cost the leader its heartbeats by their size.

--- a/store/replica/bench_test.go
+++ b/store/replica/bench_test.go
@@ -75,3 +75,22 @@
 		g.awaitApplied(g.start(id, g.members))
 	}
 }
+
+// BenchmarkFailover measures the time from the end of a leader until another
+// replica holds the lease.
+func BenchmarkFailover(b *testing.B) {
+	g := newTestGroup(b, 3, nil)
+	g.ctx = context.Background()
+	var took []time.Duration
+	for range b.N {
+		id := g.leader().cfg.ID
+		g.stop(id)
+		start := time.Now()
+		g.leader()
+		took = append(took, time.Since(start))
+		g.awaitApplied(g.start(id, g.members))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Milliseconds()), "p50-ms")
+	b.ReportMetric(float64(took[len(took)-1].Milliseconds()), "max-ms")
+}
--- a/store/replica/config.go
+++ b/store/replica/config.go
@@ -97,7 +97,11 @@
 	// maxBatchBytes bounds one append message so that a heartbeat behind it is
 	// not delayed by more than a few milliseconds.
 	maxBatchBytes = 1 << 20
-	maxInflight   = 64
+	// maxInflight bounds what is sent ahead to one replica to 16 MiB.
+	maxInflight = 16
+	// maxTurnBytes bounds what is written with one sync, so that the loop is
+	// back in time for the next heartbeat.
+	maxTurnBytes = 4 << 20
 	// chunkBytes is the size of a snapshot chunk.
 	chunkBytes = 256 << 10
 	// maxInbox is the number of received messages that wait for the loop.
--- a/store/replica/effects.go
+++ b/store/replica/effects.go
@@ -140,7 +140,7 @@
 	if old := r.status.Swap(&s); s.Removed && (old == nil || !old.Removed) {
 		r.cfg.Logger.Warn().Str("replica", r.cfg.ID).Msg("replica is no longer a member")
 	}
-	r.lease.Store(&lease{until: r.core.LeaseUntil(now), termStart: s.TermStart})
+	r.lease.Store(&lease{until: r.core.LeaseUntil(now), term: s.Term, termStart: s.TermStart})
 	leading := s.Role == consensus.Leader
 	if r.led != 0 && (!leading || s.Term != r.led) {
 		r.waiters.failAbove(s.Commit, errors.Wrap(ErrLost, "leadership ended"))
--- a/store/replica/failure_test.go
+++ b/store/replica/failure_test.go
@@ -278,6 +278,21 @@
 	}
 }
 
+// Guards against a burst that is written with one sync so long that the leader
+// misses its heartbeats, and against proposals lost when a burst is split.
+func TestBurstIsSplit(t *testing.T) {
+	var ps []*proposal
+	for range 5 {
+		ps = append(ps, &proposal{data: make([]byte, maxTurnBytes/2-entryOverhead)})
+	}
+	for _, want := range []int{2, 2, 1} {
+		var now []*proposal
+		if now, ps = splitTurn(ps); len(now) != want {
+			t.Fatalf("%d proposals in a turn, want %d", len(now), want)
+		}
+	}
+}
+
 // Guards against missed notifications: the channel holds the latest change and
 // gives the time of election.
 func TestLeaderChanges(t *testing.T) {
--- a/store/replica/inputs.go
+++ b/store/replica/inputs.go
@@ -59,6 +59,14 @@
 	return nil
 }
 
+// putBack returns proposals that the loop took but did not append.
+func (in *inputs) putBack(ps []*proposal) {
+	in.mu.Lock()
+	in.next.proposals = append(ps, in.next.proposals...)
+	in.mu.Unlock()
+	in.notify()
+}
+
 // addMessages drops what exceeds maxInbox; senders repeat what was not answered.
 func (in *inputs) addMessages(from string, ms []consensus.Message) {
 	_ = in.add(func(t *turnInputs) { // a closed replica needs no messages
--- a/store/replica/propose.go
+++ b/store/replica/propose.go
@@ -98,7 +98,7 @@
 	if err := r.checkLeader(); err != nil {
 		return nil, err
 	}
-	size := int64(len(data))
+	size := int64(len(data) + entryOverhead)
 	if r.waiters.bytes.Add(size) > r.cfg.MaxUncommittedBytes {
 		r.waiters.bytes.Add(-size)
 		r.counters.refused.Add(1)
@@ -152,8 +152,13 @@
 	return e
 }
 
-// propose appends the proposals of one turn; they share a sync.
+// propose appends the proposals of one turn; they share a sync. What exceeds
+// maxTurnBytes is left for the next turn.
 func (r *Replica) propose(now time.Time, ps []*proposal) {
+	ps, rest := splitTurn(ps)
+	if len(rest) > 0 {
+		r.in.putBack(rest)
+	}
 	live := ps[:0]
 	var data [][]byte
 	for _, p := range ps {
@@ -181,6 +186,18 @@
 	}
 }
 
+// splitTurn returns the proposals that fit in one turn, at least one, and the rest.
+func splitTurn(ps []*proposal) (now, rest []*proposal) {
+	size := 0
+	for i, p := range ps {
+		size += len(p.data) + entryOverhead
+		if size > maxTurnBytes && i > 0 {
+			return ps[:i:i], ps[i:]
+		}
+	}
+	return ps, nil
+}
+
 // refusal adds the leader to a consensus error.
 func (r *Replica) refusal(err error) error {
 	if errors.Is(err, consensus.ErrNotLeader) || errors.Is(err, consensus.ErrTransferring) {
--- a/store/replica/replica.go
+++ b/store/replica/replica.go
@@ -51,8 +51,8 @@
 
 // lease is the leader lease as last published.
 type lease struct {
-	until     time.Time
-	termStart uint64
+	until           time.Time
+	term, termStart uint64
 }
 
 // LeaderChange tells of a change of leader or term.
--- a/store/replica/status.go
+++ b/store/replica/status.go
@@ -70,11 +70,18 @@
 // elected: a quorum acknowledged it within LeaderLease, counted from when it
 // sent the messages, and it has applied the first entry of its term.
 func (r *Replica) HoldsLease() bool {
+	_, ok := r.LeaseTerm()
+	return ok
+}
+
+// LeaseTerm is HoldsLease that also returns the term of the lease. Comparing
+// the term tells whether leadership was lost and won again in between.
+func (r *Replica) LeaseTerm() (term uint64, ok bool) {
 	l := r.lease.Load()
-	if l.until.IsZero() || r.AppliedIndex() < l.termStart {
-		return false
+	if l.until.IsZero() || r.AppliedIndex() < l.termStart || !r.cfg.Now().Before(l.until) {
+		return 0, false
 	}
-	return r.cfg.Now().Before(l.until)
+	return l.term, true
 }
 
 // LeaderChanges returns a channel that holds the latest change of leader or
--- a/store/transport/peer.go
+++ b/store/transport/peer.go
@@ -47,12 +47,25 @@
 func (p *peer) take() (string, []consensus.Message) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := min(len(p.queue), batchLimit)
+	n, size := 0, 0
+	for n < min(len(p.queue), batchLimit) && (n == 0 || size < batchBytes) {
+		size += messageBytes(&p.queue[n])
+		n++
+	}
 	ms := p.queue[:n:n]
 	p.queue = p.queue[n:]
 	return p.address, ms
 }
 
+// messageBytes returns the size of the data in a message.
+func messageBytes(m *consensus.Message) int {
+	n := len(m.Data)
+	for i := range m.Entries {
+		n += len(m.Entries[i].Data)
+	}
+	return n
+}
+
 func (p *peer) run() {
 	defer p.t.wg.Done()
 	defer p.hangUp()
--- a/store/transport/rpc.go
+++ b/store/transport/rpc.go
@@ -27,8 +27,10 @@
 	// refusalLogInterval keeps a misconfigured replica, which sends at each
 	// heartbeat, from filling the log.
 	refusalLogInterval = time.Second
-	// batchLimit is the number of messages in one call.
+	// batchLimit and batchBytes bound the messages in one call; a larger one
+	// might exceed callTimeout again and again on a slow link.
 	batchLimit = 128
+	batchBytes = 2 << 20
 
 	serviceName = "Replica"
 	methodName  = serviceName + ".Deliver"
--- a/store/transport/rpc_test.go
+++ b/store/transport/rpc_test.go
@@ -149,6 +149,18 @@
 	a.Close()
 }
 
+// Guards against calls so large that they can never end within the time limit.
+func TestCallsAreBounded(t *testing.T) {
+	big := consensus.Message{Entries: []consensus.Entry{{Data: make([]byte, batchBytes*3/4)}}}
+	p := &peer{wake: make(chan struct{}, 1)}
+	p.add("", []consensus.Message{big, big, big})
+	for _, want := range []int{2, 1, 0} {
+		if _, ms := p.take(); len(ms) != want {
+			t.Fatalf("%d messages in a call, want %d", len(ms), want)
+		}
+	}
+}
+
 // Guards against a transport that ignores its TLS settings.
 func TestTLS(t *testing.T) {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
