--- a/store/replica/failure_test.go
+++ b/store/replica/failure_test.go
@@ -50,11 +50,34 @@
 	}
 }
 
+// Guards against followers that acknowledge entries before these are synced:
+// without a synced copy on any of them, nothing may be committed.
+func TestUnsyncedFollowersDoNotCount(t *testing.T) {
+	fs := map[string]*failingFS{}
+	g := newTestGroup(t, 3, func(c *Config) {
+		fs[c.ID] = &failingFS{}
+		c.FS = fs[c.ID]
+	})
+	g.write(1)
+	l := g.leader()
+	for id, f := range fs {
+		if id != l.cfg.ID {
+			f.set(syscall.EIO)
+		}
+	}
+	if _, err := l.Propose(g.ctx, write(2)); !errors.Is(err, ErrLost) {
+		t.Fatalf("proposal without a synced copy elsewhere: %v, want ErrLost", err)
+	}
+	if got := l.cfg.StateMachine.(*register).get(); got != 1 {
+		t.Fatalf("leader holds %d, want 1", got)
+	}
+}
+
 // Guards against a replica that cannot catch up: it is 1,000 entries behind and
 // the leader has dropped them from its log; the snapshot takes several chunks.
 func TestCatchUpFromSnapshot(t *testing.T) {
 	g := newTestGroup(t, 3, func(c *Config) {
-		c.SnapshotEntries = 200
+		c.SnapshotEntries, c.SnapshotInterval = 200, 1
 		c.StateMachine.(*register).pad = make([]byte, 4*chunkBytes)
 	})
 	g.write(0)
@@ -77,19 +100,22 @@
 	if sm.get() != 999 || sm.counted() < 1001 || r.Status().Snapshot < 400 {
 		t.Fatalf("value %d after %d writes, snapshot at %d", sm.get(), sm.counted(), r.Status().Snapshot)
 	}
+	if n := r.Stats().SnapshotsInstalled; n == 0 {
+		t.Fatal("no snapshot was installed")
+	}
 	g.stop(behind)
 	g.write(5)
 	r = g.start(behind, g.members)
 	g.awaitApplied(r)
-	if got := r.cfg.StateMachine.(*register).get(); got != 5 {
-		t.Fatalf("value %d after restart, want 5", got)
+	if sm := r.cfg.StateMachine.(*register); sm.get() != 5 || sm.counted() < 1002 {
+		t.Fatalf("value %d after %d writes after restart, want 5 and at least 1002", sm.get(), sm.counted())
 	}
 }
 
 // Guards against a repair that leaves the group unable to survive the next
 // loss: a dead member is replaced, then another one is lost for good.
 func TestReplaceDeadMemberThenLoseAnother(t *testing.T) {
-	g := newTestGroup(t, 3, func(c *Config) { c.SnapshotEntries = 50 })
+	g := newTestGroup(t, 3, func(c *Config) { c.SnapshotEntries, c.SnapshotInterval = 50, 1 })
 	for i := range 200 {
 		g.write(i)
 	}
