Drop size corrections above the owner's quota; test retries

A reservation raised above the owner's whole quota would have kept the task waiting without end. It now falls back to the declared size, as it does when no worker has room. Retries on another worker had no test.

Tests run: core/sched under -race. Broken by hand and seen red: the quota bound, avoiding the worker of the last failure, and falling back to it when it is the only one.

--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -132,7 +132,8 @@
 }
 
 // reserve is the size to reserve for one task: the declared size corrected by
-// what was measured. A correction that no kind of worker has room for is dropped.
+// what was measured. A correction that no kind of worker has room for, or that
+// alone exceeds the owner's quota, is dropped, since the task could never start.
 func (s *Scheduler) reserve(info *entryInfo, declared structs.Resources) structs.Resources {
 	e := s.estimate(info.id)
 	if e.cpuRatio == ratioScale && e.memoryRatio == ratioScale {
@@ -141,7 +142,7 @@
 	need := declared
 	need.CPUMilli = (declared.CPUMilli*e.cpuRatio + ratioScale - 1) / ratioScale
 	need.MemoryMB = (declared.MemoryMB*e.memoryRatio + ratioScale - 1) / ratioScale
-	if !s.fitsSomeKind(need) {
+	if !s.fitsSomeKind(need) || !fitsQuota(need, info.quota) {
 		return declared
 	}
 	return need
--- a/core/sched/learn_test.go
+++ b/core/sched/learn_test.go
@@ -60,13 +60,14 @@
 		{"too few to lower", lowerSamples - 1, structs.Resources{CPUMilli: 1000, MemoryMB: 2000}, declared, declared},
 		{"lowered", 500, structs.Resources{CPUMilli: 1000, MemoryMB: 2000}, structs.Resources{CPUMilli: 1000, MemoryMB: 2000}, structs.Resources{CPUMilli: 1300, MemoryMB: 2500}},
 		{"raised", 20, structs.Resources{CPUMilli: 6000, MemoryMB: 15_000}, structs.Resources{CPUMilli: 6000, MemoryMB: 15_000}, structs.Resources{CPUMilli: 7500, MemoryMB: 18_000}},
+		{"above the quota", 20, structs.Resources{CPUMilli: 6000, MemoryMB: 60_000}, declared, declared},
 		{"above every worker", 20, structs.Resources{CPUMilli: 6000, MemoryMB: 125_000}, declared, declared},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			s := New(Options{})
 			s.kinds = []kind{{capacity: structs.Resources{CPUMilli: 32000, MemoryMB: 125_000, Accelerators: 2}}}
-			info := &entryInfo{id: s.entryID("e")}
+			info := &entryInfo{id: s.entryID("e"), quota: structs.Resources{MemoryMB: 50_000}}
 			for range tt.reports {
 				s.estimate(info.id).observe(declared, tt.used, false)
 			}
--- a/core/sched/scheduler.go
+++ b/core/sched/scheduler.go
@@ -102,6 +102,7 @@
 	name  string
 	id    int32
 	owner string
+	quota structs.Resources
 }
 
 // New returns a Scheduler without any knowledge of workers.
--- a/core/sched/steps_test.go
+++ b/core/sched/steps_test.go
@@ -210,6 +210,27 @@
 	}
 }
 
+// Guards against a failed task tried again on the same worker, or not at all
+// when there is no other.
+func TestRetryOnAnotherWorker(t *testing.T) {
+	c, s := newTestCluster(2)
+	c.submit("batch", structs.JobSpec{})
+	first := c.tick(t, s, time.Second).Assign[0]
+	// Another task makes the other worker the fuller one.
+	c.submit("other", structs.JobSpec{})
+	c.tick(t, s, time.Second)
+	c.report(s, first.Task, structs.EventFailed)
+	second := c.tick(t, s, 10*time.Second).Assign
+	if len(second) != 1 || second[0].Worker == first.Worker {
+		t.Fatalf("tried again: %+v, want once and not on %s", second, first.Worker)
+	}
+	c.report(s, first.Task, structs.EventFailed)
+	c.apply(&structs.Command{EndAttempts: &structs.EndAttempts{Worker: first.Worker, Incarnation: 1, WorkerDead: true}})
+	if third := c.tick(t, s, 10*time.Second).Assign; len(third) != 1 || third[0].Worker != second[0].Worker {
+		t.Errorf("tried again: %+v, want on the only worker left", third)
+	}
+}
+
 // Guards against starts on a worker that is set aside, and against more than
 // one task on a worker that is tried again.
 func TestSetAsideWorkerIsProbed(t *testing.T) {
--- a/core/sched/sync.go
+++ b/core/sched/sync.go
@@ -37,7 +37,8 @@
 	clear(p.infos)
 	for _, name := range slices.Sorted(maps.Keys(c.Entries)) {
 		e := c.Entries[name]
-		p.infos[name] = &entryInfo{Entry: e, name: name, id: p.entries.id(name), owner: p.t.ResolveOwner(e.Owner)}
+		owner := p.t.ResolveOwner(e.Owner)
+		p.infos[name] = &entryInfo{Entry: e, name: name, id: p.entries.id(name), owner: owner, quota: c.Owners[owner].Quota}
 	}
 	p.setWeights()
 	p.freed++
