--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -131,18 +131,29 @@
 	return job.Spec.Resources
 }
 
+// ratios returns the reservation of an entry's tasks per declared unit, by
+// ratioScale. It is never below structs.ReservationFloor.
+func (s *Scheduler) ratios(info *entryInfo) (cpu, memory int64) {
+	e := s.estimate(info.id)
+	cpu, memory = e.cpuRatio, max(e.memoryRatio, ratioScale)
+	if info.Class == structs.ClassLatency {
+		cpu = max(cpu, ratioScale)
+	}
+	return cpu, memory
+}
+
 // reserve is the size to reserve for one task: the declared size corrected by
-// what was measured, and at least structs.ReservationFloor. A correction that no kind of worker has room for is dropped.
+// what was measured. A correction that no kind of worker has room for, or that
+// alone exceeds the owner's quota, is dropped, since the task could never start.
 func (s *Scheduler) reserve(info *entryInfo, declared structs.Resources) structs.Resources {
-	e := s.estimate(info.id)
-	if e.cpuRatio == ratioScale && e.memoryRatio == ratioScale {
+	cpu, memory := s.ratios(info)
+	if cpu == ratioScale && memory == ratioScale {
 		return declared
 	}
 	need := declared
-	need.CPUMilli = (declared.CPUMilli*e.cpuRatio + ratioScale - 1) / ratioScale
-	need.MemoryMB = (declared.MemoryMB*e.memoryRatio + ratioScale - 1) / ratioScale
-	need = need.Max(structs.ReservationFloor(info.Class, declared))
-	if !s.fitsSomeKind(need) {
+	need.CPUMilli = (declared.CPUMilli*cpu + ratioScale - 1) / ratioScale
+	need.MemoryMB = (declared.MemoryMB*memory + ratioScale - 1) / ratioScale
+	if !s.fitsSomeKind(need) || !fitsQuota(need, info.quota) {
 		return declared
 	}
 	return need
@@ -150,12 +161,12 @@
 
 // sizeNote describes the correction for the record; empty when there is none.
 func (s *Scheduler) sizeNote(info *entryInfo) string {
-	e := s.estimate(info.id)
-	if e.cpuRatio == ratioScale && e.memoryRatio == ratioScale {
+	cpu, memory := s.ratios(info)
+	if cpu == ratioScale && memory == ratioScale {
 		return ""
 	}
 	return fmt.Sprintf("; reserved %d%% of declared processors and %d%% of memory after %d reports",
-		e.cpuRatio*100/ratioScale, e.memoryRatio*100/ratioScale, e.samples)
+		cpu*100/ratioScale, memory*100/ratioScale, s.estimate(info.id).samples)
 }
 
 // runtimeMS is the expected run time of one whole task; 0 means unknown.
