Propose the commands of one tick side by side

Cause: the tick proposed its commands one after another and waited for each commit. When a failure domain is lost, hundreds of worker leases end in one tick, each with its own sync of the log, and the next plan waits for all. The commands do not depend on their order: a plan is checked again when it is applied.

Tested: TestCommandsOfTickShareSyncs fails when they wait for one another (a loop in place of the goroutines was tried). host/localcluster passes. Not measured at full size.

Conclusion: the proposals of a tick share group commits.

--- a/host/control/host.go
+++ b/host/control/host.go
@@ -149,14 +149,28 @@
 		return
 	}
 	h.metrics.tick.Observe(time.Since(start).Seconds())
+	proposeAll(cmds, h.proposeOfTick)
+}
+
+// proposeOfTick proposes one command of a tick.
+func (h *Host) proposeOfTick(cmd *structs.Command) {
+	res, err := h.propose(h.ctx, cmd)
+	if err != nil {
+		h.cfg.Log.Warn().Str("command", kindOf(cmd)).Err(err).Msg("command of the tick not committed")
+		return
+	}
+	h.metrics.dropped.Add(float64(res.Dropped))
+}
+
+// proposeAll proposes the commands of a tick side by side, so that they share
+// syncs of the log, and waits for all. A lost failure domain ends the leases of
+// hundreds of workers at once; one sync each would hold up the next plan.
+func proposeAll(cmds []*structs.Command, propose func(*structs.Command)) {
+	var wg sync.WaitGroup
 	for _, cmd := range cmds {
-		res, err := h.propose(h.ctx, cmd)
-		if err != nil {
-			h.cfg.Log.Warn().Str("command", kindOf(cmd)).Err(err).Msg("command of the tick not committed")
-			return
-		}
-		h.metrics.dropped.Add(float64(res.Dropped))
+		wg.Go(func() { propose(cmd) })
 	}
+	wg.Wait()
 }
 
 // takeOffice makes the leader's state match the replica's role. Each term gets
