--- /dev/null
+++ b/core/leader/booking_test.go
@@ -0,0 +1,157 @@
+package leader
+
+import (
+	"fmt"
+	"testing"
+
+	"gooseberrypond/core/structs"
+)
+
+// bookingCatalogue is the booking desk; after the merge "desk" owns what was "nakhon".
+func bookingCatalogue(merged bool) structs.Catalogue {
+	former := "nakhon"
+	owners := map[string]structs.Owner{"desk": {}, "nakhon": {}}
+	if merged {
+		former = "desk"
+		owners = map[string]structs.Owner{"desk": {MergedFrom: []string{"nakhon"}}}
+	}
+	size := func(cores, gb int64) structs.Resources {
+		return structs.Resources{CPUMilli: cores * 1000, MemoryMB: gb << 10}
+	}
+	return structs.Catalogue{Owners: owners, Entries: map[string]structs.Entry{
+		"booking":  {Owner: "desk", Class: structs.ClassLatency, Resources: size(2, 4)},
+		"plan":     {Owner: "desk", Class: structs.ClassBatch, Resources: size(4, 12), ExpectedRuntimeMS: 180_000},
+		"reminder": {Owner: former, Class: structs.ClassBatch, Resources: size(1, 1), Priority: 50, ExpectedRuntimeMS: 5000},
+		"callback": {Owner: former, Class: structs.ClassBatch, Resources: size(1, 1), Priority: 50, Missed: structs.MissedSkip, ExpectedRuntimeMS: 5000},
+		"watch":    {Owner: former, Class: structs.ClassLatency, Resources: size(1, 2)},
+	}}
+}
+
+// Guards against a booking day with a drain, a merge, a lost worker and a new
+// leader that starts work in the domain taken out, doubles or loses reminders
+// or evicted work, misses a plan's deadline or changes an id.
+func TestBookingDay(t *testing.T) {
+	const reminders, plans, deadline = 16, 12, 840.0
+	d := newDay(t, []string{"north", "east", "south"}, 65, 8, bookingCatalogue(false))
+	d.runMS = map[string]int64{"plan": 180_000, "reminder": 5000, "callback": 5000}
+	d.addDesk("booking")
+	d.run(13) // a new leader knows the workers after a lease
+	d.submit("desk", "bookings", structs.JobSpec{Entry: "booking", Kind: structs.KindService, Count: 130})
+	d.submit("nakhon", "watches", structs.JobSpec{Entry: "watch", Kind: structs.KindService, Count: 60})
+	var standing []string
+	for i := range reminders {
+		spec := structs.JobSpec{Entry: "reminder", Kind: structs.KindRecurring, EveryMS: 60_000}
+		if i%4 == 3 {
+			spec.Entry = "callback"
+		}
+		if i%4 > 1 { // three occurrences were due before
+			spec.FirstMS = d.now.UnixMilli() - 155_000
+		}
+		key := fmt.Sprintf("reminder%02d", i)
+		standing = append(standing, key)
+		d.submit("nakhon", key, spec)
+	}
+	d.run(120)
+	plan := func(i int) structs.JobSpec {
+		return structs.JobSpec{Entry: "plan", Kind: structs.KindBatch, Count: 60, Payload: fmt.Appendf(nil, "crew %d", i), DeadlineMS: epoch.UnixMilli() + int64(deadline*1000)}
+	}
+	for i := range plans {
+		d.submit("desk", fmt.Sprintf("plan%02d", i), plan(i))
+	}
+	d.submit("desk", "plan00", plan(0))
+	d.note("plan00 resent: the same job")
+	d.run(240)
+	d.loseWorker(9)
+	d.run(300)
+	for i, w := range d.workers { // some replies come late through cut-off hosts
+		if w.domain == "east" && i%2 == 0 {
+			w.delay = 1800e6
+		} else if w.domain == "east" {
+			w.delay = 2500e6
+		}
+	}
+	d.run(329)
+	d.hosts[2].cut = true // still holds its slots and a fresh view
+	d.run(330)
+	d.domain("east", true)
+	d.run(360)
+	for _, w := range d.workers {
+		w.delay = 0
+	}
+	d.hosts[2].cut = false
+	d.run(420)
+	d.merge(standing)
+	d.run(500)
+	d.elect()
+	d.run(600)
+	d.register(d.workers[9])
+	d.run(660)
+	d.domain("east", false)
+	d.run(960)
+	for i := range plans {
+		key := fmt.Sprintf("plan%02d", i)
+		d.checkDone(key)
+		job := d.tables.Job(d.jobs[key])
+		d.note("%s: %s at %.1fs, at risk %v", key, job.Status, float64(job.FinishedMS-epoch.UnixMilli())/1000, job.DeadlineAtRisk)
+	}
+	for _, key := range standing {
+		d.checkOccurrences(key)
+	}
+	d.checkStanding("bookings", "watches")
+	d.checkResumed()
+	d.compare("booking_day.golden")
+}
+
+// loseWorker takes a worker's power: what runs there is lost without a word.
+func (d *day) loseWorker(i int) {
+	w := d.workers[i]
+	d.note("worker %s is lost with %d tasks", w.id, len(w.running))
+	w.down, w.running = true, nil
+}
+
+// merge merges the owner "nakhon" into "desk", with a resend of the edit and of a submission.
+func (d *day) merge(standing []string) {
+	before := map[string]structs.Job{}
+	for _, key := range standing {
+		before[key] = *d.tables.Job(d.jobs[key])
+	}
+	put := &structs.PutCatalogue{ChangeID: "merge", BaseVersion: d.tables.Catalogue().Version, Catalogue: bookingCatalogue(true)}
+	first := d.apply(&structs.Command{PutCatalogue: put}).Change
+	again := d.apply(&structs.Command{PutCatalogue: put}).Change
+	if !first.Accepted || *first != *again {
+		d.t.Errorf("merge answered %+v, then %+v", first, again)
+	}
+	d.note("nakhon merged into desk: accepted %v, version %d; resent: the same answer", first.Accepted, first.Version)
+	for _, key := range standing {
+		was := before[key]
+		job := d.tables.Job(d.jobs[key])
+		if job == nil || job.Owner != "desk" || job.Key != was.Key || job.NextOccurrence != was.NextOccurrence {
+			d.t.Errorf("%s was %+v, now %+v", key, was, job)
+		}
+		spec := was.Spec
+		if spec.FirstMS == was.SubmittedMS {
+			spec.FirstMS = 0 // as it was submitted
+		}
+		d.submit("nakhon", key, spec)
+		d.submit("desk", key, spec)
+	}
+	d.note("%d recurring jobs keep their ids, keys and counts under both owners' names", len(standing))
+}
+
+// checkStanding requires all tasks of services to run.
+func (d *day) checkStanding(keys ...string) {
+	for _, key := range keys {
+		job, running := d.tables.Job(d.jobs[key]), 0
+		for _, w := range d.workers {
+			for id := range w.running {
+				if id.Job == job.ID {
+					running++
+				}
+			}
+		}
+		if running != job.Spec.Count {
+			d.t.Errorf("%s: %d tasks run, want %d", key, running, job.Spec.Count)
+		}
+		d.note("%s: job %s, owner %s, %s, %d running", key, job.ID, job.Owner, job.Status, running)
+	}
+}
--- /dev/null
+++ b/core/leader/day_entry_test.go
@@ -0,0 +1,131 @@
+package leader
+
+import (
+	"fmt"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// upstreamSlots is the number of requests that one upstream runs at once.
+const upstreamSlots = 8
+
+// dayHost is an entry host as a holder of shares. It starts work while its view is fresh.
+type dayHost struct {
+	name         string
+	cut          bool
+	seq, applied uint64
+	sentAt       time.Time
+	view         structs.EntryView
+	held         map[structs.GrantKey]int
+}
+
+// addDesk adds six entry hosts and one announced upstream on each worker.
+func (d *day) addDesk(entry string) {
+	for i := range 6 {
+		d.hosts = append(d.hosts, &dayHost{name: fmt.Sprint("h", i), held: map[structs.GrantKey]int{}})
+	}
+	for i, w := range d.workers {
+		d.upstreams = append(d.upstreams, structs.Upstream{
+			Name: fmt.Sprintf("u%02d", i), Entry: entry, Address: "x:1", Domain: w.domain, Slots: upstreamSlots, Connections: 60,
+		})
+	}
+	d.newCore()
+}
+
+func (d *day) newCore() {
+	var names []string
+	for _, h := range d.hosts {
+		names = append(names, h.name)
+	}
+	d.core = New(d.now, d.tables, names)
+	d.electedAt = d.now
+}
+
+// syncDesk renews the announcements every 1.2 s and syncs the entry hosts.
+func (d *day) syncDesk() {
+	if d.step%(2*deskSteps) == 0 {
+		for _, u := range d.upstreams {
+			if err := d.core.Announce(d.now, u); err != nil {
+				d.t.Fatal(err)
+			}
+		}
+	}
+	for i, h := range d.hosts {
+		if !h.cut {
+			d.syncHost(i, h)
+		}
+	}
+	d.checkDesk()
+}
+
+func (d *day) syncHost(i int, h *dayHost) {
+	h.seq++
+	req := &structs.EntrySync{
+		Host: h.name, Incarnation: 1, Seq: h.seq, AppliedSeq: h.applied,
+		CatalogueVersion: h.view.CatalogueVersion, DomainsVersion: h.view.DomainsVersion, Upstreams: h.view.Upstreams,
+	}
+	for j, u := range d.upstreams {
+		key := structs.GrantKey{Kind: structs.GrantUpstream, Name: u.Name}
+		demand := (d.step/25 + i + j) % 4
+		// The host lowers itself to what it needs before it reports.
+		h.held[key] = min(h.held[key], demand+1)
+		req.Holdings = append(req.Holdings, structs.Holding{Key: key, Held: h.held[key], Demand: demand})
+	}
+	view, err := d.core.EntrySync(d.now, uint64(d.electedAt.Unix()), req)
+	if err != nil {
+		d.t.Fatalf("sync of %s: %v", h.name, err)
+	}
+	if view.CatalogueVersion < h.view.CatalogueVersion || view.DomainsVersion < h.view.DomainsVersion {
+		d.t.Errorf("view of %s goes back from %d/%d to %d/%d", h.name, h.view.CatalogueVersion, h.view.DomainsVersion, view.CatalogueVersion, view.DomainsVersion)
+	}
+	h.view, h.applied, h.sentAt = view, h.seq, d.now
+	h.held = map[structs.GrantKey]int{}
+	for _, g := range view.Grants {
+		h.held[g.Key] = g.Amount
+	}
+}
+
+// checkDesk requires that no upstream's slots are exceeded, and that no host
+// with a fresh view uses an upstream of a domain that is out for 2 s or has an
+// old catalogue 3 s after a change.
+func (d *day) checkDesk() {
+	sums := map[string]int{}
+	for _, h := range d.hosts {
+		if d.now.Sub(h.sentAt) >= structs.ViewMaxAge+structs.RequestTimeoutMax {
+			clear(h.held) // its last requests have ended
+		}
+		for key, n := range h.held {
+			sums[key.Name] += n
+		}
+		if d.now.Sub(h.sentAt) >= structs.ViewMaxAge {
+			continue
+		}
+		if v := d.tables.Catalogue().Version; h.view.CatalogueVersion < v && d.now.Sub(d.changedAt) > 3*time.Second {
+			d.t.Errorf("host %s works under catalogue %d, not %d", h.name, h.view.CatalogueVersion, v)
+		}
+		for _, u := range h.view.Upstreams {
+			if since, out := d.outSince[u.Domain]; out && !u.Leaving && d.now.Sub(since) > 2*time.Second {
+				d.t.Errorf("host %s uses upstream %s in %s, which is out since %v", h.name, u.Name, u.Domain, d.now.Sub(since))
+			}
+		}
+	}
+	for name, n := range sums {
+		if n > upstreamSlots {
+			d.t.Errorf("%d slots of upstream %s are held, it has %d", n, name, upstreamSlots)
+		}
+	}
+}
+
+// deskLine is the number of slots held on fresh views in each domain.
+func (d *day) deskLine() map[string]int {
+	sums := map[string]int{}
+	for _, h := range d.hosts {
+		for _, u := range h.view.Upstreams {
+			if !u.Leaving && d.now.Sub(h.sentAt) < structs.ViewMaxAge {
+				sums[u.Domain] += h.held[structs.GrantKey{Kind: structs.GrantUpstream, Name: u.Name}]
+			}
+		}
+	}
+	return sums
+}
