--- a/core/leader/day_test.go
+++ b/core/leader/day_test.go
@@ -312,11 +312,13 @@
 	d.take(w, reply, false)
 }
 
-// usage reports every task, slowed by each noisy neighbour.
+// usage reports every task, slowed by each noisy neighbour. A
+// task uses 90% of its entry's size whatever is reserved for it.
 func (d *day) usage(w *dayWorker) []structs.Usage {
 	var out []structs.Usage
 	for _, id := range w.ids() {
-		u := structs.Usage{Task: id, AgeMS: 15_000, Used: w.running[id].size, Slowdown: 1}
+		declared := d.tables.Catalogue().Entries[w.running[id].entry].Resources
+		u := structs.Usage{Task: id, AgeMS: 15_000, Slowdown: 1, Used: structs.Resources{CPUMilli: declared.CPUMilli * 9 / 10, MemoryMB: declared.MemoryMB * 9 / 10}}
 		for _, other := range w.ids() {
 			if other == id {
 				continue
