Test bursts of 12,000 submissions and 10,000 cancels on the pure core

Every submission and cancel is answered, pending jobs stay within the owner's bound, and urgent jobs among them are placed in the next plan.

--- /dev/null
+++ b/core/leader/burst_test.go
@@ -0,0 +1,131 @@
+package leader
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// burstMemory bounds the heap after the bursts: the memory of a host for control.
+const burstMemory = 256 << 20
+
+// Guards against a submission or a cancel without an answer, memory that grows
+// without bound, and an urgent job that waits behind 12,000 submissions or
+// 10,000 cancels.
+func TestBursts(t *testing.T) {
+	const submits, cancels, bound = 12_000, 10_000, 13_000
+	cat := pumpCatalogue()
+	cat.Owners["vans"] = structs.Owner{MaxPendingJobs: bound}
+	d := newDay(t, []string{"north", "east", "south", "west"}, 50, 6, cat)
+	d.runMS = map[string]int64{"check": 4000, "diagnosis": 240_000}
+	d.run(13)
+	spec := structs.JobSpec{Entry: "diagnosis", Kind: structs.KindBatch, Payload: make([]byte, 1000)}
+	jobs := d.burst(submits, spec, "first")
+	d.urgent("check0")
+	d.run(30) // the workers are full
+	d.urgent("check1")
+
+	var cancelled int
+	for i, id := range jobs[:cancels] {
+		if i == cancels/2 {
+			d.submit("pumps", "check2", structs.JobSpec{Entry: "check", Kind: structs.KindBatch})
+		}
+		if res := d.apply(&structs.Command{CancelJob: &structs.CancelJob{Owner: "vans", Job: id}}); res.Error != nil {
+			t.Errorf("cancel %s: %v", id, res.Error)
+			continue
+		}
+		cancelled++
+	}
+	if cancelled != cancels {
+		t.Errorf("%d of %d cancels answered", cancelled, cancels)
+	}
+	stopping := d.running(jobs[:cancels])
+	if again, want := len(d.burst(submits, spec, "second")), bound-(submits-cancels)-stopping; again != want {
+		t.Errorf("%d submissions accepted after the cancels with %d tasks still stopping, want %d", again, stopping, want)
+	}
+	d.submit("pumps", "check3", structs.JobSpec{Entry: "check", Kind: structs.KindBatch})
+	d.run(60)
+	for i := range 4 {
+		key := fmt.Sprint("check", i)
+		task := d.tables.TasksOf(d.jobs[key])[0]
+		if wait := task.StartedMS - d.tables.Job(d.jobs[key]).SubmittedMS; task.StartedMS == 0 || wait > urgentStartMS {
+			t.Errorf("%s started after %d ms: %+v", key, wait, task)
+		}
+	}
+	for i, id := range jobs[:cancels] {
+		if job := d.tables.Job(id); job.Status != structs.StatusCancelled {
+			t.Fatalf("cancelled job %d: %+v", i, job)
+		}
+	}
+	if err := d.tables.Check(); err != nil {
+		t.Fatal(err)
+	}
+	var mem runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&mem)
+	if mem.HeapAlloc > burstMemory {
+		t.Errorf("the heap has %d MiB after the bursts", mem.HeapAlloc>>20)
+	}
+	t.Logf("heap after the bursts: %d MiB", mem.HeapAlloc>>20)
+	runtime.KeepAlive(d)
+}
+
+// burst submits n jobs in commands of 256 and returns the accepted ones. The
+// others must be refused as not run, with advice to retry.
+func (d *day) burst(n int, spec structs.JobSpec, name string) []structs.JobID {
+	var accepted []structs.JobID
+	for at := 0; at < n; at += 256 {
+		cmd := &structs.SubmitJobs{}
+		for i := at; i < min(n, at+256); i++ {
+			cmd.Jobs = append(cmd.Jobs, structs.SubmitJob{Owner: "vans", Key: fmt.Sprint(name, i), Spec: spec})
+		}
+		res := d.apply(&structs.Command{SubmitJobs: cmd}).Submits
+		if len(res) != len(cmd.Jobs) {
+			d.t.Fatalf("%d answers to %d submissions", len(res), len(cmd.Jobs))
+		}
+		for _, r := range res {
+			switch {
+			case r.Error == nil && r.Job != "":
+				accepted = append(accepted, r.Job)
+			case r.Error == nil || r.Error.Code != structs.CodeQueueFull || r.Error.Outcome != structs.OutcomeNotRun || r.Error.RetryAfterMS == 0:
+				d.t.Errorf("submission answered %+v", r)
+			}
+		}
+	}
+	return accepted
+}
+
+// running counts the jobs that hold a worker; a cancelled one counts as
+// unfinished until its worker has stopped it.
+func (d *day) running(jobs []structs.JobID) int {
+	n := 0
+	for _, id := range jobs {
+		if !d.tables.Job(id).Status.Finished() {
+			n++
+		}
+	}
+	return n
+}
+
+func (d *day) urgent(key string) {
+	d.submit("pumps", key, structs.JobSpec{Entry: "check", Kind: structs.KindBatch})
+	d.urgentPlanned(key)
+}
+
+// urgentPlanned requires the next plan to place the job or to make room for it.
+func (d *day) urgentPlanned(key string) {
+	d.now = d.now.Add(20 * time.Millisecond)
+	evictions := 0
+	for _, cmd := range d.core.Tick(d.now, d.now.UnixMilli()) {
+		d.apply(cmd)
+		if cmd.Plan != nil {
+			evictions += len(cmd.Plan.Evict)
+		}
+	}
+	if task := d.tables.TasksOf(d.jobs[key])[0]; task.State == structs.AttemptNone && evictions == 0 {
+		d.t.Errorf("%s is not in the next plan: %+v", key, task)
+	}
+}
