Test partitions and the drain of a whole host in the local cluster

A cut-off entry host refuses work once a change is reported in force and never returns to the old catalogue; no task starts through a cut-off leader after all domains went out; the drain of the leader's host cuts off no request.

--- /dev/null
+++ b/host/localcluster/domain_test.go
@@ -0,0 +1,130 @@
+package localcluster
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// outLimit is the time within which starts end in a domain taken out.
+const outLimit = 3 * time.Second
+
+// Guards against starts in domains taken out through a leader that is cut off
+// from the other replicas while workers and entry hosts still reach it, and
+// against work that is lost or doubled by that.
+func TestNoStartThroughCutOffLeader(t *testing.T) {
+	b := newBed(t, 3, 0)
+	cl := b.Client()
+	b.put(cl)
+	b.Workers(6)
+	var starts atomic.Int64
+	b.Ledger.OnStart(func(structs.TaskID, time.Time) { starts.Add(1) })
+	var jobs []structs.JobID
+	submit := func(n int) {
+		for range n {
+			spec := structs.JobSpec{Entry: "report", Kind: structs.KindBatch, Payload: []byte(`{"run_ms":50}`)}
+			job := structs.SubmitJob{Owner: "dev", Key: fmt.Sprint("k", len(jobs)), Spec: spec}
+			res := ask(b, func() (structs.SubmitResult, error) { return cl.Submit(b.ctx, job) })
+			jobs = append(jobs, res.Job)
+		}
+	}
+	submit(20)
+	b.until("work starts", func() bool { return starts.Load() > 0 })
+	cut := b.leader()
+	b.Cut(cut, true)
+	b.leader() // of the others
+	set := func(out bool) {
+		for i := range 3 {
+			c := structs.SetDomain{ChangeID: fmt.Sprint("d", i, out), Domain: fmt.Sprint("d", i+1), Out: out}
+			if res := ask(b, func() (*structs.ChangeResult, error) { return cl.SetDomain(b.ctx, c) }); !res.Accepted {
+				t.Fatalf("domain: %+v", res)
+			}
+		}
+	}
+	set(true)
+	accepted := time.Now()
+	submit(20) // these have no place
+	b.until("the limit has passed", func() bool { return time.Since(accepted) > outLimit })
+	before := starts.Load()
+	submit(20)
+	b.Cut(cut, false)
+	submit(20) // the former leader follows again
+	b.until("the limit has passed again", func() bool { return time.Since(accepted) > 2*outLimit })
+	if n := starts.Load(); n != before {
+		t.Errorf("%d tasks started later than %v after all domains went out", n-before, outLimit)
+	}
+	set(false)
+	for _, id := range jobs {
+		if view := b.finished(cl, id); view.Job.Status != structs.StatusDone || b.Ledger.Finished(structs.TaskID{Job: id}) != 1 {
+			t.Errorf("job %s: %+v, finished %d times", id, view, b.Ledger.Finished(structs.TaskID{Job: id}))
+		}
+	}
+	if v := b.Ledger.Violations(); len(v) > 0 {
+		t.Error(v)
+	}
+}
+
+// Guards against a graceful stop of a whole host, the leader, that cuts off
+// requests in flight on it or on other hosts, with and without a key.
+func TestDrainOfLeaderCutsOffNoRequest(t *testing.T) {
+	b := newBed(t, 3, 0)
+	cl := b.Client()
+	put := &structs.PutCatalogue{ChangeID: "first", Catalogue: runCatalogue()}
+	ask(b, func() (*structs.ChangeResult, error) { return cl.ApplyCatalogue(b.ctx, put) })
+	var arrived atomic.Int64
+	release := make(chan struct{})
+	var once sync.Once
+	open := func() { once.Do(func() { close(release) }) }
+	defer open()
+	warm := atomic.Bool{}
+	warm.Store(true)
+	b.upstream("u1", "d1", func(w http.ResponseWriter, _ *http.Request) {
+		if !warm.Load() {
+			arrived.Add(1)
+			<-release
+		}
+		_, _ = w.Write([]byte("hello"))
+	})
+	for host := range 3 {
+		b.until("requests run", func() bool { status, _ := b.run(host, ""); return status == http.StatusOK })
+	}
+	warm.Store(false)
+	var wg sync.WaitGroup
+	leader := b.leader()
+	for i := range 6 {
+		host, key := leader, ""
+		if i%2 == 1 {
+			key = fmt.Sprint("key", i)
+		}
+		if i >= 4 {
+			host = (leader + 1) % 3
+		}
+		wg.Go(func() {
+			if status, refused := b.run(host, key); status != http.StatusOK {
+				t.Errorf("request %d in flight: status %d, %+v", i, status, refused)
+			}
+		})
+	}
+	b.until("all are in flight", func() bool { return arrived.Load() == 6 })
+	drained := make(chan error, 1)
+	node := b.Nodes[leader]
+	go func() { drained <- node.Drain(b.ctx) }()
+	b.until("the host refuses new work", func() bool { status, _ := b.run(leader, ""); return status != http.StatusOK })
+	select {
+	case err := <-drained:
+		t.Errorf("stopped with requests in flight: %v", err)
+	default:
+	}
+	open()
+	wg.Wait()
+	if err := <-drained; err != nil {
+		t.Error(err)
+	}
+	b.Nodes[leader] = nil
+	b.until("the others go on", func() bool { status, _ := b.run((leader+1)%3, ""); return status == http.StatusOK })
+}
--- /dev/null
+++ b/host/localcluster/partition_test.go
@@ -0,0 +1,251 @@
+package localcluster
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gooseberrypond/core/structs"
+	"gooseberrypond/host/config"
+	"gooseberrypond/host/rpc"
+)
+
+const runToken = "token"
+
+// runCatalogue is Catalogue with the entry "echo", for requests with runToken.
+func runCatalogue() structs.Catalogue {
+	cat := Catalogue()
+	digest := sha256.Sum256([]byte(runToken))
+	cat.Owners["dev"] = structs.Owner{TokenSHA256: []string{hex.EncodeToString(digest[:])}}
+	cat.Entries["echo"] = structs.Entry{Owner: "dev", Class: structs.ClassLatency, Resources: structs.Resources{CPUMilli: 1, MemoryMB: 1}, RequestTimeoutMS: 25_000}
+	return cat
+}
+
+// upstream announces an upstream with the handler until the test ends.
+func (b *bed) upstream(name, domain string, handler http.HandlerFunc) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: testLimit}
+	go srv.Serve(l)
+	up := structs.Upstream{Name: name, Entry: "echo", Address: l.Addr().String(), Domain: domain, Slots: 8, Connections: 60}
+	cl := b.Client()
+	ctx, stop := context.WithCancel(b.ctx)
+	var wg sync.WaitGroup
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			_ = cl.Announce(ctx, up) // repeated in any case
+			for range 20 {
+				_ = Pause(ctx)
+			}
+		}
+	})
+	b.t.Cleanup(func() { stop(); wg.Wait(); srv.Close() })
+}
+
+// run sends one request through an entry host.
+func (b *bed) run(host int, key string) (int, structs.ErrorBody) {
+	var refused structs.ErrorBody
+	req, err := http.NewRequestWithContext(b.ctx, http.MethodPost, "http://"+b.Settings[host].Listeners.Caller.Address+"/v1/run/echo/", strings.NewReader("hello"))
+	if err != nil {
+		b.t.Error(err)
+		return 0, refused
+	}
+	req.Header.Set("Authorization", "Bearer "+runToken)
+	if key != "" {
+		req.Header.Set("Idempotency-Key", key)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, refused
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return 0, refused
+	}
+	if res.StatusCode != http.StatusOK {
+		_ = json.Unmarshal(body, &refused)
+	}
+	return res.StatusCode, refused
+}
+
+// until waits for a condition.
+func (b *bed) until(what string, cond func() bool) {
+	b.t.Helper()
+	for !cond() {
+		if err := Pause(b.ctx); err != nil {
+			b.t.Fatalf("%s: %v", what, err)
+		}
+	}
+}
+
+// relay passes connections of one entry host on to a control host until it is cut.
+type relay struct {
+	target string
+	mu     sync.Mutex
+	cut    bool
+	conns  []net.Conn
+}
+
+func newRelay(b *bed, listen, target string) *relay {
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r := &relay{target: target}
+	b.t.Cleanup(func() { l.Close(); r.set(true) })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			r.pass(c)
+		}
+	}()
+	return r
+}
+
+func (r *relay) pass(c net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out, err := net.DialTimeout("tcp", r.target, time.Second)
+	if r.cut || err != nil {
+		c.Close()
+		if err == nil {
+			out.Close()
+		}
+		return
+	}
+	r.conns = append(r.conns, c, out)
+	both := func(to, from net.Conn) {
+		_, _ = io.Copy(to, from) // ends with either connection
+		to.Close()
+		from.Close()
+	}
+	go both(out, c)
+	go both(c, out)
+}
+
+func (r *relay) set(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+	for _, c := range r.conns {
+		c.Close()
+	}
+	r.conns = nil
+}
+
+// behindRelays restarts an entry host so that it reaches the control hosts
+// through relays, and returns the function that cuts them.
+func (b *bed) behindRelays(host int) func(cut bool) {
+	b.Kill(host)
+	s := b.Settings[host]
+	s.Hosts = append([]config.Host(nil), s.Hosts...)
+	var relays []*relay
+	for i := range s.Hosts {
+		if s.Hosts[i].Control == "" {
+			continue
+		}
+		listen := b.address(host, 7600+i)
+		relays = append(relays, newRelay(b, listen, s.Hosts[i].Control))
+		s.Hosts[i].Control = listen
+	}
+	b.start(host)
+	return func(cut bool) {
+		for _, r := range relays {
+			r.set(cut)
+		}
+	}
+}
+
+// inForce waits until the change is in force on every entry host.
+func (b *bed) inForce(cl *rpc.Client, id string) {
+	b.t.Helper()
+	b.until("change "+id+" in force", func() bool {
+		st, err := cl.Change(b.ctx, id)
+		return err == nil && st.Complete
+	})
+}
+
+// Guards against an entry host that is cut off from the control hosts and goes
+// on under the old catalogue or on upstreams of a domain taken out, once the
+// change is reported in force everywhere, and against a change that reverts
+// when the host returns or the leader is lost.
+func TestCutOffEntryHostRefusesWork(t *testing.T) {
+	b := newBed(t, 3, 1)
+	const host = 3
+	cut := b.behindRelays(host)
+	cl := b.Client()
+	put := func(id string, base uint64, cat structs.Catalogue) {
+		res := ask(b, func() (*structs.ChangeResult, error) {
+			return cl.ApplyCatalogue(b.ctx, &structs.PutCatalogue{ChangeID: id, BaseVersion: base, Catalogue: cat})
+		})
+		if !res.Accepted {
+			t.Fatalf("%s: %+v", id, res)
+		}
+	}
+	put("first", 0, runCatalogue())
+	var served sync.Map
+	echo := func(name string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			served.Store(name, true)
+			_, _ = io.WriteString(w, "hello")
+		}
+	}
+	b.upstream("u1", "d1", echo("u1"))
+	b.until("requests run", func() bool { status, _ := b.run(host, ""); return status == http.StatusOK })
+
+	refuses := func() {
+		t.Helper()
+		for range 20 {
+			status, refused := b.run(host, "")
+			if status != http.StatusServiceUnavailable || refused.Error.Outcome != structs.OutcomeNotRun {
+				t.Errorf("status %d, %+v on the cut-off host", status, refused)
+			}
+		}
+	}
+	cut(true)
+	domain := ask(b, func() (*structs.ChangeResult, error) {
+		return cl.SetDomain(b.ctx, structs.SetDomain{ChangeID: "out", Domain: "d1", Out: true})
+	})
+	if !domain.Accepted {
+		t.Fatalf("domain: %+v", domain)
+	}
+	b.inForce(cl, "out")
+	served.Clear()
+	refuses()
+	without := runCatalogue()
+	delete(without.Entries, "echo")
+	put("without", 1, without)
+	b.inForce(cl, "without")
+	refuses()
+	if _, ran := served.Load("u1"); ran {
+		t.Error("a request ran in the domain taken out")
+	}
+	killed := b.leader()
+	b.Kill(killed)
+	b.leader()
+	cut(false)
+	b.until("the host is back", func() bool { status, _ := b.run(host, ""); return status == http.StatusNotFound })
+	b.start(killed)
+	for range 20 {
+		if status, refused := b.run(host, ""); status == http.StatusOK {
+			t.Errorf("status %d, %+v after the entry was removed", status, refused)
+		}
+	}
+	if cat := ask(b, func() (*structs.Catalogue, error) { return cl.Catalogue(b.ctx) }); cat.Version != 2 || len(cat.Entries) != len(without.Entries) {
+		t.Errorf("catalogue went back to %+v", cat)
+	}
+}
