--- /dev/null
+++ b/bench/cmd/capacity/loss.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"gooseberrypond/core/structs"
+)
+
+// lossCmd loses the first workers at once and lets them return.
+type lossCmd struct {
+	Workers int           `help:"Size." default:"1600"`
+	Lost    int           `help:"Workers that are lost: 8 are a rack, a sixth a domain, a half a region." default:"267"`
+	Away    time.Duration `help:"Time until they return." default:"60s"`
+	After   time.Duration `help:"Time to watch after the return." default:"60s"`
+	Urgent  bool          `help:"Services are urgent, so that they preempt batch work."`
+}
+
+// Run implements the command. Each line is a second: tasks that run on workers
+// that are reached, services among them, the slowest tick and the log written.
+func (c *lossCmd) Run() error {
+	w, err := newWorld(c.Workers, c.Urgent)
+	if err != nil {
+		return err
+	}
+	w.run(15 * time.Second)
+	fmt.Println("# second running services pending max_tick_ms log_KB starts")
+	seconds := 5 + int((c.Away+c.After)/time.Second)
+	for s := range seconds {
+		switch s {
+		case 5:
+			for _, wk := range w.workers[:c.Lost] {
+				wk.up, wk.running = false, nil
+			}
+		case 5 + int(c.Away/time.Second):
+			for _, wk := range w.workers[:c.Lost] {
+				w.register(wk)
+			}
+		}
+		w.clear()
+		before := w.starts
+		w.run(time.Second)
+		w.row(s, w.starts-before)
+	}
+	return nil
+}
+
+// row prints one second.
+func (w *world) row(second, starts int) {
+	services, pending := 0, 0
+	for _, wk := range w.workers {
+		for _, c := range wk.running {
+			if c.Class == structs.ClassLatency {
+				services++
+			}
+		}
+	}
+	for range w.t.PendingTasks() {
+		pending++
+	}
+	slowest := time.Duration(0)
+	for _, t := range w.ticks {
+		slowest = max(slowest, t)
+	}
+	log := 0
+	if t := w.bytes["log"]; t != nil {
+		log = t.bytes
+	}
+	fmt.Printf("%d %d %d %d %.2f %.1f %d\n", second, w.running(), services, pending, slowest.Seconds()*1000, float64(log)/1000, starts)
+}
--- /dev/null
+++ b/bench/cmd/capacity/main.go
@@ -0,0 +1,67 @@
+// Command capacity measures what the leader's pure core costs at growing sizes,
+// on a virtual clock against rows of numbers in place of workers.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+)
+
+// Planned size, from which smaller sizes are scaled down.
+const (
+	fullWorkers  = 1600
+	fullTasks    = 36_000
+	fullServices = 11_000
+	fullStarts   = 1400
+	entryHosts   = 8
+	domains      = 6
+	perRack      = 8
+	owners       = 130
+)
+
+// cli is the command line.
+type cli struct {
+	Core coreCmd `cmd:"" help:"Cost of the leader's core at several sizes, idle and at peak."`
+	Loss lossCmd `cmd:"" help:"Tasks that run while workers are lost and return."`
+}
+
+func main() {
+	var c cli
+	k := kong.Parse(&c, kong.Name("capacity"), kong.Description("Measures the cost of control at growing sizes."))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// coreCmd measures the core.
+type coreCmd struct {
+	Workers []int `help:"Sizes." default:"100,400,800,1600"`
+	Seconds int   `help:"Virtual seconds of each phase." default:"10"`
+}
+
+// Run implements the command.
+func (c *coreCmd) Run() error {
+	for _, n := range c.Workers {
+		before := heapMB()
+		w, err := newWorld(n, false)
+		if err != nil {
+			return err
+		}
+		w.run(15 * time.Second)
+		for _, rate := range []float64{0, fullStarts * float64(n) / fullWorkers} {
+			w.rate = rate
+			w.run(3 * time.Second)
+			w.clear()
+			w.run(time.Duration(c.Seconds) * time.Second)
+			w.print(float64(c.Seconds))
+		}
+		if err := w.printState(before); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/cmd/capacity/meter.go
@@ -0,0 +1,173 @@
+package main
+
+import (
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"net/rpc"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"gooseberrypond/core/structs"
+	hostrpc "gooseberrypond/host/rpc"
+)
+
+// threadClock is CLOCK_THREAD_CPUTIME_ID.
+const threadClock = 3
+
+// tally counts messages and their bytes.
+type tally struct{ n, bytes int }
+
+// meter adds up processor time by part and bytes by message.
+type meter struct {
+	cost  map[string]time.Duration
+	bytes map[string]*tally
+	ticks []time.Duration
+	// streams hold one gob stream by message; types are sent once per connection.
+	streams map[string]*stream
+}
+
+func newMeter() meter {
+	runtime.LockOSThread()
+	return meter{cost: map[string]time.Duration{}, bytes: map[string]*tally{}, streams: map[string]*stream{}}
+}
+
+func (m *meter) clear() {
+	clear(m.cost)
+	clear(m.bytes)
+	m.ticks = nil
+}
+
+// timed adds the processor time of fn on this thread. The garbage collector's
+// own threads are not counted.
+func (m *meter) timed(part string, fn func()) time.Duration {
+	begun := threadTime()
+	fn()
+	took := threadTime() - begun
+	m.cost[part] += took
+	return took
+}
+
+// threadTime reads CLOCK_THREAD_CPUTIME_ID; getrusage counts in steps of 4 ms.
+func threadTime() time.Duration {
+	var t syscall.Timespec
+	_, _, _ = syscall.Syscall(syscall.SYS_CLOCK_GETTIME, threadClock, uintptr(unsafe.Pointer(&t)), 0)
+	return time.Duration(t.Nano())
+}
+
+func (m *meter) count(message string, bytes int) {
+	t := m.bytes[message]
+	if t == nil {
+		t = &tally{}
+		m.bytes[message] = t
+	}
+	t.n++
+	t.bytes += bytes
+}
+
+// stream is a gob stream whose bytes are counted.
+type stream struct {
+	enc *gob.Encoder
+	n   int
+}
+
+// Write implements io.Writer.
+func (s *stream) Write(b []byte) (int, error) {
+	s.n += len(b)
+	return len(b), nil
+}
+
+// gob counts a message with its net/rpc header.
+func (m *meter) gob(message string, header, body any) {
+	s := m.streams[message]
+	if s == nil {
+		s = &stream{}
+		s.enc = gob.NewEncoder(s)
+		m.streams[message] = s
+	}
+	s.n = 0
+	for _, v := range []any{header, body} {
+		if err := s.enc.Encode(v); err != nil {
+			panic(err) // the program's own types
+		}
+	}
+	m.count(message, s.n)
+}
+
+func (m *meter) json(message string, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // the program's own types
+	}
+	m.count(message, len(data))
+}
+
+func header(from string) hostrpc.Header {
+	return hostrpc.Header{Cluster: "capacity", Format: hostrpc.FormatVersion, From: from, TimeoutMS: 600}
+}
+
+func (m *meter) encodeWorker(req *structs.WorkerSync) {
+	m.json("worker sync, JSON", req)
+	m.gob("worker sync, gob", &rpc.Request{ServiceMethod: "Control.WorkerSync", Seq: 1}, hostrpc.Request[*structs.WorkerSync]{Header: header("entry-1"), Body: req})
+}
+
+func (m *meter) encodeReply(reply *structs.WorkerSyncReply) {
+	m.json("worker reply, JSON", reply)
+	m.gob("worker reply, gob", &rpc.Response{ServiceMethod: "Control.WorkerSync", Seq: 1}, hostrpc.Reply[*structs.WorkerSyncReply]{Body: reply})
+}
+
+func (m *meter) encodeView(req *structs.EntrySync, view *structs.EntryView) {
+	m.gob("entry sync, gob", &rpc.Request{ServiceMethod: "Control.Sync", Seq: 1}, hostrpc.Request[*structs.EntrySync]{Header: header(req.Host), Body: req})
+	m.gob("entry view, gob", &rpc.Response{ServiceMethod: "Control.Sync", Seq: 1}, hostrpc.Reply[*structs.EntryView]{Body: view})
+}
+
+// print writes what the last virtual seconds cost.
+func (w *world) print(seconds float64) {
+	fmt.Printf("\n%d workers, %d tasks running, %.0f starts/s\n", len(w.workers), w.running(), w.rate)
+	for _, part := range sorted(w.cost) {
+		fmt.Printf("  %-22s %9.3f ms/s\n", part, w.cost[part].Seconds()*1000/seconds)
+	}
+	slices.Sort(w.ticks)
+	fmt.Printf("  %-22s p50 %.3f ms, p99 %.3f ms, max %.3f ms\n", "one tick", ms(w.ticks, 0.5), ms(w.ticks, 0.99), ms(w.ticks, 1))
+	for _, message := range sorted(w.bytes) {
+		t := w.bytes[message]
+		fmt.Printf("  %-22s %8.1f /s %9.0f B each %10.1f KB/s\n", message, float64(t.n)/seconds, float64(t.bytes)/float64(t.n), float64(t.bytes)/seconds/1000)
+	}
+}
+
+// printState writes the sizes of the tables and of the leader's own state.
+func (w *world) printState(before float64) error {
+	n := len(w.workers)
+	both := heapMB()
+	w.core, w.workers, w.hosts, w.byID, w.ends, w.streams = nil, nil, nil, nil, nil, nil
+	tables := heapMB()
+	data, err := w.t.Encode()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\n%d workers: tables %.1f MB, leader's state with stand-ins %.1f MB, snapshot %.2f MB\n", n, tables-before, both-tables, float64(len(data))/1e6)
+	return nil
+}
+
+func sorted[V any](m map[string]V) []string {
+	var keys []string
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func ms(sorted []time.Duration, q float64) float64 {
+	return sorted[int(q*float64(len(sorted)-1))].Seconds() * 1000
+}
+
+func heapMB() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / 1e6
+}
