--- a/core/leader/burst_test.go
+++ b/core/leader/burst_test.go
@@ -46,6 +46,9 @@
 	if again, want := len(d.burst(submits, spec, "second")), bound-(submits-cancels)-stopping; again != want {
 		t.Errorf("%d submissions accepted after the cancels with %d tasks still stopping, want %d", again, stopping, want)
 	}
+	if live := d.tables.LiveJobs("vans"); live != bound {
+		t.Errorf("%d unfinished jobs are kept, the bound is %d", live, bound)
+	}
 	d.submit("pumps", "check3", structs.JobSpec{Entry: "check", Kind: structs.KindBatch})
 	d.run(60)
 	for i := range 4 {
--- a/host/localcluster/cluster.go
+++ b/host/localcluster/cluster.go
@@ -197,8 +197,13 @@
 
 // Workers starts stand-in workers that use the platform listeners of all hosts.
 func (c *Cluster) Workers(count int) []*standin.Worker {
+	return c.workersThrough(count, c.Settings)
+}
+
+// workersThrough starts stand-in workers that use the platform listeners of some hosts.
+func (c *Cluster) workersThrough(count int, hosts []*config.Settings) []*standin.Worker {
 	var platform []string
-	for _, s := range c.Settings {
+	for _, s := range hosts {
 		platform = append(platform, "http://"+s.Listeners.Platform.Address)
 	}
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2 * count}}
--- a/host/localcluster/domain_test.go
+++ b/host/localcluster/domain_test.go
@@ -9,19 +9,38 @@
 	"time"
 
 	"gooseberrypond/core/structs"
+	"gooseberrypond/host/config"
 )
 
 // outLimit is the time within which starts end in a domain taken out.
 const outLimit = 3 * time.Second
 
-// Guards against starts in domains taken out through a leader that is cut off
-// from the other replicas while workers and entry hosts still reach it, and
-// against work that is lost or doubled by that.
-func TestNoStartThroughCutOffLeader(t *testing.T) {
-	b := newBed(t, 3, 0)
+// Guards against starts in domains taken out through a host that is cut off
+// while workers still reach it, and against work that is lost or doubled by
+// that: a leader that is cut off from the other replicas, or an entry host
+// that is cut off from all control hosts.
+func TestNoStartThroughCutOffHost(t *testing.T) {
+	t.Run("leader", func(t *testing.T) {
+		b := newBed(t, 3, 0)
+		noStartThrough(b, b.Settings, func() func(bool) {
+			leader := b.leader()
+			return func(on bool) { b.Cut(leader, on) }
+		})
+	})
+	t.Run("entry host", func(t *testing.T) {
+		b := newBed(t, 3, 1)
+		cut := b.behindRelays(3)
+		noStartThrough(b, b.Settings[3:], func() func(bool) { return cut })
+	})
+}
+
+// noStartThrough runs work on workers that use the given hosts, cuts a host off
+// and takes all domains out.
+func noStartThrough(b *bed, hosts []*config.Settings, choose func() (cut func(bool))) {
+	t := b.t
 	cl := b.Client()
 	b.put(cl)
-	b.Workers(6)
+	b.workersThrough(6, hosts)
 	var starts atomic.Int64
 	b.Ledger.OnStart(func(structs.TaskID, time.Time) { starts.Add(1) })
 	var jobs []structs.JobID
@@ -35,9 +54,9 @@
 	}
 	submit(20)
 	b.until("work starts", func() bool { return starts.Load() > 0 })
-	cut := b.leader()
-	b.Cut(cut, true)
-	b.leader() // of the others
+	cut := choose()
+	cut(true)
+	b.leader() // of those that are not cut off
 	set := func(out bool) {
 		for i := range 3 {
 			c := structs.SetDomain{ChangeID: fmt.Sprint("d", i, out), Domain: fmt.Sprint("d", i+1), Out: out}
@@ -52,8 +71,8 @@
 	b.until("the limit has passed", func() bool { return time.Since(accepted) > outLimit })
 	before := starts.Load()
 	submit(20)
-	b.Cut(cut, false)
-	submit(20) // the former leader follows again
+	cut(false)
+	submit(20) // the host is back
 	b.until("the limit has passed again", func() bool { return time.Since(accepted) > 2*outLimit })
 	if n := starts.Load(); n != before {
 		t.Errorf("%d tasks started later than %v after all domains went out", n-before, outLimit)
