--- a/core/sched/plan.go
+++ b/core/sched/plan.go
@@ -23,6 +23,9 @@
 			// A task that waits for room made for it must not keep those behind it
 			// from having room made for them.
 			eq.failures++
+			if !it.info.Urgent && p.noRoom(it.need) {
+				eq.failures = failuresPerList
+			}
 		}
 	}
 }
@@ -45,6 +48,7 @@
 		}
 		return false
 	}
+	p.releaseHold(it.task.ID)
 	p.assign(it, n, fmt.Sprintf("best of %d workers with room%s", len(found), p.sizeNote(it.info)))
 	return true
 }
