--- a/bench/cmd/capacity/meter.go
+++ b/bench/cmd/capacity/meter.go
@@ -11,6 +11,8 @@
 	"time"
 	"unsafe"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"gooseberrypond/core/structs"
 	hostrpc "gooseberrypond/host/rpc"
 )
@@ -148,7 +150,11 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("\n%d workers: tables %.1f MB, leader's state with stand-ins %.1f MB, snapshot %.2f MB\n", n, tables-before, both-tables, float64(len(data))/1e6)
+	document, err := cbor.Marshal(w.t.Catalogue())
+	if err != nil {
+		return err
+	}
+	fmt.Printf("\n%d workers: catalogue %.1f KB, tables %.1f MB, leader's state with stand-ins %.1f MB, snapshot %.2f MB\n", n, float64(len(document))/1000, tables-before, both-tables, float64(len(data))/1e6)
 	return nil
 }
 
