--- a/core/leader/sim_test.go
+++ b/core/leader/sim_test.go
@@ -26,8 +26,8 @@
 	rt  *rapid.T
 	rnd *rand.Rand
 	now time.Time
-	// twin is another replica; it starts anew from a snapshot at each election.
-	t, twin          *state.Tables
+	// follower is another replica; it starts anew from a snapshot at each election.
+	t, follower      *state.Tables
 	index            uint64
 	core             *Core
 	sched            *firstFit
@@ -55,7 +55,7 @@
 func newSim(rt *rapid.T) *sim {
 	s := &sim{
 		rt: rt, rnd: rand.New(rand.NewSource(rapid.Int64().Draw(rt, "seed"))), real: rapid.Bool().Draw(rt, "package sched"),
-		now: epoch, t: state.New(), twin: state.New(), sched: &firstFit{},
+		now: epoch, t: state.New(), follower: state.New(), sched: &firstFit{},
 		outSince: map[string]time.Time{}, started: map[structs.AttemptRef]bool{}, checkpoint: map[structs.TaskID]string{},
 		fresh: map[structs.TaskID]int{}, finished: map[structs.TaskID]int{},
 		jobs: map[string]structs.JobID{}, changes: map[string]*structs.ChangeResult{},
@@ -89,11 +89,11 @@
 // compareReplicas expects equal snapshots and restarts the other replica from one.
 func (s *sim) compareReplicas() {
 	mine, err := s.t.Encode()
-	other, err2 := s.twin.Encode()
+	other, err2 := s.follower.Encode()
 	if err != nil || err2 != nil || !bytes.Equal(mine, other) {
 		s.rt.Fatalf("replicas differ after command %d (%v, %v)", s.index, err, err2)
 	}
-	if s.twin, err = state.Decode(mine); err != nil {
+	if s.follower, err = state.Decode(mine); err != nil {
 		s.rt.Fatal(err)
 	}
 }
@@ -108,7 +108,7 @@
 	s.index++
 	cmd.Version, cmd.NowMS = structs.CommandVersion, s.now.UnixMilli()
 	res := s.t.Apply(s.index, cmd)
-	if other := s.twin.Apply(s.index, cmd); !reflect.DeepEqual(other, res) {
+	if other := s.follower.Apply(s.index, cmd); !reflect.DeepEqual(other, res) {
 		s.rt.Fatalf("command %d: result %+v, on another replica %+v", s.index, res, other)
 	}
 	if s.core != nil {
--- a/core/sched/preempt.go
+++ b/core/sched/preempt.go
@@ -187,7 +187,7 @@
 // for urgent tasks, and for latency-critical ones that found no room for a while.
 func (p *planner) mayPreempt(it *item) bool {
 	waited := time.Duration(p.nowMS-it.task.PendingSinceMS) * time.Millisecond
-	return it.info.Urgent || tierOf(it.info) == tierLatency && waited >= latencyPatience
+	return it.info.Urgent || tierOf(it.info) == tierLatency && waited >= latencyWait
 }
 
 // describe names an entry with its tier, as reasons show it.
--- a/core/sched/starve.go
+++ b/core/sched/starve.go
@@ -9,11 +9,11 @@
 )
 
 const (
-	// latencyPatience and batchPatience are how long a task waits before room is
+	// latencyWait and batchWait are how long a task waits before room is
 	// saved up for it. Without that, smaller tasks take every piece of capacity
 	// that becomes free, and a large one never starts.
-	latencyPatience = 2 * time.Second
-	batchPatience   = 2 * time.Minute
+	latencyWait = 2 * time.Second
+	batchWait   = 2 * time.Minute
 	// saveTime is how long room is saved up on one worker.
 	saveTime = 2 * time.Minute
 	// savingPart bounds the workers on which room is saved up for batch work: one
@@ -27,15 +27,15 @@
 // saveRoom reserves a worker's future free capacity for an item that has
 // waited long for a place.
 func (p *planner) saveRoom(it *item) {
-	patience, limit := batchPatience, len(p.order)/savingPart
+	wait, limit := batchWait, len(p.order)/savingPart
 	if tierOf(it.info) == tierLatency {
-		patience, limit = latencyPatience, len(p.order)/latencySavingPart
+		wait, limit = latencyWait, len(p.order)/latencySavingPart
 	}
 	if _, held := p.holds[it.task.ID]; held {
 		return
 	}
 	waited := time.Duration(p.nowMS-it.task.PendingSinceMS) * time.Millisecond
-	if waited < patience || p.saving > limit || len(p.order) == 0 {
+	if waited < wait || p.saving > limit || len(p.order) == 0 {
 		return
 	}
 	var best *node
--- a/core/sched/steps_test.go
+++ b/core/sched/steps_test.go
@@ -190,7 +190,7 @@
 	if plan := c.tick(t, s, time.Second); len(plan.Evict) != 0 {
 		t.Fatalf("evicted %+v at once", plan.Evict)
 	}
-	plan := c.tick(t, s, latencyPatience)
+	plan := c.tick(t, s, latencyWait)
 	if len(plan.Evict) != 1 {
 		t.Fatalf("evicted %+v, want one batch task", plan.Evict)
 	}
--- a/core/state/expire.go
+++ b/core/state/expire.go
@@ -66,8 +66,8 @@
 		return false
 	}
 	j := e.Value.(*jobRec)
-	crowded := t.finished.Len() > structs.MaxFinishedJobs || t.counts.finishedTasks > maxFinishedTasks
-	if !crowded && !t.pastRetention(j.FinishedMS) {
+	overLimit := t.finished.Len() > structs.MaxFinishedJobs || t.counts.finishedTasks > maxFinishedTasks
+	if !overLimit && !t.pastRetention(j.FinishedMS) {
 		return false
 	}
 	t.counts.finishedTasks -= len(j.tasks)
--- a/core/state/rules_test.go
+++ b/core/state/rules_test.go
@@ -266,7 +266,7 @@
 		t.Errorf("other request: %v", err)
 	}
 	if complete(structs.Complete{Nonce: "n2", NotRun: true}) == nil {
-		t.Error("a stranger released the claim")
+		t.Error("another request released the claim")
 	}
 	complete(structs.Complete{Nonce: "n1", NotRun: true})
 	if !claim("n2", "d").Claimed {
--- a/core/structs/worker.go
+++ b/core/structs/worker.go
@@ -136,7 +136,7 @@
 	StartWithinMS int64 `json:"start_within_ms"`
 	// AckedSeq is the highest event number that is in the replicated log.
 	AckedSeq uint64 `json:"acked_seq"`
-	// Session names the leader's term of office; the worker copies it to its next sync.
+	// Session identifies the leader's term; the worker copies it to its next sync.
 	Session  uint64          `json:"session,omitempty"`
 	Commands []WorkerCommand `json:"commands,omitempty"`
 	// Reregister tells the worker that its incarnation is over: stop all tasks
--- a/host/control/host.go
+++ b/host/control/host.go
@@ -137,7 +137,7 @@
 
 // step runs one tick if this replica leads.
 func (h *Host) step() {
-	if !h.takeOffice() {
+	if !h.refreshLeadership() {
 		return
 	}
 	start := time.Now()
@@ -173,9 +173,9 @@
 	wg.Wait()
 }
 
-// takeOffice makes the leader's state match the replica's role. Each term gets
+// refreshLeadership makes the leader's state match the replica's role. Each term gets
 // new state, because the old one knows nothing of what another leader did.
-func (h *Host) takeOffice() bool {
+func (h *Host) refreshLeadership() bool {
 	before := h.replica.Status()
 	holds := h.replica.HoldsLease()
 	after := h.replica.Status()
@@ -206,20 +206,20 @@
 	m := h.machine
 	m.mu.Lock()
 	term := m.term
-	if m.core == nil || !h.inOffice(term) {
+	if m.core == nil || !h.leadsTerm(term) {
 		m.mu.Unlock()
 		return h.notLeader(step)
 	}
 	fn(m.core, m.tables)
 	m.mu.Unlock()
-	if !h.inOffice(term) {
+	if !h.leadsTerm(term) {
 		return h.notLeader(step)
 	}
 	return nil
 }
 
-// inOffice reports whether this replica leads in the term and holds its lease.
-func (h *Host) inOffice(term uint64) bool {
+// leadsTerm reports whether this replica leads in the term and holds its lease.
+func (h *Host) leadsTerm(term uint64) bool {
 	return h.replica.HoldsLease() && h.replica.Status().Term == term
 }
 
--- a/host/node/entry.go
+++ b/host/node/entry.go
@@ -77,7 +77,7 @@
 	}
 }
 
-// watch hastens the next sync when the catalogue or a domain has changed. The
+// watch triggers a sync early when the catalogue or a domain has changed. The
 // periodic sync does without it, only later.
 func (e *entryRole) watch(ctx context.Context, client *rpc.Client) {
 	var seen rpc.Versions
--- a/host/rpc/messages.go
+++ b/host/rpc/messages.go
@@ -79,7 +79,7 @@
 type Control interface {
 	Sync(ctx context.Context, req *structs.EntrySync) (*structs.EntryView, error)
 	// Watch answers once the versions differ from seen, or after a while. It only
-	// hastens the next Sync, which carries the content.
+	// triggers the next Sync early, which carries the content.
 	Watch(ctx context.Context, seen Versions) (Versions, error)
 	WorkerRegister(ctx context.Context, req *structs.WorkerRegister) error
 	WorkerSync(ctx context.Context, req *structs.WorkerSync) (*structs.WorkerSyncReply, error)
