--- a/bench/cmd/control/urgent.go
+++ b/bench/cmd/control/urgent.go
@@ -11,12 +11,16 @@
 	"gooseberrypond/host/rpc"
 )
 
+// fillSettled is the time without a start after which workers count as full.
+const fillSettled = 2 * time.Second
+
 // urgentCmd measures urgent starts.
 type urgentCmd struct {
 	Workers int           `help:"Stand-in workers." default:"60"`
 	Jobs    int           `help:"Batch jobs of the burst." default:"12000"`
 	Over    time.Duration `help:"Time over which the burst is submitted." default:"60s"`
 	Urgent  int           `help:"Urgent jobs, spread over the burst." default:"1200"`
+	Fill    int           `help:"Batch tasks of 10 minutes that run first; enough of them fill all workers." default:"0"`
 	Entry   int           `help:"Entry hosts without a replica, besides 3 with one." default:"5"`
 }
 
@@ -56,6 +60,9 @@
 	if err := liveWorkers(ctx, cl.Client(), u.Workers); err != nil {
 		return err
 	}
+	if err := u.fill(ctx, cl.Client()); err != nil {
+		return err
+	}
 	submits, latency := newTimes(), newTimes()
 	var wg sync.WaitGroup
 	errs := make(chan error, 2)
@@ -85,6 +92,32 @@
 	return nil
 }
 
+// fill submits long batch tasks and waits until starts have ended: either all
+// tasks run or no worker has room.
+func (u *urgentCmd) fill(ctx context.Context, cl *rpc.Client) error {
+	for left, i := u.Fill, 0; left > 0; left, i = left-structs.MaxTasksPerJob, i+1 {
+		spec := structs.JobSpec{Entry: "report", Kind: structs.KindBatch, Count: min(left, structs.MaxTasksPerJob), Payload: []byte(`{"run_ms":600000}`)}
+		if _, err := cl.Submit(ctx, structs.SubmitJob{Owner: "dev", Key: fmt.Sprint("fill-", i), Spec: spec}); err != nil {
+			return err
+		}
+	}
+	running, since := 0, time.Now()
+	for u.Fill > 0 && time.Since(since) < fillSettled {
+		st, err := cl.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if n := st.Tasks[structs.StatusRunning]; n != running {
+			running, since = n, time.Now()
+		}
+		if err := localcluster.Pause(ctx); err != nil {
+			return err
+		}
+	}
+	fmt.Printf("%d tasks of %d run before the burst\n", running, u.Fill)
+	return nil
+}
+
 // submit submits n jobs spread evenly, each on its own goroutine.
 func (u *urgentCmd) submit(ctx context.Context, cl *rpc.Client, entry string, n int, done func(structs.JobID, time.Time, time.Duration) error) error {
 	var wg sync.WaitGroup
--- a/core/leader/entry_test.go
+++ b/core/leader/entry_test.go
@@ -8,17 +8,17 @@
 	"gooseberrypond/core/structs"
 )
 
-func putCatalogue(b *bed, id string, c structs.Catalogue) {
+func putCatalogue(b *testbed, id string, c structs.Catalogue) {
 	b.apply(&structs.Command{PutCatalogue: &structs.PutCatalogue{ChangeID: id, BaseVersion: b.t.Catalogue().Version, Catalogue: c}})
 }
 
-func setDomain(b *bed, id string, out bool) {
+func setDomain(b *testbed, id string, out bool) {
 	b.apply(&structs.Command{SetDomain: &structs.SetDomain{ChangeID: id, Domain: "a", Out: out}})
 }
 
 // Guards against a change called in force while a cut-off host may still act on the former one.
 func TestInForce(t *testing.T) {
-	b := newBed("h1", "h2")
+	b := newTestbed("h1", "h2")
 	putCatalogue(b, "c1", testCatalogue())
 	sync := func(host string, version, domains uint64) structs.EntryView {
 		view, err := b.core.EntrySync(b.now, 1, &structs.EntrySync{Host: host, CatalogueVersion: version, DomainsVersion: domains})
@@ -59,40 +59,40 @@
 func TestUpstreams(t *testing.T) {
 	up := structs.Upstream{Name: "u", Entry: "watch", Address: "x:1", Domain: "a", Slots: 8, Connections: 60}
 	key := structs.GrantKey{Kind: structs.GrantUpstream, Name: "u"}
-	announce := func(b *bed) { _ = b.core.Announce(b.now, up) }
+	announce := func(b *testbed) { _ = b.core.Announce(b.now, up) }
 	tests := []struct {
 		name  string
-		run   func(b *bed)
+		run   func(b *testbed)
 		after time.Duration
 		slots int
 		known bool
 	}{
 		{"announced", announce, 0, 8, true},
 		{"not renewed", announce, structs.UpstreamTTL, 0, false},
-		{"left", func(b *bed) { announce(b); b.core.Leave(b.now, "u"); announce(b) }, 0, 0, true},
-		{"left before it was known", func(b *bed) { b.core.Leave(b.now, "u"); announce(b) }, 0, 0, true},
-		{"back after it left", func(b *bed) {
+		{"left", func(b *testbed) { announce(b); b.core.Leave(b.now, "u"); announce(b) }, 0, 0, true},
+		{"left before it was known", func(b *testbed) { b.core.Leave(b.now, "u"); announce(b) }, 0, 0, true},
+		{"back after it left", func(b *testbed) {
 			b.core.Leave(b.now, "u")
 			b.now = b.now.Add(structs.UpstreamTTL)
 			announce(b)
 		}, 0, 8, true},
-		{"domain out", func(b *bed) { announce(b); setDomain(b, "d", true) }, 0, 0, true},
-		{"domain back", func(b *bed) { announce(b); setDomain(b, "d", true); setDomain(b, "e", false) }, 0, 8, true},
-		{"few connections", func(b *bed) { u := up; u.Connections = 2; _ = b.core.Announce(b.now, u) }, 0, 2, true},
-		{"entry unknown", func(b *bed) { u := up; u.Entry = "x"; _ = b.core.Announce(b.now, u) }, 0, 0, false},
-		{"entry removed", func(b *bed) {
+		{"domain out", func(b *testbed) { announce(b); setDomain(b, "d", true) }, 0, 0, true},
+		{"domain back", func(b *testbed) { announce(b); setDomain(b, "d", true); setDomain(b, "e", false) }, 0, 8, true},
+		{"few connections", func(b *testbed) { u := up; u.Connections = 2; _ = b.core.Announce(b.now, u) }, 0, 2, true},
+		{"entry unknown", func(b *testbed) { u := up; u.Entry = "x"; _ = b.core.Announce(b.now, u) }, 0, 0, false},
+		{"entry removed", func(b *testbed) {
 			announce(b)
 			c := testCatalogue()
 			delete(c.Entries, "watch")
 			putCatalogue(b, "c2", c)
 		}, 0, 0, false},
-		{"adopted", func(b *bed) { b.core.adopt(b.now, []structs.Upstream{up}) }, 0, 8, true},
-		{"adopted, not announced", func(b *bed) { b.core.adopt(b.now, []structs.Upstream{up}) }, adoptWindow, 0, true},
-		{"adopted too late", func(b *bed) { b.now = b.now.Add(adoptWindow); b.core.adopt(b.now, []structs.Upstream{up}) }, 0, 0, false},
+		{"adopted", func(b *testbed) { b.core.adopt(b.now, []structs.Upstream{up}) }, 0, 8, true},
+		{"adopted, not announced", func(b *testbed) { b.core.adopt(b.now, []structs.Upstream{up}) }, adoptWindow, 0, true},
+		{"adopted too late", func(b *testbed) { b.now = b.now.Add(adoptWindow); b.core.adopt(b.now, []structs.Upstream{up}) }, 0, 0, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := newBed("h1")
+			b := newTestbed("h1")
 			putCatalogue(b, "c1", testCatalogue())
 			tt.run(b)
 			b.tick(tt.after)
@@ -109,7 +109,7 @@
 
 // Guards against limits of owners that stay when the catalogue changes or drops them.
 func TestOwnerLimitsFollowTheCatalogue(t *testing.T) {
-	b := newBed("h1")
+	b := newTestbed("h1")
 	c := testCatalogue()
 	c.Owners["desk"] = structs.Owner{Concurrency: 5, RequestRate: 7}
 	putCatalogue(b, "c1", c)
@@ -142,7 +142,7 @@
 		{structs.MissedSkip, 45 * time.Minute, 0, 1},
 	}
 	for _, tt := range tests {
-		b := newBed()
+		b := newTestbed()
 		c := testCatalogue()
 		e := c.Entries["sheets"]
 		e.Missed = tt.rule
@@ -165,7 +165,7 @@
 // Guards against a log filled by plans made while the last one is not yet
 // applied, or by notes that are dropped each time.
 func TestPlansDoNotPileUp(t *testing.T) {
-	b := newBed()
+	b := newTestbed()
 	putCatalogue(b, "c1", testCatalogue())
 	spec := structs.JobSpec{Entry: "sheets", Kind: structs.KindRecurring, EveryMS: 10_000}
 	b.apply(&structs.Command{SubmitJobs: &structs.SubmitJobs{Jobs: []structs.SubmitJob{{Owner: "desk", Key: "k", Spec: spec}}}})
@@ -184,7 +184,7 @@
 
 // Guards against a dump that does not encode or lacks a table.
 func TestDumpEncodes(t *testing.T) {
-	b := newBed("h1")
+	b := newTestbed("h1")
 	putCatalogue(b, "c1", testCatalogue())
 	data, err := json.Marshal(b.core.Dump(b.now))
 	if err != nil {
@@ -203,7 +203,7 @@
 // Guards against a leader that answers with changes to a view that it did not
 // give, or that forgets a removal when the view that told it was lost.
 func TestEntrySyncSendsChanges(t *testing.T) {
-	b := newBed("h1")
+	b := newTestbed("h1")
 	putCatalogue(b, "c1", testCatalogue())
 	up := structs.Upstream{Name: "u", Entry: "watch", Address: "x:1", Domain: "a", Slots: 8, Connections: 60}
 	_ = b.core.Announce(b.now, up)
@@ -243,7 +243,7 @@
 // predecessor, and against a new cluster that grants nothing at first.
 func TestFirstLeaderGrantsAtOnce(t *testing.T) {
 	for _, first := range []bool{true, false} {
-		b := newBed("h1")
+		b := newTestbed("h1")
 		if first {
 			b.core = New(b.now, b.t, []string{"h1"})
 		}
--- a/core/leader/fakes_test.go
+++ b/core/leader/fakes_test.go
@@ -84,8 +84,8 @@
 	small = structs.Resources{CPUMilli: 1000, MemoryMB: 1024}
 )
 
-// bed is one replica's tables with a leader on them.
-type bed struct {
+// testbed is one replica's tables with a leader on them.
+type testbed struct {
 	t     *state.Tables
 	core  *Core
 	sched *firstFit
@@ -93,14 +93,14 @@
 	index uint64
 }
 
-func newBed(hosts ...string) *bed {
-	b := &bed{t: state.New(), sched: &firstFit{}, now: epoch}
+func newTestbed(hosts ...string) *testbed {
+	b := &testbed{t: state.New(), sched: &firstFit{}, now: epoch}
 	b.core = NewWith(b.now, b.t, hosts, b.sched, newNoGrants())
 	return b
 }
 
 // apply commits a command at once.
-func (b *bed) apply(cmd *structs.Command) structs.Result {
+func (b *testbed) apply(cmd *structs.Command) structs.Result {
 	b.index++
 	cmd.Version = structs.CommandVersion
 	cmd.NowMS = max(cmd.NowMS, b.now.UnixMilli())
@@ -109,7 +109,7 @@
 	return res
 }
 
-func (b *bed) tick(d time.Duration) {
+func (b *testbed) tick(d time.Duration) {
 	b.now = b.now.Add(d)
 	for _, cmd := range b.core.Tick(b.now, b.now.UnixMilli()) {
 		b.apply(cmd)
--- a/core/leader/session_test.go
+++ b/core/leader/session_test.go
@@ -15,9 +15,9 @@
 
 var update = flag.Bool("update", false, "write the golden files")
 
-// session records the commands, results and replies of a bed.
+// session records the commands, results and replies of a testbed.
 type session struct {
-	*bed
+	*testbed
 	t   *testing.T
 	out bytes.Buffer
 	seq uint64
@@ -65,7 +65,7 @@
 // Guards against any unnoticed change in the commands, results and replies of
 // a small session: what replicas of two versions must agree on.
 func TestSessionMatchesGolden(t *testing.T) {
-	s := &session{bed: newBed("h1"), t: t}
+	s := &session{testbed: newTestbed("h1"), t: t}
 	s.commit(&structs.Command{PutCatalogue: &structs.PutCatalogue{ChangeID: "c1", Catalogue: testCatalogue()}})
 	s.commit(&structs.Command{RegisterWorker: &structs.WorkerRegister{ID: "w1", Incarnation: 1, Rack: "r1", Domain: "a", Capacity: small.Scale(2)}})
 	s.commit(&structs.Command{SubmitJobs: &structs.SubmitJobs{Jobs: []structs.SubmitJob{
@@ -95,7 +95,7 @@
 	s.commit(&structs.Command{CancelJob: &structs.CancelJob{Owner: "yard", Job: running[1].Task.Job}})
 	s.report(running[1:])
 	s.step(18 * time.Second)
-	if err := s.bed.t.Check(); err != nil {
+	if err := s.testbed.t.Check(); err != nil {
 		t.Fatal(err)
 	}
 	if ended := s.sched.ended; len(ended) != 1 || ended[0].Task.Worker != "w1" {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -13,8 +13,8 @@
 	size    = structs.Resources{CPUMilli: 1000}
 )
 
-// bed is a worker w1 with tables and one leader's lease table.
-type bed struct {
+// testbed is a worker w1 with tables and one leader's lease table.
+type testbed struct {
 	*testing.T
 	t     *state.Tables
 	l     *Table
@@ -23,8 +23,8 @@
 	seq   uint64
 }
 
-func newBed(t *testing.T, holdMS int64) *bed {
-	b := &bed{T: t, t: state.New(), l: New(elected), now: elected}
+func newTestbed(t *testing.T, holdMS int64) *testbed {
+	b := &testbed{T: t, t: state.New(), l: New(elected), now: elected}
 	b.apply(&structs.Command{PutCatalogue: &structs.PutCatalogue{ChangeID: "c", Catalogue: structs.Catalogue{
 		Owners: map[string]structs.Owner{"o": {}},
 		Entries: map[string]structs.Entry{
@@ -37,7 +37,7 @@
 	return b
 }
 
-func (b *bed) apply(cmd *structs.Command) structs.Result {
+func (b *testbed) apply(cmd *structs.Command) structs.Result {
 	b.index++
 	cmd.NowMS = b.now.UnixMilli()
 	res := b.t.Apply(b.index, cmd)
@@ -46,7 +46,7 @@
 }
 
 // place submits and assigns one task of an entry.
-func (b *bed) place(entry string) *structs.Task {
+func (b *testbed) place(entry string) *structs.Task {
 	b.Helper()
 	spec := structs.JobSpec{Entry: entry, Kind: structs.KindBatch, NonIdempotent: true}
 	res := b.apply(&structs.Command{SubmitJobs: &structs.SubmitJobs{Jobs: []structs.SubmitJob{{Owner: "o", Key: entry, Spec: spec}}}})
@@ -59,7 +59,7 @@
 }
 
 // sync sends the next sync of w1 with the running tasks and events.
-func (b *bed) sync(running []*structs.Task, events ...structs.TaskEvent) (structs.WorkerSyncReply, *structs.Command, *structs.Error) {
+func (b *testbed) sync(running []*structs.Task, events ...structs.TaskEvent) (structs.WorkerSyncReply, *structs.Command, *structs.Error) {
 	b.seq++
 	req := &structs.WorkerSync{ID: "w1", Incarnation: 1, Seq: b.seq, Session: b.l.Session(), Events: events}
 	for _, task := range running {
@@ -72,16 +72,16 @@
 	return structs.TaskEvent{Seq: seq, Type: kind, Task: task.ID, Attempt: task.Attempt, Epoch: task.Epoch}
 }
 
-func (b *bed) domain(out bool) {
+func (b *testbed) domain(out bool) {
 	b.apply(&structs.Command{SetDomain: &structs.SetDomain{ChangeID: b.now.String() + time.Duration(b.index).String(), Domain: "d", Out: out}})
 }
 
-func (b *bed) expired(after time.Duration) []*structs.Command {
+func (b *testbed) expired(after time.Duration) []*structs.Command {
 	b.now = b.now.Add(after)
 	return b.l.Expired(b.now, b.t)
 }
 
-func (b *bed) wantCommands(got []structs.WorkerCommand, want ...structs.CommandType) {
+func (b *testbed) wantCommands(got []structs.WorkerCommand, want ...structs.CommandType) {
 	b.Helper()
 	if len(got) != len(want) {
 		b.Fatalf("commands = %+v, want %v", got, want)
@@ -97,7 +97,7 @@
 // task, by its own slow clock or by a lease hold.
 func TestExpiredWaitsForLeaseAndHold(t *testing.T) {
 	const margin = structs.WorkerLease + structs.LeaseMargin
-	b := newBed(t, 100_000)
+	b := newTestbed(t, 100_000)
 	plain, held := b.place("e"), b.place("h")
 	b.l.Expired(b.now, b.t)
 	if got := b.expired(margin - time.Millisecond); got != nil {
@@ -127,7 +127,7 @@
 
 // Guards against a proposal that is lost and never made again.
 func TestExpiredRepeatsLostProposal(t *testing.T) {
-	b := newBed(t, 0)
+	b := newTestbed(t, 0)
 	b.place("e")
 	b.l.Expired(b.now, b.t)
 	if len(b.expired(12*time.Second)) != 1 || len(b.expired(retryAfter)) != 1 {
@@ -138,7 +138,7 @@
 // Guards against a start sent after the end of the attempt was proposed: the
 // replacement would run at the same time.
 func TestNoStartWhileEnding(t *testing.T) {
-	b := newBed(t, 0)
+	b := newTestbed(t, 0)
 	b.place("e")
 	b.l.Expired(b.now, b.t)
 	end := b.expired(12 * time.Second)
@@ -156,14 +156,14 @@
 func TestNeverStartedIsCertain(t *testing.T) {
 	for _, tt := range []struct {
 		name string
-		run  func(b *bed)
+		run  func(b *testbed)
 		want bool
 	}{
-		{"no sync", func(*bed) {}, true},
-		{"start sent", func(b *bed) { b.sync(nil) }, false},
-		{"assigned under a former leader", func(b *bed) { b.l.SetElectedIndex(b.index) }, false},
+		{"no sync", func(*testbed) {}, true},
+		{"start sent", func(b *testbed) { b.sync(nil) }, false},
+		{"assigned under a former leader", func(b *testbed) { b.l.SetElectedIndex(b.index) }, false},
 	} {
-		b := newBed(t, 0)
+		b := newTestbed(t, 0)
 		b.place("e")
 		tt.run(b)
 		b.l.Expired(b.now, b.t)
@@ -175,7 +175,7 @@
 
 // Guards against a worker coming back within the hold and losing its task.
 func TestHeldTaskSurvivesPartition(t *testing.T) {
-	b := newBed(t, 60_000)
+	b := newTestbed(t, 60_000)
 	held := b.place("h")
 	b.sync(nil)
 	b.sync([]*structs.Task{held}, event(1, structs.EventStarted, held))
@@ -190,7 +190,7 @@
 
 // Guards against an attempt that is proposed as absent and then started after all.
 func TestAbsentAttemptIsNotStarted(t *testing.T) {
-	b := newBed(t, 0)
+	b := newTestbed(t, 0)
 	task := b.place("e")
 	b.domain(true)
 	reply, cmd, _ := b.sync(nil)
@@ -210,7 +210,7 @@
 // Guards against a task that waits for ever on a worker that takes no starts,
 // and against a start in a domain out of service before absence is proved.
 func TestIgnoredStartIsPlacedAgain(t *testing.T) {
-	b := newBed(t, 0)
+	b := newTestbed(t, 0)
 	b.place("e")
 	b.sync(nil)
 	b.now = b.now.Add(startGiveUp - 1)
@@ -221,7 +221,7 @@
 	if reply, cmd, _ := b.sync(nil); cmd == nil || len(reply.Commands) != 0 {
 		t.Errorf("after the time: %+v, commands %+v", cmd, reply.Commands)
 	}
-	b = newBed(t, 0)
+	b = newTestbed(t, 0)
 	b.place("e")
 	b.domain(true)
 	reply, _, _ := b.l.Sync(b.now, b.t, &structs.WorkerSync{ID: "w1", Incarnation: 1, Seq: 1})
@@ -243,7 +243,7 @@
 		{"none, late", 0, legacyTrust, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			b := newBed(t, 0)
+			b := newTestbed(t, 0)
 			task := b.place("e")
 			b.apply(&structs.Command{WorkerEvents: &structs.WorkerEvents{Worker: "w1", Incarnation: 1, Events: []structs.TaskEvent{event(1, structs.EventStarted, task)}}})
 			b.now = elected.Add(tt.age)
@@ -257,7 +257,7 @@
 
 // Guards against events lost for ever when a later one is acknowledged.
 func TestAcknowledgementLeavesNoGap(t *testing.T) {
-	b := newBed(t, 0)
+	b := newTestbed(t, 0)
 	task := b.place("e")
 	first := event(1, structs.EventStarted, task)
 	_, lost, _ := b.sync(nil, first)
@@ -280,7 +280,7 @@
 
 // Guards against wrong commands for each state, and against tasks outside the log that go on.
 func TestCommandsFollowTheLog(t *testing.T) {
-	b := newBed(t, 0)
+	b := newTestbed(t, 0)
 	task := b.place("e")
 	reply, _, _ := b.sync(nil)
 	b.wantCommands(reply.Commands, structs.CommandStart)
--- a/core/state/rules_test.go
+++ b/core/state/rules_test.go
@@ -33,7 +33,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := newBed(t)
+			b := newTestbed(t)
 			if tt.spec.Kind == "" {
 				tt.spec.Kind = structs.KindBatch
 			}
@@ -47,7 +47,7 @@
 
 // Guards against a queue without bound, and against a refusal of a resent submission.
 func TestPendingJobsAreBounded(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	spec := structs.JobSpec{Entry: "eb", Kind: structs.KindBatch}
 	first := b.submit("b", "k0", spec)
 	b.submit("b", "k1", spec)
@@ -65,7 +65,7 @@
 
 // Guards against two jobs for one key.
 func TestKeyNamesOneJob(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	spec := structs.JobSpec{Entry: "ea", Kind: structs.KindBatch}
 	first := b.submit("a", "k", spec)
 	spec.Count = 1
@@ -78,14 +78,14 @@
 	}
 }
 
-func (b *bed) put(id string, base uint64, c structs.Catalogue) *structs.ChangeResult {
+func (b *testbed) put(id string, base uint64, c structs.Catalogue) *structs.ChangeResult {
 	b.Helper()
 	return b.do(&structs.Command{PutCatalogue: &structs.PutCatalogue{ChangeID: id, BaseVersion: base, Catalogue: c}}).Change
 }
 
 // Guards against two winners of one version, and against another answer to a resent change.
 func TestCatalogueIsComparedAndSet(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	won := b.put("x", 1, baseCatalogue())
 	lost := b.put("y", 1, baseCatalogue())
 	if !won.Accepted || won.Version != 2 || lost.Accepted || lost.Winner != "x" || lost.Version != 2 {
@@ -125,7 +125,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := newBed(t)
+			b := newTestbed(t)
 			b.batch("k")
 			c := baseCatalogue()
 			tt.edit(&c)
@@ -147,7 +147,7 @@
 
 // Guards against standing work, keys and claims that are lost when an owner is merged into another.
 func TestMergeKeepsJobsKeysAndClaims(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	standing := structs.JobSpec{Entry: "ea", Kind: structs.KindRecurring, EveryMS: 1000}
 	old := b.submit("a", "k", standing)
 	own := b.submit("b", "k", structs.JobSpec{Entry: "eb", Kind: structs.KindBatch})
@@ -192,7 +192,7 @@
 
 // Guards against occurrences that run twice, early or not at all, and against records without bound.
 func TestOccurrencesAreDecidedOnce(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	job := b.submit("a", "k", structs.JobSpec{Entry: "ea", Kind: structs.KindRecurring, EveryMS: 1000}).Job
 	if len(b.DueJobs(b.ms-1, 9)) != 0 || len(b.DueJobs(b.ms, 9)) != 1 {
 		t.Error("want the job due from its first time on")
@@ -231,7 +231,7 @@
 
 // Guards against jobs given up while a kind of worker could run them.
 func TestUnrunnableIsCheckedAgain(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	note := func(id structs.TaskID) int {
 		n := structs.JobNote{Job: id.Job, Unrunnable: true, Reasons: []string{"r"}}
 		return b.do(&structs.Command{Plan: &structs.Plan{Notes: []structs.JobNote{n}}}).Dropped
@@ -250,7 +250,7 @@
 
 // Guards against a second run of a claimed request, and against lost or oversized answers.
 func TestClaims(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	claim := func(nonce, digest string) structs.Result {
 		return b.do(&structs.Command{Claim: &structs.Claim{Owner: "a", Key: "q", Digest: digest, Nonce: nonce}})
 	}
@@ -289,7 +289,7 @@
 
 // Guards against records kept without bound or dropped before their time.
 func TestExpireKeepsRetention(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	day := structs.ChangeRetention.Milliseconds()
 	for n := range structs.MinChangeIDs + 10 {
 		b.next++
@@ -325,7 +325,7 @@
 // Guards against time that goes back with the clock of a new leader, which
 // would end cooldowns and retentions early.
 func TestTimeNeverGoesBack(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	b.ms -= time.Hour.Milliseconds()
 	b.batch("k")
 	if b.NowMS() != 1_000_000 {
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -11,16 +11,16 @@
 
 var size = structs.Resources{CPUMilli: 1000, MemoryMB: 1024}
 
-// bed applies commands one by one and checks every invariant after each.
-type bed struct {
+// testbed applies commands one by one and checks every invariant after each.
+type testbed struct {
 	*testing.T
 	*Tables
 	next uint64
 	ms   int64
 }
 
-func newBed(t *testing.T) *bed {
-	b := &bed{T: t, Tables: New(), ms: 1_000_000}
+func newTestbed(t *testing.T) *testbed {
+	b := &testbed{T: t, Tables: New(), ms: 1_000_000}
 	res := b.do(&structs.Command{PutCatalogue: &structs.PutCatalogue{ChangeID: "first", Catalogue: baseCatalogue()}})
 	if res.Error != nil {
 		t.Fatal(res.Error)
@@ -39,7 +39,7 @@
 	}
 }
 
-func (b *bed) do(cmd *structs.Command) structs.Result {
+func (b *testbed) do(cmd *structs.Command) structs.Result {
 	b.Helper()
 	b.next++
 	cmd.Version, cmd.NowMS = structs.CommandVersion, b.ms
@@ -50,17 +50,17 @@
 	return res
 }
 
-func (b *bed) register(id structs.WorkerID, incarnation uint64, room int64) structs.Result {
+func (b *testbed) register(id structs.WorkerID, incarnation uint64, room int64) structs.Result {
 	b.Helper()
 	return b.do(&structs.Command{RegisterWorker: &structs.WorkerRegister{ID: id, Incarnation: incarnation, Domain: "d1", Capacity: size.Scale(room)}})
 }
 
-func (b *bed) submit(owner, key string, spec structs.JobSpec) structs.SubmitResult {
+func (b *testbed) submit(owner, key string, spec structs.JobSpec) structs.SubmitResult {
 	b.Helper()
 	return b.do(&structs.Command{SubmitJobs: &structs.SubmitJobs{Jobs: []structs.SubmitJob{{Owner: owner, Key: key, Spec: spec}}}}).Submits[0]
 }
 
-func (b *bed) batch(key string, edit ...func(*structs.JobSpec)) structs.TaskID {
+func (b *testbed) batch(key string, edit ...func(*structs.JobSpec)) structs.TaskID {
 	b.Helper()
 	spec := structs.JobSpec{Entry: "ea", Kind: structs.KindBatch, Payload: []byte("p")}
 	for _, e := range edit {
@@ -73,12 +73,12 @@
 	return structs.TaskID{Job: res.Job}
 }
 
-func (b *bed) assign(task structs.TaskID) bool {
+func (b *testbed) assign(task structs.TaskID) bool {
 	b.Helper()
 	return b.assignTo(task, "w1", size)
 }
 
-func (b *bed) assignTo(task structs.TaskID, w structs.WorkerID, reserved structs.Resources) bool {
+func (b *testbed) assignTo(task structs.TaskID, w structs.WorkerID, reserved structs.Resources) bool {
 	b.Helper()
 	incarnation := uint64(1)
 	if rec := b.Worker(w); rec != nil {
@@ -88,12 +88,12 @@
 	return b.do(&structs.Command{Plan: &structs.Plan{Assign: []structs.Assignment{a}}}).Dropped == 0
 }
 
-func (b *bed) ref(id structs.TaskID) structs.AttemptRef {
+func (b *testbed) ref(id structs.TaskID) structs.AttemptRef {
 	task := b.Task(id)
 	return structs.AttemptRef{Task: id, Attempt: task.Attempt, Epoch: task.Epoch}
 }
 
-func (b *bed) event(id structs.TaskID, kind structs.EventType, checkpoint string) structs.Result {
+func (b *testbed) event(id structs.TaskID, kind structs.EventType, checkpoint string) structs.Result {
 	b.Helper()
 	r := b.ref(id)
 	ev := structs.TaskEvent{Type: kind, Task: id, Attempt: r.Attempt, Epoch: r.Epoch, Checkpoint: checkpoint, Message: "m"}
@@ -101,17 +101,17 @@
 	return b.do(&structs.Command{WorkerEvents: &structs.WorkerEvents{Worker: w, Incarnation: b.Task(id).Incarnation, Events: []structs.TaskEvent{ev}}})
 }
 
-func (b *bed) evict(id structs.TaskID) bool {
+func (b *testbed) evict(id structs.TaskID) bool {
 	b.Helper()
 	return b.do(&structs.Command{Plan: &structs.Plan{Evict: []structs.Eviction{{Ref: b.ref(id)}}}}).Dropped == 0
 }
 
-func (b *bed) cancel(id structs.JobID) structs.Result {
+func (b *testbed) cancel(id structs.JobID) structs.Result {
 	b.Helper()
 	return b.do(&structs.Command{CancelJob: &structs.CancelJob{Owner: b.Job(id).Owner, Job: id}})
 }
 
-func (b *bed) lose(id structs.TaskID, neverStarted bool) {
+func (b *testbed) lose(id structs.TaskID, neverStarted bool) {
 	b.Helper()
 	r := b.ref(id)
 	r.NeverStarted = neverStarted
@@ -119,7 +119,7 @@
 	b.do(&structs.Command{EndAttempts: &structs.EndAttempts{Worker: task.Worker, Incarnation: task.Incarnation, Attempts: []structs.AttemptRef{r}}})
 }
 
-func (b *bed) wantStatus(id structs.TaskID, want structs.JobStatus) {
+func (b *testbed) wantStatus(id structs.TaskID, want structs.JobStatus) {
 	b.Helper()
 	if got := b.Task(id).Status; got != want {
 		b.Errorf("task %s: status %s, want %s", id, got, want)
@@ -133,7 +133,7 @@
 func TestAssignmentIsCheckedAgain(t *testing.T) {
 	tests := []struct {
 		name string
-		prep func(b *bed, task structs.TaskID)
+		prep func(b *testbed, task structs.TaskID)
 		to   structs.WorkerID
 		size structs.Resources
 		want bool
@@ -143,27 +143,27 @@
 		{name: "over capacity", size: size.Scale(3)},
 		{name: "negative", size: structs.Resources{CPUMilli: -1, MemoryMB: 1}},
 		{name: "nothing reserved", size: structs.Resources{MemoryMB: 0, CPUMilli: 0, Accelerators: 0}.Add(structs.Resources{CPUMilli: -0})},
-		{name: "already assigned", prep: func(b *bed, task structs.TaskID) { b.assign(task) }},
-		{name: "cancelled", prep: func(b *bed, task structs.TaskID) { b.cancel(task.Job) }},
-		{name: "domain out", prep: func(b *bed, _ structs.TaskID) {
+		{name: "already assigned", prep: func(b *testbed, task structs.TaskID) { b.assign(task) }},
+		{name: "cancelled", prep: func(b *testbed, task structs.TaskID) { b.cancel(task.Job) }},
+		{name: "domain out", prep: func(b *testbed, _ structs.TaskID) {
 			b.do(&structs.Command{SetDomain: &structs.SetDomain{ChangeID: "x", Domain: "d1", Out: true}})
 		}},
-		{name: "worker ended", prep: func(b *bed, _ structs.TaskID) {
+		{name: "worker ended", prep: func(b *testbed, _ structs.TaskID) {
 			b.do(&structs.Command{EndAttempts: &structs.EndAttempts{Worker: "w1", Incarnation: 1, WorkerDead: true}})
 		}},
-		{name: "evicting attempts count", prep: func(b *bed, _ structs.TaskID) {
+		{name: "evicting attempts count", prep: func(b *testbed, _ structs.TaskID) {
 			other := b.batch("other")
 			b.assignTo(other, "w1", size.Scale(2))
 			b.evict(other)
 		}},
-		{name: "quota counts other workers", prep: func(b *bed, _ structs.TaskID) {
+		{name: "quota counts other workers", prep: func(b *testbed, _ structs.TaskID) {
 			b.register("w2", 1, 9)
 			b.assignTo(b.batch("other"), "w2", size.Scale(3))
 		}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := newBed(t)
+			b := newTestbed(t)
 			task := b.batch("k")
 			if tt.prep != nil {
 				tt.prep(b, task)
@@ -184,7 +184,7 @@
 
 // Guards against an assignment to a former incarnation of a restarted worker.
 func TestAssignmentNeedsCurrentIncarnation(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	task := b.batch("k")
 	a := structs.Assignment{Task: task, Worker: "w1", Incarnation: 1, Reserved: size}
 	b.register("w1", 2, 2)
@@ -217,7 +217,7 @@
 			}
 		})
 	}
-	b := newBed(t)
+	b := newTestbed(t)
 	task := b.batch("k", func(s *structs.JobSpec) { s.Resources = need })
 	b.do(&structs.Command{RegisterWorker: &structs.WorkerRegister{ID: "w2", Incarnation: 1, Domain: "d1", Capacity: need}})
 	if b.assignTo(task, "w2", structs.Resources{CPUMilli: 1000, MemoryMB: 64}) || !b.assignTo(task, "w2", half) {
@@ -227,7 +227,7 @@
 
 // Guards against evicted work that is lost, resumed twice or resumed from the wrong place.
 func TestEvictedWorkResumesOnce(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	task := b.batch("k")
 	b.assign(task)
 	b.event(task, structs.EventStarted, "")
@@ -256,58 +256,62 @@
 
 // Guards against wrong ends of attempts: endless retries, lost outcomes, second runs of non-idempotent work.
 func TestAttemptEnds(t *testing.T) {
-	start := func(b *bed, id structs.TaskID) { b.assign(id); b.event(id, structs.EventStarted, "") }
+	start := func(b *testbed, id structs.TaskID) { b.assign(id); b.event(id, structs.EventStarted, "") }
 	tests := []struct {
 		name string
 		edit func(*structs.JobSpec)
-		run  func(b *bed, id structs.TaskID)
+		run  func(b *testbed, id structs.TaskID)
 		want structs.JobStatus
 	}{
-		{"lost is pending", nil, func(b *bed, id structs.TaskID) { start(b, id); b.lose(id, false) }, structs.StatusPending},
-		{"stopped is pending", nil, func(b *bed, id structs.TaskID) { start(b, id); b.event(id, structs.EventStopped, "") }, structs.StatusPending},
-		{"one failure is pending", nil, func(b *bed, id structs.TaskID) { start(b, id); b.event(id, structs.EventFailed, "") }, structs.StatusPending},
-		{"max failures", nil, func(b *bed, id structs.TaskID) {
+		{"lost is pending", nil, func(b *testbed, id structs.TaskID) { start(b, id); b.lose(id, false) }, structs.StatusPending},
+		{"stopped is pending", nil, func(b *testbed, id structs.TaskID) { start(b, id); b.event(id, structs.EventStopped, "") }, structs.StatusPending},
+		{"one failure is pending", nil, func(b *testbed, id structs.TaskID) { start(b, id); b.event(id, structs.EventFailed, "") }, structs.StatusPending},
+		{"max failures", nil, func(b *testbed, id structs.TaskID) {
 			for range 2 {
 				start(b, id)
 				b.event(id, structs.EventFailed, "")
 			}
 		}, structs.StatusFailed},
-		{"non-idempotent lost after start", nonIdempotent, func(b *bed, id structs.TaskID) { start(b, id); b.lose(id, false) }, structs.StatusUnknown},
-		{"non-idempotent lost, start perhaps sent", nonIdempotent, func(b *bed, id structs.TaskID) { b.assign(id); b.lose(id, false) }, structs.StatusUnknown},
-		{"non-idempotent lost, never started", nonIdempotent, func(b *bed, id structs.TaskID) { b.assign(id); b.lose(id, true) }, structs.StatusPending},
-		{"non-idempotent absent before start", nonIdempotent, func(b *bed, id structs.TaskID) { b.assign(id); b.event(id, structs.EventStopped, "") }, structs.StatusPending},
-		{"non-idempotent stopped while running", nonIdempotent, func(b *bed, id structs.TaskID) { start(b, id); b.event(id, structs.EventStopped, "") }, structs.StatusUnknown},
-		{"non-idempotent checkpointed without a name", nonIdempotent, func(b *bed, id structs.TaskID) { start(b, id); b.event(id, structs.EventCheckpointed, "") }, structs.StatusUnknown},
-		{"non-idempotent resumes from its checkpoint", nonIdempotent, func(b *bed, id structs.TaskID) { start(b, id); b.event(id, structs.EventCheckpointed, "c") }, structs.StatusPending},
-		{"non-idempotent failure is final", nonIdempotent, func(b *bed, id structs.TaskID) { start(b, id); b.event(id, structs.EventFailed, "") }, structs.StatusFailed},
-		{"non-idempotent, worker restarted", nonIdempotent, func(b *bed, id structs.TaskID) { start(b, id); b.register("w1", 2, 2) }, structs.StatusUnknown},
-		{"worker restarted", nil, func(b *bed, id structs.TaskID) { start(b, id); b.register("w1", 2, 2) }, structs.StatusPending},
-		{"service ends", service, func(b *bed, id structs.TaskID) { start(b, id); b.event(id, structs.EventFinished, "") }, structs.StatusPending},
-		{"service fails often", service, func(b *bed, id structs.TaskID) {
+		{"non-idempotent lost after start", nonIdempotent, func(b *testbed, id structs.TaskID) { start(b, id); b.lose(id, false) }, structs.StatusUnknown},
+		{"non-idempotent lost, start perhaps sent", nonIdempotent, func(b *testbed, id structs.TaskID) { b.assign(id); b.lose(id, false) }, structs.StatusUnknown},
+		{"non-idempotent lost, never started", nonIdempotent, func(b *testbed, id structs.TaskID) { b.assign(id); b.lose(id, true) }, structs.StatusPending},
+		{"non-idempotent absent before start", nonIdempotent, func(b *testbed, id structs.TaskID) { b.assign(id); b.event(id, structs.EventStopped, "") }, structs.StatusPending},
+		{"non-idempotent stopped while running", nonIdempotent, func(b *testbed, id structs.TaskID) { start(b, id); b.event(id, structs.EventStopped, "") }, structs.StatusUnknown},
+		{"non-idempotent checkpointed without a name", nonIdempotent, func(b *testbed, id structs.TaskID) { start(b, id); b.event(id, structs.EventCheckpointed, "") }, structs.StatusUnknown},
+		{"non-idempotent resumes from its checkpoint", nonIdempotent, func(b *testbed, id structs.TaskID) { start(b, id); b.event(id, structs.EventCheckpointed, "c") }, structs.StatusPending},
+		{"non-idempotent failure is final", nonIdempotent, func(b *testbed, id structs.TaskID) { start(b, id); b.event(id, structs.EventFailed, "") }, structs.StatusFailed},
+		{"non-idempotent, worker restarted", nonIdempotent, func(b *testbed, id structs.TaskID) { start(b, id); b.register("w1", 2, 2) }, structs.StatusUnknown},
+		{"worker restarted", nil, func(b *testbed, id structs.TaskID) { start(b, id); b.register("w1", 2, 2) }, structs.StatusPending},
+		{"service ends", service, func(b *testbed, id structs.TaskID) { start(b, id); b.event(id, structs.EventFinished, "") }, structs.StatusPending},
+		{"service fails often", service, func(b *testbed, id structs.TaskID) {
 			for range 9 {
 				start(b, id)
 				b.event(id, structs.EventFailed, "")
 			}
 		}, structs.StatusPending},
-		{"cancelled while pending", nil, func(b *bed, id structs.TaskID) { b.cancel(id.Job) }, structs.StatusCancelled},
-		{"cancelled and stopped", nil, func(b *bed, id structs.TaskID) { start(b, id); b.cancel(id.Job); b.event(id, structs.EventStopped, "") }, structs.StatusCancelled},
-		{"cancelled while evicting", nil, func(b *bed, id structs.TaskID) {
+		{"cancelled while pending", nil, func(b *testbed, id structs.TaskID) { b.cancel(id.Job) }, structs.StatusCancelled},
+		{"cancelled and stopped", nil, func(b *testbed, id structs.TaskID) {
+			start(b, id)
+			b.cancel(id.Job)
+			b.event(id, structs.EventStopped, "")
+		}, structs.StatusCancelled},
+		{"cancelled while evicting", nil, func(b *testbed, id structs.TaskID) {
 			start(b, id)
 			b.evict(id)
 			b.cancel(id.Job)
 			b.event(id, structs.EventCheckpointed, "c")
 		}, structs.StatusCancelled},
-		{"cancelled and lost", service, func(b *bed, id structs.TaskID) { start(b, id); b.cancel(id.Job); b.lose(id, false) }, structs.StatusCancelled},
-		{"cancelled but finished", nil, func(b *bed, id structs.TaskID) {
+		{"cancelled and lost", service, func(b *testbed, id structs.TaskID) { start(b, id); b.cancel(id.Job); b.lose(id, false) }, structs.StatusCancelled},
+		{"cancelled but finished", nil, func(b *testbed, id structs.TaskID) {
 			start(b, id)
 			b.cancel(id.Job)
 			b.event(id, structs.EventFinished, "")
 		}, structs.StatusDone},
-		{"cancelled service waits for its stop", service, func(b *bed, id structs.TaskID) { start(b, id); b.cancel(id.Job) }, structs.StatusRunning},
+		{"cancelled service waits for its stop", service, func(b *testbed, id structs.TaskID) { start(b, id); b.cancel(id.Job) }, structs.StatusRunning},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			b := newBed(t)
+			b := newTestbed(t)
 			var edits []func(*structs.JobSpec)
 			if tt.edit != nil {
 				edits = append(edits, tt.edit)
@@ -325,7 +329,7 @@
 // Guards against replicas that differ after a restart from a snapshot, and
 // against reading a snapshot of another format.
 func TestSnapshotKeepsTheTables(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	done, lost := b.batch("k1"), b.batch("k2", nonIdempotent)
 	b.assign(done)
 	b.event(done, structs.EventFinished, "")
@@ -357,7 +361,7 @@
 
 // Guards against a snapshot that changes while it is encoded.
 func TestForkIsNotChangedLater(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	done, run := b.batch("done"), b.batch("run")
 	b.assign(done)
 	b.event(done, structs.EventFinished, "")
@@ -378,7 +382,7 @@
 
 // Guards against a replica that applies commands of a newer format by guess.
 func TestNewerCommandIsRefused(t *testing.T) {
-	b := newBed(t)
+	b := newTestbed(t)
 	res := b.Apply(99, &structs.Command{Version: structs.CommandVersion + 1, Expire: &structs.Expire{}})
 	if res.Error == nil || res.Error.Code != structs.CodeVersionMismatch || b.Index() == 99 {
 		t.Errorf("result = %+v at index %d", res, b.Index())
--- a/host/localcluster/address_test.go
+++ b/host/localcluster/address_test.go
@@ -10,7 +10,7 @@
 // Guards against a replica that is lost to the others when its settings give
 // it another address.
 func TestReplicaMovesToAnotherAddress(t *testing.T) {
-	b := newBed(t, 3, 0)
+	b := newTestbed(t, 3, 0)
 	cl := b.Client()
 	b.put(cl)
 	leader := b.leader()
--- a/host/localcluster/cluster_test.go
+++ b/host/localcluster/cluster_test.go
@@ -15,19 +15,19 @@
 // testLimit ends a test that hangs; no verdict depends on it.
 const testLimit = 2 * time.Minute
 
-// bed is a cluster whose failures end the test.
-type bed struct {
+// testbed is a cluster whose failures end the test.
+type testbed struct {
 	*Cluster
 	t   *testing.T
 	ctx context.Context
 }
 
-func newBed(t *testing.T, control, entry int) *bed {
+func newTestbed(t *testing.T, control, entry int) *testbed {
 	t.Helper()
 	return newBedWith(t, Options{Control: control, Entry: entry})
 }
 
-func newBedWith(t *testing.T, o Options) *bed {
+func newBedWith(t *testing.T, o Options) *testbed {
 	t.Helper()
 	log := zerolog.New(zerolog.NewTestWriter(t)).Level(zerolog.WarnLevel)
 	o.Folder, o.SnapshotEntries, o.Log = t.TempDir(), 200, log
@@ -38,10 +38,10 @@
 	t.Cleanup(c.Close)
 	ctx, cancel := context.WithTimeout(context.Background(), testLimit)
 	t.Cleanup(cancel)
-	return &bed{c, t, ctx}
+	return &testbed{c, t, ctx}
 }
 
-func (b *bed) leader() int {
+func (b *testbed) leader() int {
 	b.t.Helper()
 	i, err := b.Leader(b.ctx)
 	if err != nil {
@@ -50,7 +50,7 @@
 	return i
 }
 
-func (b *bed) start(i int) {
+func (b *testbed) start(i int) {
 	b.t.Helper()
 	if err := b.StartHost(i); err != nil {
 		b.t.Fatal(err)
@@ -58,7 +58,7 @@
 }
 
 // put puts the catalogue in force.
-func (b *bed) put(cl *rpc.Client) {
+func (b *testbed) put(cl *rpc.Client) {
 	b.t.Helper()
 	put := &structs.PutCatalogue{ChangeID: "first", Catalogue: Catalogue()}
 	res := ask(b, func() (*structs.ChangeResult, error) { return cl.ApplyCatalogue(b.ctx, put) })
@@ -68,7 +68,7 @@
 }
 
 // ask repeats a call until it is answered.
-func ask[R any](b *bed, fn func() (R, error)) R {
+func ask[R any](b *testbed, fn func() (R, error)) R {
 	for {
 		r, err := fn()
 		if err == nil {
@@ -82,7 +82,7 @@
 }
 
 // finished waits until the job has finished.
-func (b *bed) finished(cl *rpc.Client, id structs.JobID) *structs.JobView {
+func (b *testbed) finished(cl *rpc.Client, id structs.JobID) *structs.JobView {
 	for {
 		view := ask(b, func() (*structs.JobView, error) {
 			return cl.GetJob(b.ctx, rpc.GetJob{Owner: "dev", Job: id, WaitMS: 1000})
--- a/host/localcluster/domain_test.go
+++ b/host/localcluster/domain_test.go
@@ -21,14 +21,14 @@
 // that is cut off from all control hosts.
 func TestNoStartThroughCutOffHost(t *testing.T) {
 	t.Run("leader", func(t *testing.T) {
-		b := newBed(t, 3, 0)
+		b := newTestbed(t, 3, 0)
 		noStartThrough(b, b.Settings, func() func(bool) {
 			leader := b.leader()
 			return func(on bool) { b.Cut(leader, on) }
 		})
 	})
 	t.Run("entry host", func(t *testing.T) {
-		b := newBed(t, 3, 1)
+		b := newTestbed(t, 3, 1)
 		cut := b.behindRelays(3)
 		noStartThrough(b, b.Settings[3:], func() func(bool) { return cut })
 	})
@@ -36,7 +36,7 @@
 
 // noStartThrough runs work on workers that use the given hosts, cuts a host off
 // and takes all domains out.
-func noStartThrough(b *bed, hosts []*config.Settings, choose func() (cut func(bool))) {
+func noStartThrough(b *testbed, hosts []*config.Settings, choose func() (cut func(bool))) {
 	t := b.t
 	cl := b.Client()
 	b.put(cl)
@@ -91,7 +91,7 @@
 // Guards against a graceful stop of a whole host, the leader, that cuts off
 // requests in flight on it or on other hosts, with and without a key.
 func TestDrainOfLeaderCutsOffNoRequest(t *testing.T) {
-	b := newBed(t, 3, 0)
+	b := newTestbed(t, 3, 0)
 	cl := b.Client()
 	put := &structs.PutCatalogue{ChangeID: "first", Catalogue: runCatalogue()}
 	ask(b, func() (*structs.ChangeResult, error) { return cl.ApplyCatalogue(b.ctx, put) })
--- a/host/localcluster/history_test.go
+++ b/host/localcluster/history_test.go
@@ -99,7 +99,7 @@
 // cut off from the other replicas, though still reachable for clients, and
 // while leaders are killed.
 func TestHistoryIsLinearizable(t *testing.T) {
-	b := newBed(t, 3, 0)
+	b := newTestbed(t, 3, 0)
 	b.leader()
 	h := &historian{start: time.Now()}
 	stop := make(chan struct{})
@@ -132,7 +132,7 @@
 
 // runClient mixes reads, edits on the version last seen, and submissions of
 // keys that it shares with the other clients.
-func runClient(b *bed, cl *rpc.Client, h *historian, n int, readOnly bool, stop chan struct{}) {
+func runClient(b *testbed, cl *rpc.Client, h *historian, n int, readOnly bool, stop chan struct{}) {
 	var version uint64
 	for i := 0; ; i++ {
 		select {
--- a/host/localcluster/loss_test.go
+++ b/host/localcluster/loss_test.go
@@ -14,7 +14,7 @@
 // it is answered.
 func TestLeaderLossDuringSubmits(t *testing.T) {
 	const clients, jobsEach, edits = 6, 15, 12
-	b := newBed(t, 3, 0)
+	b := newTestbed(t, 3, 0)
 	b.put(b.Client())
 	b.Workers(6)
 
@@ -64,7 +64,7 @@
 }
 
 // editCatalogue makes edits one after the other and returns the last version.
-func editCatalogue(b *bed, cl *rpc.Client, edits int) uint64 {
+func editCatalogue(b *testbed, cl *rpc.Client, edits int) uint64 {
 	version := uint64(1)
 	for i := range edits {
 		put := &structs.PutCatalogue{ChangeID: fmt.Sprintf("edit-%d", i), BaseVersion: version, Catalogue: Catalogue()}
@@ -84,7 +84,7 @@
 }
 
 // checkJobs requires one finished job per key, each run once.
-func checkJobs(b *bed, ids map[string]map[structs.JobID]bool, want int) {
+func checkJobs(b *testbed, ids map[string]map[structs.JobID]bool, want int) {
 	b.t.Helper()
 	cl := b.Client()
 	seen := map[structs.JobID]string{}
--- a/host/localcluster/partition_test.go
+++ b/host/localcluster/partition_test.go
@@ -30,7 +30,7 @@
 }
 
 // upstream announces an upstream with the handler until the test ends.
-func (b *bed) upstream(name, domain string, handler http.HandlerFunc) {
+func (b *testbed) upstream(name, domain string, handler http.HandlerFunc) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		b.t.Fatal(err)
@@ -53,7 +53,7 @@
 }
 
 // run sends one request through an entry host.
-func (b *bed) run(host int, key string) (int, structs.ErrorBody) {
+func (b *testbed) run(host int, key string) (int, structs.ErrorBody) {
 	var refused structs.ErrorBody
 	req, err := http.NewRequestWithContext(b.ctx, http.MethodPost, "http://"+b.Settings[host].Listeners.Caller.Address+"/v1/run/echo/", strings.NewReader("hello"))
 	if err != nil {
@@ -80,7 +80,7 @@
 }
 
 // until waits for a condition.
-func (b *bed) until(what string, cond func() bool) {
+func (b *testbed) until(what string, cond func() bool) {
 	b.t.Helper()
 	for !cond() {
 		if err := Pause(b.ctx); err != nil {
@@ -97,7 +97,7 @@
 	conns  []net.Conn
 }
 
-func newRelay(b *bed, listen, target string) *relay {
+func newRelay(b *testbed, listen, target string) *relay {
 	l, err := net.Listen("tcp", listen)
 	if err != nil {
 		b.t.Fatal(err)
@@ -149,7 +149,7 @@
 
 // behindRelays restarts an entry host so that it reaches the control hosts
 // through relays, and returns the function that cuts them.
-func (b *bed) behindRelays(host int) func(cut bool) {
+func (b *testbed) behindRelays(host int) func(cut bool) {
 	b.Kill(host)
 	s := b.Settings[host]
 	s.Hosts = append([]config.Host(nil), s.Hosts...)
@@ -171,7 +171,7 @@
 }
 
 // inForce waits until the change is in force on every entry host.
-func (b *bed) inForce(cl *rpc.Client, id string) {
+func (b *testbed) inForce(cl *rpc.Client, id string) {
 	b.t.Helper()
 	b.until("change "+id+" in force", func() bool {
 		st, err := cl.Change(b.ctx, id)
@@ -184,7 +184,7 @@
 // change is reported in force everywhere, and against a change that reverts
 // when the host returns or the leader is lost.
 func TestCutOffEntryHostRefusesWork(t *testing.T) {
-	b := newBed(t, 3, 1)
+	b := newTestbed(t, 3, 1)
 	const host = 3
 	cut := b.behindRelays(host)
 	cl := b.Client()
--- a/host/localcluster/repair_test.go
+++ b/host/localcluster/repair_test.go
@@ -9,7 +9,7 @@
 )
 
 // members makes a change of the members, repeated while it is refused for now.
-func (b *bed) members(cl *rpc.Client, req structs.MemberRequest) {
+func (b *testbed) members(cl *rpc.Client, req structs.MemberRequest) {
 	b.t.Helper()
 	ask(b, func() (bool, error) { return true, cl.MemberChange(b.ctx, req) })
 }
@@ -17,7 +17,7 @@
 // Guards against a repair that leaves the group unable to lose another host:
 // a host whose disk is gone is replaced under a new id, and the next loss follows at once.
 func TestSecondLossAfterRepair(t *testing.T) {
-	b := newBed(t, 3, 0)
+	b := newTestbed(t, 3, 0)
 	cl := b.Client()
 	b.put(cl)
 	lost := (b.leader() + 1) % 3
@@ -54,7 +54,7 @@
 // is cut off: the worker stops it at the end of its lease, and only later does
 // it resume elsewhere.
 func TestCutOffWorkerLosesItsTasks(t *testing.T) {
-	b := newBed(t, 1, 0)
+	b := newTestbed(t, 1, 0)
 	cl := b.Client()
 	b.put(cl)
 	workers := b.Workers(2)
--- a/host/localcluster/restart_test.go
+++ b/host/localcluster/restart_test.go
@@ -11,7 +11,7 @@
 // leader was sending, and the log that it misses has been truncated since.
 func TestReplicaCatchesUpBySnapshot(t *testing.T) {
 	const changes = 700 // several snapshots of 200 entries
-	b := newBed(t, 3, 0)
+	b := newTestbed(t, 3, 0)
 	cl := b.Client()
 	b.put(cl)
 	leader := b.leader()
