Follow requests and tasks through the logs by their ids

Cause: log lines of one request named no id that the caller, the entry host and the upstream share, and control hosts logged nothing of single tasks. Every caller request now has an X-Request-Id, kept if the caller sent a plain one, answered, passed to the upstream and logged; control hosts log assignments, evictions and worker events of each task at level debug.

Tested: TestRequestID; it was not run against a broken version.

--- a/host/control/host.go
+++ b/host/control/host.go
@@ -62,6 +62,7 @@
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.metrics = newMetrics(cfg.Registry, h)
 	h.machine.applied = h.metrics.applied
+	h.machine.log = cfg.Log
 	cfg.Replica.StateMachine = h.machine
 	rep, err := replica.Open(cfg.Replica)
 	if err != nil {
--- a/host/control/machine.go
+++ b/host/control/machine.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
 
 	"gooseberrypond/core/leader"
 	"gooseberrypond/core/state"
@@ -32,6 +33,7 @@
 	// changed is closed and replaced when the catalogue or a domain changes.
 	changed chan struct{}
 	recent  []decision
+	log     zerolog.Logger
 	applied func(cmd *structs.Command, res *structs.Result, took time.Duration)
 }
 
@@ -56,6 +58,7 @@
 		workers: map[structs.WorkerID]*poll{},
 		jobs:    map[structs.JobID]map[chan struct{}]bool{},
 		changed: make(chan struct{}),
+		log:     zerolog.Nop(),
 		applied: func(*structs.Command, *structs.Result, time.Duration) {},
 	}
 }
@@ -89,10 +92,33 @@
 		m.wakeWatches()
 	}
 	m.wake(touched)
+	m.trace(cmd)
 	m.applied(cmd, &res, time.Since(start))
 	return res
 }
 
+// trace logs what a command did to single tasks, so that one can be followed
+// over hosts. It costs nothing unless the level is debug.
+func (m *machine) trace(cmd *structs.Command) {
+	if m.log.GetLevel() > zerolog.DebugLevel {
+		return
+	}
+	if cmd.Plan != nil {
+		for _, a := range cmd.Plan.Assign {
+			m.log.Debug().Stringer("task", a.Task).Str("worker", string(a.Worker)).Str("reason", a.Reason).Msg("task assigned")
+		}
+		for _, e := range cmd.Plan.Evict {
+			m.log.Debug().Stringer("task", e.Ref.Task).Int64("attempt", e.Ref.Attempt).Str("reason", e.Reason).Msg("task evicted")
+		}
+	}
+	if cmd.WorkerEvents != nil {
+		for _, ev := range cmd.WorkerEvents.Events {
+			m.log.Debug().Stringer("task", ev.Task).Int64("attempt", ev.Attempt).Str("event", string(ev.Type)).
+				Str("worker", string(cmd.WorkerEvents.Worker)).Msg("task event")
+		}
+	}
+}
+
 // Snapshot implements replica.StateMachine.
 func (m *machine) Snapshot() ([]byte, error) { return m.Fork()() }
 
--- a/host/edge/caller/caller.go
+++ b/host/edge/caller/caller.go
@@ -13,8 +13,10 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"errors"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -95,22 +97,42 @@
 // authenticated finds the owner of the request's token and answers errors.
 func (s *server) authenticated(next owned) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		id := identify(w, r)
 		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
 		if !ok || token == "" {
 			web.WriteError(w, structs.Errorf(structs.CodeUnauthorized, "caller", "a bearer token is needed").WithOutcome(structs.OutcomeNotRun))
 			return
 		}
+		begun := time.Now()
 		owner, err := s.entry.Authenticate(token)
 		if err == nil {
 			err = next(w, r, owner)
 		}
+		log := s.opts.Log.Debug().Str("request", id).Str("owner", owner).Str("method", r.Method).Str("path", r.URL.Path).Dur("took", time.Since(begun))
 		if err != nil {
-			s.opts.Log.Debug().Err(err).Str("owner", owner).Str("method", r.Method).Msg("request refused")
+			log.Err(err).Msg("request refused")
 			web.WriteError(w, certain(err))
+			return
 		}
+		log.Msg("request answered")
 	})
 }
 
+// requestIDRule is what a caller's own request id may look like.
+var requestIDRule = regexp.MustCompile(`^[A-Za-z0-9._:-]{1,128}$`)
+
+// identify gives the request an id, by which logs and the upstream know it. A
+// caller's own id is kept; one that logs could not hold safely is replaced.
+func identify(w http.ResponseWriter, r *http.Request) string {
+	id := r.Header.Get(entry.HeaderRequestID)
+	if !requestIDRule.MatchString(id) {
+		id = rand.Text()
+		r.Header.Set(entry.HeaderRequestID, id)
+	}
+	w.Header().Set(entry.HeaderRequestID, id)
+	return id
+}
+
 // certain sets the outcome of errors that leave it open.
 func certain(err error) error {
 	var e *structs.Error
--- a/host/edge/caller/caller_test.go
+++ b/host/edge/caller/caller_test.go
@@ -161,3 +161,38 @@
 		}
 	}
 }
+
+// Guards against requests that cannot be followed from the caller through the
+// logs to the upstream, and against ids that would spoil the logs.
+func TestRequestID(t *testing.T) {
+	tests := []struct {
+		name, sent string
+		kept       bool
+	}{
+		{"caller's own", "visit-17", true},
+		{"none", "", false},
+		{"line break and more", "a b\"c", false},
+		{"too long", strings.Repeat("x", 129), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := &fake{}
+			var logs strings.Builder
+			h := Handler(f, f, Options{Log: zerolog.New(&logs)})
+			r := httptest.NewRequest(http.MethodGet, "/v1/run/book/x", nil)
+			r.Header.Set("Authorization", "Bearer a-token")
+			if tt.sent != "" {
+				r.Header.Set(entry.HeaderRequestID, tt.sent)
+			}
+			w := httptest.NewRecorder()
+			h.ServeHTTP(w, r)
+			id := w.Header().Get(entry.HeaderRequestID)
+			if id == "" || (id == tt.sent) != tt.kept {
+				t.Errorf("answered with id %q, sent %q", id, tt.sent)
+			}
+			if f.req.Header.Get(entry.HeaderRequestID) != id || !strings.Contains(logs.String(), `"request":"`+id+`"`) {
+				t.Errorf("id %q is not passed on or logged: %s", id, logs.String())
+			}
+		})
+	}
+}
--- a/host/entry/header.go
+++ b/host/entry/header.go
@@ -13,6 +13,8 @@
 	HeaderIdempotent = "X-Idempotent"
 	// HeaderReplayed marks an answer that was recorded earlier.
 	HeaderReplayed = "Idempotent-Replayed"
+	// HeaderRequestID names the request in logs and at the upstream.
+	HeaderRequestID = "X-Request-Id"
 )
 
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -131,7 +131,7 @@
 	ans, outcome, err := h.exchange(ctx, cancel, d, f.req)
 	if err != nil {
 		cancel()
-		h.logFailure(d, err)
+		h.logFailure(f.req, d, err)
 		h.done(d.Ticket, outcome)
 		return
 	}
@@ -143,8 +143,8 @@
 	f.result <- result{ticket: d.Ticket, deadline: d.Deadline, ans: ans}
 }
 
-func (h *Host) logFailure(d route.Decision, err error) {
-	h.cfg.Log.Debug().Err(err).Str("step", "exchange").Str("upstream", d.Upstream.Name).Str("address", d.Upstream.Address).Msg("attempt failed")
+func (h *Host) logFailure(req *Request, d route.Decision, err error) {
+	h.cfg.Log.Debug().Err(err).Str("request", req.Header.Get(HeaderRequestID)).Str("step", "exchange").Str("upstream", d.Upstream.Name).Str("address", d.Upstream.Address).Msg("attempt failed")
 }
 
 // commit reports whether the attempt's answer is the one to pass on.
