Say what a skipped action means in the random tests

Cause: Skip of rapid.T reads like a skipped test; it makes rapid draw another action where the drawn one has nothing to act on.

Measured: the tests of core/grant and core/route pass.

Conclusion: no check changed.

--- a/core/grant/machine_test.go
+++ b/core/grant/machine_test.go
@@ -184,6 +184,7 @@
 
 func pick[T any](t *rapid.T, list []T, label string) int {
 	if len(list) == 0 {
+		// rapid draws another action instead; the test itself goes on.
 		t.Skip("nothing to choose from")
 	}
 	return rapid.IntRange(0, len(list)-1).Draw(t, label)
--- a/core/route/machine_test.go
+++ b/core/route/machine_test.go
@@ -279,6 +279,7 @@
 		list = append(list, k)
 	}
 	if len(list) == 0 {
+		// rapid draws another action instead; the test itself goes on.
 		t.Skip("nothing in flight")
 	}
 	slices.Sort(list)
