--- /dev/null
+++ b/core/dispatch/hold.go
@@ -0,0 +1,229 @@
+package dispatch
+
+import (
+	"time"
+
+	"gooseberrypond/core/graph"
+)
+
+// NextHold returns the next call to a worker. If it is not time yet, wait says
+// for how long; it is cut short by Woken. ok is false once the worker is gone.
+func (c *Core) NextHold(now time.Time, h graph.Handle) (hold Hold, wait time.Duration, ok bool) {
+	ws := c.workers[h]
+	if ws == nil || c.t.Worker(h) == nil {
+		return Hold{}, 0, false
+	}
+	if now.Before(ws.nextHold) {
+		return Hold{}, ws.nextHold.Sub(now), true
+	}
+	if ws.listed > ws.ack && now.Sub(ws.listedAt) < commitWait {
+		return Hold{}, commitWait - now.Sub(ws.listedAt), true
+	}
+	return c.hold(now, ws, HoldWait), 0, true
+}
+
+func (c *Core) hold(now time.Time, ws *workerState, wait time.Duration) Hold {
+	if !ws.fenced {
+		wait = 0
+	}
+	return Hold{
+		Target: ws.target(), AckCursor: ws.ack,
+		DeadlineMS: ws.nextDeadline(now, c.limits.LeaseMax), WaitMS: wait.Milliseconds(),
+	}
+}
+
+func (ws *workerState) target() Target {
+	return Target{Worker: ws.w.Handle, ID: ws.w.ID, Address: ws.w.Address, Token: ws.token}
+}
+
+// NeedsCall reports whether a wait given by NextHold may be cut short.
+func (c *Core) NeedsCall(now time.Time, h graph.Handle) bool {
+	ws := c.workers[h]
+	return ws == nil || (ws.listed <= ws.ack && !now.Before(ws.nextHold))
+}
+
+// Looks returns calls that ask for a worker's lists at once, beside the one
+// that waits for an end.
+func (c *Core) Looks(now time.Time) []Hold {
+	var out []Hold
+	for _, ws := range c.workers {
+		if !ws.look || now.Before(ws.lookAt) || ws.suspect {
+			continue
+		}
+		ws.look = false
+		out = append(out, c.hold(now, ws, 0))
+	}
+	return out
+}
+
+// HoldFailed notes a call without an answer.
+func (c *Core) HoldFailed(now time.Time, hold Hold) {
+	ws := c.workers[hold.Worker]
+	if ws == nil {
+		return
+	}
+	ws.suspect = true
+	ws.failedCalls++
+	ws.nextHold = now.Add(min(holdRetry<<min(ws.failedCalls-1, 8), holdRetryMax))
+}
+
+// HoldDone takes the answer to a call that was sent at sent.
+func (c *Core) HoldDone(now, sent time.Time, hold Hold, reply *HoldReply) {
+	ws := c.workers[hold.Worker]
+	if ws == nil {
+		return
+	}
+	if reply.Born > 0 && reply.Born != ws.w.Born {
+		c.HoldFailed(now, hold) // another life; its own report will register it
+		return
+	}
+	ws.answered(now, reply.ClockMS)
+	ws.nextHold = now
+	first := !ws.fenced
+	ws.fenced = true
+	running := make(map[*graph.Attempt]bool, len(reply.Running))
+	for i := range reply.Running {
+		c.seeRunning(now, ws, &reply.Running[i], running)
+	}
+	finished := c.seeFinished(now, ws, reply)
+	if len(reply.Finished) < MaxFinishedRows {
+		c.seeMissing(sent, ws, running, finished)
+	}
+	if first {
+		c.settlePredecessors(ws, reply)
+	}
+	c.adjustPace(now, ws)
+}
+
+// seeRunning takes a run that the worker lists. One that the tables do not
+// know was ordered long ago and carried out late: it is stopped.
+func (c *Core) seeRunning(now time.Time, ws *workerState, row *RunningRow, running map[*graph.Attempt]bool) {
+	a := c.t.Attempt(row.Task, row.Run)
+	if a == nil || a.Worker != ws.w {
+		c.stopStray(ws, row)
+		return
+	}
+	r := ws.runs[a]
+	if r == nil {
+		return
+	}
+	running[a] = true
+	r.seen = true
+	r.percent, r.measure = row.Percent, row.Measure
+	if row.Checkpoint != "" {
+		r.checkpoint = row.Checkpoint
+	}
+	if !a.Wanted() || r.giveUp {
+		c.openRun(r)
+	}
+}
+
+// stopStray orders a stop of a run that has no attempt on this worker.
+func (c *Core) stopStray(ws *workerState, row *RunningRow) {
+	for _, r := range c.openRuns {
+		if r.ws == ws && r.a.Run == row.Run && r.a.Ref() == row.Task {
+			return
+		}
+	}
+	step, task := c.strayStep(row.Task)
+	if task == nil {
+		return
+	}
+	c.openRun(&runState{a: &graph.Attempt{Step: step, Index: row.Task.Index, Run: row.Run, Worker: ws.w}, ws: ws, giveUp: true, seen: true})
+}
+
+func (c *Core) strayStep(ref graph.TaskRef) (*graph.StepState, *graph.Task) {
+	j := c.t.Job(ref.Job)
+	if j == nil {
+		return nil, nil
+	}
+	for _, o := range j.Occurrences {
+		if o.Number == ref.Occurrence && ref.Step < len(o.Steps) && ref.Index < len(o.Steps[ref.Step].Tasks) {
+			return o.Steps[ref.Step], &o.Steps[ref.Step].Tasks[ref.Index]
+		}
+	}
+	return nil, nil
+}
+
+// seeFinished queues the ends that are to be recorded and returns the attempts
+// that the answer lists as ended.
+func (c *Core) seeFinished(now time.Time, ws *workerState, reply *HoldReply) map[*graph.Attempt]bool {
+	if len(reply.Finished) == 0 {
+		return nil
+	}
+	finished := make(map[*graph.Attempt]bool, len(reply.Finished))
+	last, queued := ws.listed, false
+	for i := range reply.Finished {
+		row := &reply.Finished[i]
+		last = max(last, row.N)
+		a := c.t.Attempt(row.Task, row.Run)
+		if a == nil || a.Worker != ws.w {
+			continue
+		}
+		finished[a] = true
+		queued = true
+		r := ws.runs[a]
+		if r == nil || r.ending {
+			continue
+		}
+		r.ending = true
+		c.Stats.Ends++
+		ws.noteEnd(now, row.Kind, a.Task())
+		checkpoint := row.Checkpoint
+		if checkpoint == "" {
+			checkpoint = r.checkpoint
+		}
+		c.ends = append(c.ends, graph.End{Task: row.Task, Run: row.Run, Worker: ws.w.Handle, Kind: row.Kind, Checkpoint: checkpoint})
+	}
+	if last > ws.listed {
+		ws.listed, ws.listedAt = last, now
+	}
+	if !queued {
+		ws.ack = ws.listed // nothing to be recorded
+	}
+	return finished
+}
+
+// seeMissing settles the runs that the worker does not list, in an answer to a
+// call sent at sent.
+func (c *Core) seeMissing(sent time.Time, ws *workerState, running, finished map[*graph.Attempt]bool) {
+	for a, r := range ws.runs {
+		if running[a] || finished[a] || r.ending {
+			continue
+		}
+		switch {
+		case r.inherited:
+			c.release(r) // the fencing token of this call shut out its start
+		case !r.stoppedAt.IsZero() && sent.After(r.stoppedAt):
+			c.release(r)
+		case !r.answeredAt.IsZero() && sent.After(r.answeredAt):
+			r.giveUp = true // it was started and is gone without an end
+			c.openRun(r)
+		}
+	}
+}
+
+// settlePredecessors releases what ran on earlier lives of the worker: this
+// life has answered, and obeys no order that was meant for them. A run that one
+// of those orders started here all the same is stopped before its task is free.
+func (c *Core) settlePredecessors(ws *workerState, reply *HoldReply) {
+	for _, old := range c.workers {
+		if old == ws || old.w.ID != ws.w.ID || old.w.Born >= ws.w.Born {
+			continue
+		}
+		for a, r := range old.runs {
+			if !lists(reply, a) {
+				c.release(r)
+			}
+		}
+	}
+}
+
+func lists(reply *HoldReply, a *graph.Attempt) bool {
+	for i := range reply.Running {
+		if reply.Running[i].Run == a.Run && reply.Running[i].Task == a.Ref() {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/dispatch/place.go
@@ -0,0 +1,262 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gooseberrypond/core/graph"
+	"gooseberrypond/core/structs"
+)
+
+// candidate is a worker that may get new work in this plan.
+type candidate struct {
+	ws   *workerState
+	free structs.Resources
+	// spareMilli is the processor time that neither reservations nor fillers take.
+	spareMilli int64
+	// serving is set if a task with a tail target runs there.
+	serving bool
+	fillers int
+}
+
+// ranked is a step with waiting tasks and its place in the order of starts.
+type ranked struct {
+	step     *graph.StepState
+	priority int
+	missed   bool
+	dueMS    int64
+}
+
+// place chooses workers for the waiting tasks, the most urgent first.
+func (c *Core) place(now time.Time, nowMS int64) []graph.Start {
+	steps := rank(c.t.Waiting(), nowMS)
+	c.Stats.Waiting = len(steps)
+	if len(steps) == 0 {
+		return nil
+	}
+	pools := c.candidates(now)
+	p := &placer{nowMS: nowMS, perStep: map[graph.Handle]int{}}
+	for i := range steps {
+		if len(p.starts) >= maxStarts {
+			break
+		}
+		s := steps[i].step
+		q := &s.Occurrence.Job.Queue
+		p.placeStep(s, pools[q.Pool])
+	}
+	return p.starts
+}
+
+// rank orders steps by priority, then by when their job should be completed;
+// those that have missed that come after the others of their priority.
+func rank(steps []*graph.StepState, nowMS int64) []ranked {
+	out := make([]ranked, len(steps))
+	for i, s := range steps {
+		o := s.Occurrence
+		due := o.DueMS + objectiveMS(o.Job)
+		out[i] = ranked{step: s, priority: o.Job.Queue.Priority, missed: due < nowMS, dueMS: due}
+	}
+	slices.SortStableFunc(out, func(a, b ranked) int {
+		if c := cmp.Compare(a.priority, b.priority); c != 0 {
+			return c
+		}
+		if a.missed != b.missed {
+			if a.missed {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Compare(a.dueMS, b.dueMS)
+	})
+	return out
+}
+
+// objectiveMS returns how long a job may take, by the caller's estimates.
+func objectiveMS(j *graph.Job) int64 {
+	ends := make([]int64, len(j.Spec.Steps))
+	var chain int64
+	for i := range j.Spec.Steps {
+		s := &j.Spec.Steps[i]
+		for _, d := range s.DependsOn {
+			ends[i] = max(ends[i], ends[d])
+		}
+		ends[i] += s.EstimateMS
+		chain = max(chain, ends[i])
+	}
+	return int64(j.Queue.DeadlineFactor*float64(chain)) + j.Queue.TargetLatencyMS
+}
+
+// candidates returns the usable workers by pool.
+func (c *Core) candidates(now time.Time) map[string][]*candidate {
+	pools := map[string][]*candidate{}
+	c.Stats.Usable = 0
+	for _, ws := range c.workers {
+		if !c.usable(now, ws) {
+			continue
+		}
+		c.Stats.Usable++
+		free := ws.w.Free()
+		cd := &candidate{ws: ws, free: free, spareMilli: free.CPUMilli - ws.w.FillerCPUMilli}
+		for a := range ws.w.Attempts {
+			if a.Step.TailTargetMS > 0 {
+				cd.serving = true
+			}
+			if a.Step.Filler {
+				cd.fillers++
+			}
+		}
+		pools[ws.w.Pool] = append(pools[ws.w.Pool], cd)
+	}
+	for _, p := range pools {
+		slices.SortFunc(p, func(a, b *candidate) int { return cmp.Compare(a.ws.w.Handle, b.ws.w.Handle) })
+	}
+	return pools
+}
+
+// placer collects the starts of one plan.
+type placer struct {
+	nowMS  int64
+	starts []graph.Start
+	// perStep counts the tasks of the step at hand on each worker.
+	perStep map[graph.Handle]int
+}
+
+func (p *placer) placeStep(s *graph.StepState, pool []*candidate) {
+	clear(p.perStep)
+	if s.MaxPerWorker > 0 {
+		for i := range s.Tasks {
+			for _, a := range s.Tasks[i].Attempts {
+				p.perStep[a.Worker.Handle]++
+			}
+		}
+	}
+	if s.Gang {
+		p.placeGang(s, pool)
+		return
+	}
+	for i := range s.Tasks {
+		task := &s.Tasks[i]
+		if task.Done || len(task.Attempts) > 0 {
+			continue
+		}
+		cd := p.pick(s, task, pool)
+		if cd == nil {
+			return // the other tasks of the step are of the same size
+		}
+		p.start(s, i, task.LastRun+1, cd)
+		if len(p.starts) >= maxStarts {
+			return
+		}
+	}
+}
+
+// placeGang places all tasks of a gang or none.
+func (p *placer) placeGang(s *graph.StepState, pool []*candidate) {
+	if s.Waiting < len(s.Tasks) {
+		return // members of the last run have not all ended
+	}
+	run, first := 0, len(p.starts)
+	for i := range s.Tasks {
+		run = max(run, s.Tasks[i].LastRun+1)
+	}
+	var taken []*candidate
+	for i := range s.Tasks {
+		cd := p.pick(s, &s.Tasks[i], pool)
+		if cd == nil {
+			for _, t := range taken {
+				t.give(s)
+			}
+			p.starts = p.starts[:first]
+			return
+		}
+		p.start(s, i, run, cd)
+		taken = append(taken, cd)
+	}
+}
+
+func (p *placer) start(s *graph.StepState, index, run int, cd *candidate) {
+	cd.take(s)
+	p.perStep[cd.ws.w.Handle]++
+	p.starts = append(p.starts, graph.Start{Task: s.Ref(index), Run: run, Worker: cd.ws.w.Handle})
+}
+
+func (cd *candidate) take(s *graph.StepState) {
+	cd.free = cd.free.Sub(s.Occupies())
+	cd.spareMilli -= s.Need.CPUMilli
+	cd.serving = cd.serving || s.TailTargetMS > 0
+	if s.Filler {
+		cd.fillers++
+	}
+}
+
+func (cd *candidate) give(s *graph.StepState) {
+	cd.free = cd.free.Add(s.Occupies())
+	cd.spareMilli += s.Need.CPUMilli
+}
+
+// pick returns the best worker for a task, or nil.
+func (p *placer) pick(s *graph.StepState, task *graph.Task, pool []*candidate) *candidate {
+	var best *candidate
+	var bestScore float64
+	need := s.Occupies()
+	for _, cd := range pool {
+		if !need.Fits(cd.free) || !p.feasible(s, cd) {
+			continue
+		}
+		score, ok := score(s, task, cd)
+		if ok && (best == nil || score > bestScore) {
+			best, bestScore = cd, score
+		}
+	}
+	return best
+}
+
+func (p *placer) feasible(s *graph.StepState, cd *candidate) bool {
+	w := cd.ws.w
+	if s.Label != "" && !w.HasLabel(s.Label) {
+		return false
+	}
+	return s.MaxPerWorker <= 0 || p.perStep[w.Handle] < s.MaxPerWorker
+}
+
+// fillerShare is the part of a filler's processors that must be to spare where
+// it starts; with less it would hardly work and only disturb.
+const fillerShare = 0.5
+
+// Weights of score, in shares of a worker's processors.
+const (
+	// failedHereWeight keeps a task away from the worker on which it failed.
+	failedHereWeight = 2.0
+	// servingWeight keeps fillers away from tasks with a tail target.
+	servingWeight = 0.3
+	// besideFillerWeight keeps tasks with a tail target away from fillers.
+	besideFillerWeight = 0.05
+	// dataRackWeight draws a task to its data.
+	dataRackWeight = 1.0
+)
+
+// score ranks a worker for a task: higher is better.
+func score(s *graph.StepState, task *graph.Task, cd *candidate) (float64, bool) {
+	w := cd.ws.w
+	whole := float64(max(w.Capacity.CPUMilli, 1))
+	v := float64(cd.spareMilli) / whole
+	if s.Filler {
+		if float64(cd.spareMilli) < fillerShare*float64(s.Need.CPUMilli) {
+			return 0, false
+		}
+		if cd.serving {
+			v -= servingWeight
+		}
+	}
+	if s.TailTargetMS > 0 {
+		v -= besideFillerWeight * float64(cd.fillers)
+	}
+	if task.LastWorker == w.Handle && task.Failures > 0 {
+		v -= failedHereWeight
+	}
+	if s.DataRack != "" && w.HasLabel(s.DataRack) {
+		v += dataRackWeight
+	}
+	return v, true
+}
--- /dev/null
+++ b/core/graph/apply.go
@@ -0,0 +1,379 @@
+package graph
+
+import (
+	"slices"
+)
+
+// Result is the outcome of applying a batch.
+type Result struct {
+	// Started lists the attempts that the batch created.
+	Started []*Attempt
+	// Unwanted lists attempts that should stop since their job or task has ended.
+	Unwanted []*Attempt
+	// Dropped counts parts that no longer held.
+	Dropped int
+	// Finished lists the jobs that reached a final state.
+	Finished []*Job
+}
+
+// Apply applies the batch at a log index.
+func (t *Tables) Apply(index uint64, b *Batch) *Result {
+	t.index, t.nowMS = index, max(t.nowMS, b.NowMS)
+	r := &Result{}
+	for i := range b.Workers {
+		t.applyWorker(&b.Workers[i])
+	}
+	if b.Config != nil {
+		t.applyConfig(b.Config)
+	}
+	for _, d := range b.Domains {
+		t.applyDomain(d)
+	}
+	for i := range b.Submits {
+		t.submit(&b.Submits[i])
+	}
+	for _, id := range b.Cancels {
+		if j := t.live[id]; j != nil {
+			t.finish(j, JobCancelled, r)
+		}
+	}
+	for i := range b.Ends {
+		t.applyEnd(&b.Ends[i], r)
+	}
+	for i := range b.Releases {
+		t.applyRelease(&b.Releases[i], r)
+	}
+	for _, o := range b.Occurrences {
+		t.applyOccurrence(o, r)
+	}
+	for i := range b.Starts {
+		t.applyStart(&b.Starts[i], r)
+	}
+	if b.ForgetBeforeMS > 0 {
+		t.forget(b.ForgetBeforeMS)
+	}
+	return r
+}
+
+func (t *Tables) applyWorker(c *WorkerChange) {
+	w := t.byID[c.Report.ID]
+	switch {
+	case w != nil && w.Born > c.Report.Born:
+		return
+	case w == nil || w.Born < c.Report.Born:
+		if c.Left {
+			return
+		}
+		if w != nil {
+			w.Left = true
+			t.dropWorker(w)
+		}
+		t.lastHandle++
+		w = &Worker{Handle: t.lastHandle, Attempts: map[*Attempt]struct{}{}}
+		t.workers[w.Handle] = w
+		t.byID[c.Report.ID] = w
+	}
+	draining := w.Draining
+	w.WorkerReport = c.Report
+	w.Draining = w.Draining || draining // a life that drains never returns
+	if c.Left {
+		w.Left = true
+		t.dropWorker(w)
+	}
+}
+
+// dropWorker removes a life that has left once nothing can run on it.
+func (t *Tables) dropWorker(w *Worker) {
+	if !w.Left || len(w.Attempts) > 0 {
+		return
+	}
+	delete(t.workers, w.Handle)
+	if t.byID[w.ID] == w {
+		delete(t.byID, w.ID)
+	}
+}
+
+func (t *Tables) applyConfig(c *Config) {
+	if t.config != nil && c.Version <= t.config.Version {
+		return
+	}
+	c.index()
+	t.config = c
+	for _, j := range t.live {
+		if q := c.QueueByName(j.Spec.Queue); q != nil {
+			j.Queue = *q
+		}
+	}
+}
+
+func (t *Tables) applyDomain(d DomainChange) {
+	if d.Out {
+		t.domains[d.Name] = true
+		return
+	}
+	delete(t.domains, d.Name)
+}
+
+func (t *Tables) submit(s *Spec) {
+	if t.jobs[s.ID] != nil {
+		return
+	}
+	j := &Job{Spec: *s, AcceptedMS: t.nowMS, State: JobQueued, open: max(s.Times, 1)}
+	if t.config != nil {
+		if q := t.config.QueueByName(s.Queue); q != nil {
+			j.Queue = *q
+		}
+	}
+	t.jobs[s.ID], t.live[s.ID] = j, j
+	t.pending[s.Queue]++
+	if s.Times > 0 {
+		t.due[s.ID] = j
+		return
+	}
+	t.addOccurrence(j, 0, t.nowMS)
+}
+
+func (t *Tables) addOccurrence(j *Job, number int, dueMS int64) {
+	o := &Occurrence{Job: j, Number: number, DueMS: dueMS, open: len(j.Spec.Steps)}
+	for i := range j.Spec.Steps {
+		st := &j.Spec.Steps[i]
+		s := &StepState{Step: st, Occurrence: o, Number: i, Tasks: make([]Task, st.Count), Open: st.Count, Waiting: st.Count}
+		o.Steps = append(o.Steps, s)
+	}
+	j.Occurrences = append(j.Occurrences, o)
+	t.updateReady(o)
+}
+
+// updateReady marks the steps whose dependencies are done.
+func (t *Tables) updateReady(o *Occurrence) {
+	for _, s := range o.Steps {
+		if s.Ready {
+			continue
+		}
+		s.Ready = !slices.ContainsFunc(s.DependsOn, func(i int) bool { return o.Steps[i].Open > 0 })
+		t.queueStep(s)
+	}
+}
+
+func (t *Tables) applyOccurrence(d OccurrenceDue, r *Result) {
+	j := t.live[d.Job]
+	if j == nil || d.Number < 0 || d.Number >= j.Spec.Times || slices.ContainsFunc(j.Occurrences, func(o *Occurrence) bool { return o.Number == d.Number }) {
+		r.Dropped++
+		return
+	}
+	t.addOccurrence(j, d.Number, j.Spec.StartAtMS+int64(d.Number)*j.Spec.IntervalMS)
+	if len(j.Occurrences) == j.Spec.Times {
+		delete(t.due, d.Job)
+	}
+}
+
+func (t *Tables) applyStart(st *Start, r *Result) {
+	s, task := t.task(st.Task)
+	w := t.workers[st.Worker]
+	if s == nil || w == nil || w.Left || !s.Ready || !s.Occurrence.Job.Live() || task.Done || st.Run <= task.LastRun ||
+		(len(task.Attempts) > 0 && !s.Speculative) {
+		r.Dropped++
+		return
+	}
+	a := &Attempt{Step: s, Index: st.Task.Index, Run: st.Run, Worker: w, StartedMS: t.nowMS, Resumed: task.Checkpoint}
+	t.attach(a)
+	task.LastRun = st.Run
+	j := s.Occurrence.Job
+	if j.State == JobQueued {
+		j.State = JobRunning
+		t.unpend(j)
+	}
+	r.Started = append(r.Started, a)
+}
+
+func (t *Tables) attach(a *Attempt) {
+	task := a.Task()
+	if len(task.Attempts) == 0 && !task.Done {
+		a.Step.Waiting--
+	}
+	task.Attempts = append(task.Attempts, a)
+	a.Worker.add(a)
+}
+
+// detach removes an attempt that does not run any more.
+func (t *Tables) detach(a *Attempt) {
+	task := a.Task()
+	a.ended = true
+	task.EndedMS = t.nowMS
+	task.Attempts = slices.DeleteFunc(task.Attempts, func(x *Attempt) bool { return x == a })
+	a.Worker.remove(a)
+	t.dropWorker(a.Worker)
+	if len(task.Attempts) == 0 && !task.Done {
+		a.Step.Waiting++
+		if a.Step.Occurrence.Job.Live() {
+			t.queueStep(a.Step)
+		}
+	}
+}
+
+// attemptOn returns the attempt that an end or release names, or nil.
+func (t *Tables) attemptOn(ref TaskRef, run int, h Handle) *Attempt {
+	a := t.Attempt(ref, run)
+	if a == nil || a.Worker.Handle != h {
+		return nil
+	}
+	return a
+}
+
+func (t *Tables) applyRelease(x *Release, r *Result) {
+	a := t.attemptOn(x.Task, x.Run, x.Worker)
+	if a == nil {
+		r.Dropped++
+		return
+	}
+	t.keepCheckpoint(a, x.Checkpoint)
+	t.detach(a)
+}
+
+func (t *Tables) keepCheckpoint(a *Attempt, checkpoint string) {
+	if checkpoint == "" {
+		return
+	}
+	if !a.Step.Gang {
+		a.Task().Checkpoint = checkpoint
+		return
+	}
+	for i := range a.Step.Tasks {
+		a.Step.Tasks[i].Checkpoint = checkpoint
+	}
+}
+
+func (t *Tables) applyEnd(e *End, r *Result) {
+	a := t.attemptOn(e.Task, e.Run, e.Worker)
+	if a == nil {
+		r.Dropped++
+		return
+	}
+	t.keepCheckpoint(a, e.Checkpoint)
+	task, s := a.Task(), a.Step
+	switch e.Kind {
+	case EndDone:
+		t.endDone(a, r)
+	case EndFailed:
+		t.detach(a)
+		task.LastWorker = a.Worker.Handle
+		if !task.Done {
+			t.countFailure(s, a.Index, r)
+		}
+	default:
+		t.detach(a)
+	}
+}
+
+// endDone marks the task of an attempt done; one end stands for a whole gang.
+func (t *Tables) endDone(a *Attempt, r *Result) {
+	s := a.Step
+	if s.LongRunning {
+		t.detach(a)
+		return
+	}
+	if s.Gang {
+		for i := range s.Tasks {
+			t.markDone(s, i, r)
+		}
+	} else {
+		t.markDone(s, a.Index, r)
+	}
+	t.detach(a)
+}
+
+func (t *Tables) markDone(s *StepState, index int, r *Result) {
+	task := &s.Tasks[index]
+	if task.Done {
+		return
+	}
+	if len(task.Attempts) == 0 {
+		s.Waiting--
+	}
+	task.Done = true
+	r.Unwanted = append(r.Unwanted, task.Attempts...)
+	s.Open--
+	if s.Open > 0 {
+		return
+	}
+	o := s.Occurrence
+	o.open--
+	if o.open > 0 {
+		t.updateReady(o)
+		return
+	}
+	j := o.Job
+	j.open--
+	if j.open == 0 && j.Live() {
+		t.finish(j, JobCompleted, r)
+	}
+}
+
+// countFailure counts a failed run. The members of a gang share the count.
+func (t *Tables) countFailure(s *StepState, index int, r *Result) {
+	task := &s.Tasks[index]
+	task.Failures++
+	j := s.Occurrence.Job
+	if s.LongRunning || !j.Live() || j.Queue.Attempts <= 0 || task.Failures < j.Queue.Attempts {
+		return
+	}
+	t.finish(j, JobFailed, r)
+}
+
+// finish puts a job in a final state.
+func (t *Tables) finish(j *Job, state JobState, r *Result) {
+	if j.State == JobQueued {
+		t.unpend(j)
+	}
+	j.State, j.EndedMS = state, max(t.nowMS, 1)
+	delete(t.live, j.Spec.ID)
+	delete(t.due, j.Spec.ID)
+	t.ended = append(t.ended, j)
+	r.Finished = append(r.Finished, j)
+	for _, o := range j.Occurrences {
+		for _, s := range o.Steps {
+			for i := range s.Tasks {
+				r.Unwanted = append(r.Unwanted, s.Tasks[i].Attempts...)
+			}
+		}
+	}
+}
+
+func (t *Tables) unpend(j *Job) {
+	q := j.Spec.Queue
+	t.pending[q]--
+	if t.pending[q] <= 0 {
+		delete(t.pending, q)
+	}
+}
+
+// forget drops the tasks and payloads of jobs that ended before a time. Their
+// ids and states are kept: an id names the same job for ever.
+func (t *Tables) forget(beforeMS int64) {
+	n := 0
+	for _, j := range t.ended {
+		if j.EndedMS >= beforeMS || j.busy() {
+			t.ended[n] = j
+			n++
+			continue
+		}
+		j.Occurrences = nil
+		j.Spec = Spec{ID: j.Spec.ID, Queue: j.Spec.Queue}
+	}
+	clear(t.ended[n:])
+	t.ended = t.ended[:n]
+}
+
+// busy reports whether an attempt of the job may still be at work.
+func (j *Job) busy() bool {
+	for _, o := range j.Occurrences {
+		for _, s := range o.Steps {
+			for i := range s.Tasks {
+				if len(s.Tasks[i].Attempts) > 0 {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/core/graph/job.go
@@ -0,0 +1,201 @@
+package graph
+
+import (
+	"fmt"
+
+	"gooseberrypond/core/structs"
+)
+
+// JobID is the caller's identifier of a job. It names the same job for ever.
+type JobID string
+
+// Step is a set of equal tasks of a job.
+type Step struct {
+	// Count is the number of tasks.
+	Count int `cbor:"1,keyasint"`
+	// Need is what each task occupies on its worker.
+	Need structs.Resources `cbor:"2,keyasint"`
+	// EstimateMS is the caller's rough estimate of a task's duration.
+	EstimateMS int64 `cbor:"3,keyasint,omitempty"`
+	// DependsOn lists earlier steps whose tasks must all be done first.
+	DependsOn []int `cbor:"4,keyasint,omitempty"`
+	// Checkpoints means that tasks save their progress.
+	Checkpoints bool `cbor:"5,keyasint,omitempty"`
+	// Gang means that the tasks work only together and end together.
+	Gang bool `cbor:"6,keyasint,omitempty"`
+	// OneRack means that the tasks run slower when they are on several racks.
+	OneRack bool `cbor:"7,keyasint,omitempty"`
+	// Label must be among the worker's labels, unless it is empty.
+	Label string `cbor:"8,keyasint,omitempty"`
+	// DataRack is the rack outside which the tasks run slower; empty means none.
+	DataRack string `cbor:"9,keyasint,omitempty"`
+	// MaxPerWorker bounds the tasks of one occurrence on one worker; 0 means no bound.
+	MaxPerWorker int `cbor:"10,keyasint,omitempty"`
+	// Speculative allows copies of a task to run in parallel.
+	Speculative bool `cbor:"11,keyasint,omitempty"`
+	// LongRunning means that the tasks run until the job is cancelled.
+	LongRunning bool `cbor:"12,keyasint,omitempty"`
+	// Image names the program; tasks of one image behave alike.
+	Image string `cbor:"13,keyasint,omitempty"`
+	// TailTargetMS bounds the tail latency of the tasks' own users; 0 means no target.
+	TailTargetMS int64 `cbor:"14,keyasint,omitempty"`
+	// Filler means that the tasks take the processors that others leave
+	// unused; theirs are not counted against a worker's capacity.
+	Filler bool `cbor:"15,keyasint,omitempty"`
+	// MaxUnavailable bounds the tasks of a long-running step that the system
+	// itself may make unavailable at the same time; 0 means no bound.
+	MaxUnavailable int `cbor:"16,keyasint,omitempty"`
+}
+
+// Occupies returns what one task counts against its worker's capacity.
+func (s *Step) Occupies() structs.Resources {
+	r := s.Need
+	if s.Filler {
+		r.CPUMilli = 0
+	}
+	return r
+}
+
+// Spec is a job as the caller submits it.
+type Spec struct {
+	ID JobID `cbor:"1,keyasint"`
+	// Queue is the name of the queue that accepted the job.
+	Queue string `cbor:"2,keyasint"`
+	// Payload is passed to each task unchanged.
+	Payload string `cbor:"3,keyasint,omitempty"`
+	Steps   []Step `cbor:"4,keyasint"`
+	// Times is the number of occurrences; 0 means that the steps run once, at once.
+	Times int `cbor:"5,keyasint,omitempty"`
+	// StartAtMS is when occurrence 0 is due, in Unix milliseconds.
+	StartAtMS int64 `cbor:"6,keyasint,omitempty"`
+	// IntervalMS is the time between occurrences.
+	IntervalMS int64 `cbor:"7,keyasint,omitempty"`
+}
+
+// LongRunning reports whether a step of the job runs until it is cancelled.
+func (s *Spec) LongRunning() bool {
+	for i := range s.Steps {
+		if s.Steps[i].LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
+// TaskRef names a task.
+type TaskRef struct {
+	_          struct{} `cbor:",toarray"`
+	Job        JobID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the name of the task.
+func (r TaskRef) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", r.Job, r.Occurrence, r.Step, r.Index)
+}
+
+// JobState is the state of a job as callers see it.
+type JobState string
+
+// Job states.
+const (
+	JobQueued    JobState = "queued"
+	JobRunning   JobState = "running"
+	JobCompleted JobState = "completed"
+	JobFailed    JobState = "failed"
+	JobCancelled JobState = "cancelled"
+)
+
+// Job is an accepted job.
+type Job struct {
+	Spec Spec
+	// Queue is the queue as it was when the job was accepted, or as last configured.
+	Queue Queue
+	// AcceptedMS is the leader's wall clock at acceptance, in Unix milliseconds.
+	AcceptedMS int64
+	// EndedMS is when the job reached a final state; 0 while it is live.
+	EndedMS int64
+	State   JobState
+	// Occurrences holds those that are due. A job without times has one.
+	Occurrences []*Occurrence
+	// open counts the occurrences that are not done.
+	open int
+}
+
+// Live reports whether the job has not reached a final state.
+func (j *Job) Live() bool { return j.EndedMS == 0 }
+
+// Occurrence is one run of a job's steps.
+type Occurrence struct {
+	Job    *Job
+	Number int
+	// DueMS is when the occurrence became due, in Unix milliseconds.
+	DueMS int64
+	Steps []*StepState
+	open  int
+}
+
+// StepState is the state of a step in one occurrence.
+type StepState struct {
+	*Step
+	Occurrence *Occurrence
+	Number     int
+	Tasks      []Task
+	// Ready is set once all steps that this one depends on are done.
+	Ready bool
+	// Open counts the tasks that are not done, Waiting those of them without an attempt.
+	Open, Waiting int
+	// queued is set while the step is in the tables' set of steps with waiting tasks.
+	queued bool
+}
+
+// Ref names a task of the step.
+func (s *StepState) Ref(index int) TaskRef {
+	return TaskRef{Job: s.Occurrence.Job.Spec.ID, Occurrence: s.Occurrence.Number, Step: s.Number, Index: index}
+}
+
+// Task is the state of one task.
+type Task struct {
+	Done bool
+	// LastRun is the highest run number given out.
+	LastRun int
+	// Failures counts the runs that ended failed.
+	Failures int
+	// Checkpoint is where the next run resumes; empty means at the beginning.
+	Checkpoint string
+	// EndedMS is when the last run ended, in Unix milliseconds.
+	EndedMS int64
+	// LastWorker is the worker of the last run that failed; 0 means none.
+	LastWorker Handle
+	// Attempts are the runs that may be at work.
+	Attempts []*Attempt
+}
+
+// Attempt is one run of a task on one worker.
+type Attempt struct {
+	Step   *StepState
+	Index  int
+	Run    int
+	Worker *Worker
+	// StartedMS is when the start was proposed, in Unix milliseconds.
+	StartedMS int64
+	// Resumed is the checkpoint that the start carries.
+	Resumed string
+	ended   bool
+}
+
+// Ref names the attempt's task.
+func (a *Attempt) Ref() TaskRef { return a.Step.Ref(a.Index) }
+
+// Task returns the attempt's task.
+func (a *Attempt) Task() *Task { return &a.Step.Tasks[a.Index] }
+
+// Wanted reports whether the attempt should go on.
+func (a *Attempt) Wanted() bool {
+	return a.Step.Occurrence.Job.Live() && !a.Task().Done && !a.ended
+}
+
+// Ended reports whether the attempt has left the tables.
+func (a *Attempt) Ended() bool { return a.ended }
--- /dev/null
+++ b/core/graph/snapshot.go
@@ -0,0 +1,214 @@
+package graph
+
+import (
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// image is the encoded form of the tables. Indexes are rebuilt when it is read.
+type image struct {
+	Version    int             `cbor:"1,keyasint"`
+	Index      uint64          `cbor:"2,keyasint"`
+	NowMS      int64           `cbor:"3,keyasint"`
+	Config     *Config         `cbor:"4,keyasint,omitempty"`
+	Domains    map[string]bool `cbor:"5,keyasint,omitempty"`
+	LastHandle Handle          `cbor:"6,keyasint"`
+	Workers    []workerImage   `cbor:"7,keyasint,omitempty"`
+	Jobs       []jobImage      `cbor:"8,keyasint,omitempty"`
+}
+
+type workerImage struct {
+	_       struct{} `cbor:",toarray"`
+	Report  WorkerReport
+	Handle  Handle
+	Left    bool
+	Current bool
+}
+
+type jobImage struct {
+	_           struct{} `cbor:",toarray"`
+	Spec        Spec
+	Queue       Queue
+	AcceptedMS  int64
+	EndedMS     int64
+	State       JobState
+	Occurrences []occurrenceImage
+}
+
+type occurrenceImage struct {
+	_      struct{} `cbor:",toarray"`
+	Number int
+	DueMS  int64
+	Steps  [][]taskImage
+}
+
+type taskImage struct {
+	_          struct{} `cbor:",toarray"`
+	Done       bool
+	LastRun    int
+	Failures   int
+	Checkpoint string
+	LastWorker Handle
+	Attempts   []attemptImage
+}
+
+type attemptImage struct {
+	_         struct{} `cbor:",toarray"`
+	Run       int
+	Worker    Handle
+	StartedMS int64
+	Resumed   string
+}
+
+// Encode returns a snapshot of the tables.
+func (t *Tables) Encode() ([]byte, error) {
+	im := image{
+		Version: BatchVersion, Index: t.index, NowMS: t.nowMS,
+		Config: t.config, Domains: t.domains, LastHandle: t.lastHandle,
+	}
+	for _, w := range t.workers {
+		im.Workers = append(im.Workers, workerImage{Report: w.WorkerReport, Handle: w.Handle, Left: w.Left, Current: t.byID[w.ID] == w})
+	}
+	slices.SortFunc(im.Workers, func(a, b workerImage) int { return int(a.Handle) - int(b.Handle) })
+	for _, j := range t.jobs {
+		im.Jobs = append(im.Jobs, j.image())
+	}
+	slices.SortFunc(im.Jobs, func(a, b jobImage) int {
+		switch {
+		case a.Spec.ID < b.Spec.ID:
+			return -1
+		case a.Spec.ID > b.Spec.ID:
+			return 1
+		}
+		return 0
+	})
+	data, err := cbor.Marshal(im)
+	return data, errors.Wrap(err, "encode snapshot")
+}
+
+func (j *Job) image() jobImage {
+	im := jobImage{Spec: j.Spec, Queue: j.Queue, AcceptedMS: j.AcceptedMS, EndedMS: j.EndedMS, State: j.State}
+	for _, o := range j.Occurrences {
+		om := occurrenceImage{Number: o.Number, DueMS: o.DueMS}
+		for _, s := range o.Steps {
+			om.Steps = append(om.Steps, s.image())
+		}
+		im.Occurrences = append(im.Occurrences, om)
+	}
+	return im
+}
+
+func (s *StepState) image() []taskImage {
+	out := make([]taskImage, len(s.Tasks))
+	for i := range s.Tasks {
+		task := &s.Tasks[i]
+		ti := taskImage{Done: task.Done, LastRun: task.LastRun, Failures: task.Failures, Checkpoint: task.Checkpoint, LastWorker: task.LastWorker}
+		for _, a := range task.Attempts {
+			ti.Attempts = append(ti.Attempts, attemptImage{Run: a.Run, Worker: a.Worker.Handle, StartedMS: a.StartedMS, Resumed: a.Resumed})
+		}
+		out[i] = ti
+	}
+	return out
+}
+
+// Decode returns the tables of a snapshot.
+func Decode(data []byte) (*Tables, error) {
+	var im image
+	if err := cbor.Unmarshal(data, &im); err != nil {
+		return nil, errors.Wrap(err, "decode snapshot")
+	}
+	if im.Version != BatchVersion {
+		return nil, errors.Newf("snapshot has format version %d, want %d", im.Version, BatchVersion)
+	}
+	t := New()
+	t.index, t.nowMS, t.lastHandle = im.Index, im.NowMS, im.LastHandle
+	if im.Config != nil {
+		im.Config.index()
+		t.config = im.Config
+	}
+	for name := range im.Domains {
+		t.domains[name] = true
+	}
+	for _, wi := range im.Workers {
+		w := &Worker{WorkerReport: wi.Report, Handle: wi.Handle, Left: wi.Left, Attempts: map[*Attempt]struct{}{}}
+		t.workers[w.Handle] = w
+		if wi.Current {
+			t.byID[w.ID] = w
+		}
+	}
+	for i := range im.Jobs {
+		if err := t.restoreJob(&im.Jobs[i]); err != nil {
+			return nil, err
+		}
+	}
+	slices.SortStableFunc(t.ended, func(a, b *Job) int { return int(a.EndedMS - b.EndedMS) })
+	return t, nil
+}
+
+func (t *Tables) restoreJob(im *jobImage) error {
+	j := &Job{Spec: im.Spec, Queue: im.Queue, AcceptedMS: im.AcceptedMS, EndedMS: im.EndedMS, State: im.State}
+	t.jobs[j.Spec.ID] = j
+	j.open = max(j.Spec.Times, 1)
+	if j.Live() {
+		t.live[j.Spec.ID] = j
+		if j.State == JobQueued {
+			t.pending[j.Spec.Queue]++
+		}
+		if len(im.Occurrences) < j.Spec.Times {
+			t.due[j.Spec.ID] = j
+		}
+	} else if len(im.Occurrences) > 0 {
+		t.ended = append(t.ended, j)
+	}
+	for _, om := range im.Occurrences {
+		if err := t.restoreOccurrence(j, &om); err != nil {
+			return errors.Wrapf(err, "job %s", j.Spec.ID)
+		}
+	}
+	return nil
+}
+
+func (t *Tables) restoreOccurrence(j *Job, om *occurrenceImage) error {
+	if len(om.Steps) != len(j.Spec.Steps) {
+		return errors.Newf("snapshot has %d steps, the job %d", len(om.Steps), len(j.Spec.Steps))
+	}
+	o := &Occurrence{Job: j, Number: om.Number, DueMS: om.DueMS}
+	for i, tasks := range om.Steps {
+		s := &StepState{Step: &j.Spec.Steps[i], Occurrence: o, Number: i, Tasks: make([]Task, len(tasks))}
+		o.Steps = append(o.Steps, s)
+		for k := range tasks {
+			if err := t.restoreTask(s, k, &tasks[k]); err != nil {
+				return err
+			}
+		}
+		if s.Open > 0 {
+			o.open++
+		}
+	}
+	if o.open == 0 {
+		j.open--
+	}
+	j.Occurrences = append(j.Occurrences, o)
+	if j.Live() {
+		t.updateReady(o)
+	}
+	return nil
+}
+
+func (t *Tables) restoreTask(s *StepState, k int, im *taskImage) error {
+	s.Tasks[k] = Task{Done: im.Done, LastRun: im.LastRun, Failures: im.Failures, Checkpoint: im.Checkpoint, LastWorker: im.LastWorker}
+	if !im.Done {
+		s.Open++
+		s.Waiting++
+	}
+	for _, am := range im.Attempts {
+		w := t.workers[am.Worker]
+		if w == nil {
+			return errors.Newf("attempt %d of %s is on worker %d, which is not in the snapshot", am.Run, s.Ref(k), am.Worker)
+		}
+		t.attach(&Attempt{Step: s, Index: k, Run: am.Run, Worker: w, StartedMS: am.StartedMS, Resumed: am.Resumed})
+	}
+	return nil
+}
--- /dev/null
+++ b/core/graph/tables.go
@@ -0,0 +1,136 @@
+package graph
+
+// Tables are the replicated tables. They are not safe for concurrent use.
+type Tables struct {
+	index uint64
+	nowMS int64
+
+	config  *Config
+	domains map[string]bool // failure domains out of service
+
+	lastHandle Handle
+	workers    map[Handle]*Worker
+	byID       map[string]*Worker // the current life of each worker
+
+	jobs map[JobID]*Job
+	live map[JobID]*Job
+	// ended lists the jobs in a final state whose tasks are still kept, in order.
+	ended []*Job
+	// waiting holds the ready steps that have tasks without an attempt.
+	waiting []*StepState
+	// pending counts, for each queue, the live jobs of which no task has started.
+	pending map[string]int
+	// due holds the live jobs with occurrences still to come.
+	due map[JobID]*Job
+}
+
+// New returns empty tables.
+func New() *Tables {
+	return &Tables{
+		domains: map[string]bool{},
+		workers: map[Handle]*Worker{}, byID: map[string]*Worker{},
+		jobs: map[JobID]*Job{}, live: map[JobID]*Job{}, due: map[JobID]*Job{},
+		pending: map[string]int{},
+	}
+}
+
+// Index returns the log index of the last applied batch.
+func (t *Tables) Index() uint64 { return t.index }
+
+// Config returns the configuration in force, or nil.
+func (t *Tables) Config() *Config { return t.config }
+
+// DomainOut reports whether a failure domain is out of service.
+func (t *Tables) DomainOut(name string) bool { return t.domains[name] }
+
+// Worker returns the life with the handle, or nil.
+func (t *Tables) Worker(h Handle) *Worker { return t.workers[h] }
+
+// WorkerByID returns the current life of a worker, or nil.
+func (t *Tables) WorkerByID(id string) *Worker { return t.byID[id] }
+
+// Workers calls yield for each life that is in the tables.
+func (t *Tables) Workers(yield func(*Worker) bool) {
+	for _, w := range t.workers {
+		if !yield(w) {
+			return
+		}
+	}
+}
+
+// Job returns a job, or nil.
+func (t *Tables) Job(id JobID) *Job { return t.jobs[id] }
+
+// LiveJobs returns the number of jobs that have not reached a final state.
+func (t *Tables) LiveJobs() int { return len(t.live) }
+
+// Pending returns the number of a queue's live jobs of which no task has started.
+func (t *Tables) Pending(queue string) int { return t.pending[queue] }
+
+// Due calls yield for each live job with occurrences still to come.
+func (t *Tables) Due(yield func(*Job) bool) {
+	for _, j := range t.due {
+		if !yield(j) {
+			return
+		}
+	}
+}
+
+// Waiting returns the ready steps that have tasks without an attempt. The
+// result is valid until the next Apply.
+func (t *Tables) Waiting() []*StepState {
+	kept := t.waiting[:0]
+	for _, s := range t.waiting {
+		if s.Waiting > 0 && s.Occurrence.Job.Live() {
+			kept = append(kept, s)
+			continue
+		}
+		s.queued = false
+	}
+	clear(t.waiting[len(kept):])
+	t.waiting = kept
+	return kept
+}
+
+func (t *Tables) queueStep(s *StepState) {
+	if s.Ready && !s.queued && s.Waiting > 0 {
+		s.queued = true
+		t.waiting = append(t.waiting, s)
+	}
+}
+
+// task returns the step and task that ref names, or nil.
+func (t *Tables) task(ref TaskRef) (*StepState, *Task) {
+	j := t.jobs[ref.Job]
+	if j == nil {
+		return nil, nil
+	}
+	for _, o := range j.Occurrences {
+		if o.Number != ref.Occurrence {
+			continue
+		}
+		if ref.Step < 0 || ref.Step >= len(o.Steps) {
+			return nil, nil
+		}
+		s := o.Steps[ref.Step]
+		if ref.Index < 0 || ref.Index >= len(s.Tasks) {
+			return nil, nil
+		}
+		return s, &s.Tasks[ref.Index]
+	}
+	return nil, nil
+}
+
+// Attempt returns the attempt of a task with the run number, or nil.
+func (t *Tables) Attempt(ref TaskRef, run int) *Attempt {
+	_, task := t.task(ref)
+	if task == nil {
+		return nil
+	}
+	for _, a := range task.Attempts {
+		if a.Run == run {
+			return a
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/host/dispatcher/leadership.go
@@ -0,0 +1,333 @@
+package dispatcher
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/core/dispatch"
+	"gooseberrypond/core/graph"
+	"gooseberrypond/store/replica"
+)
+
+// leadership is one term in which this replica leads.
+type leadership struct {
+	d      *Dispatcher
+	term   uint64
+	cancel context.CancelFunc
+	ended  chan struct{}
+	wake   chan struct{}
+
+	// The fields below are guarded by d.mu.
+
+	// core is set once the leader's lease is held.
+	core *dispatch.Core
+	// next collects what callers ask for until the next proposal.
+	next requests
+	// proposing is set while a proposal is open.
+	proposing bool
+	// holds wakes the calls to each worker.
+	holds map[graph.Handle]chan struct{}
+}
+
+// requests are the changes that callers wait for.
+type requests struct {
+	submits []graph.Spec
+	cancels []graph.JobID
+	config  *graph.Config
+	domains []graph.DomainChange
+	waiters []*waiter
+}
+
+// waiter waits for the outcome of a proposal. done receives nil, an error that
+// wraps ErrNotTaken, or one that wraps ErrOutcomeUnknown.
+type waiter struct {
+	done chan error
+	// proposed is set once what is waited for is part of a proposal.
+	proposed bool
+}
+
+// Errors of a proposal.
+var (
+	// ErrNotTaken means that nothing was changed and nothing will be.
+	ErrNotTaken = errors.New("not taken")
+	// ErrOutcomeUnknown means that the change may or may not take effect.
+	ErrOutcomeUnknown = errors.New("outcome is unknown")
+)
+
+func (l *leadership) holdsLease() bool {
+	term, ok := l.d.log.LeaseTerm()
+	return ok && term == l.term
+}
+
+func (l *leadership) poke() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (l *leadership) run(ctx context.Context) {
+	defer close(l.ended)
+	defer l.failWaiters()
+	if !l.begin(ctx) {
+		return
+	}
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		if l.holdsLease() {
+			l.turn(ctx)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-l.wake:
+		case <-ticker.C:
+		}
+	}
+}
+
+// begin waits for the leader's lease, at which the tables contain every entry
+// of earlier terms, and creates the core.
+func (l *leadership) begin(ctx context.Context) bool {
+	for !l.holdsLease() {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(leaseWait):
+		}
+	}
+	d := l.d
+	d.mu.Lock()
+	l.core = dispatch.New(d.cfg.Now(), d.tables, l.term, d.cfg.Limits)
+	d.mu.Unlock()
+	d.cfg.Logger.Info().Uint64("term", l.term).Msg("leading: calls to workers begin")
+	return true
+}
+
+func (l *leadership) failWaiters() {
+	l.d.mu.Lock()
+	defer l.d.mu.Unlock()
+	for _, w := range l.next.waiters {
+		w.done <- errors.Wrap(ErrNotTaken, "leadership ended")
+	}
+	l.next = requests{}
+}
+
+// turn carries out what is due now.
+func (l *leadership) turn(ctx context.Context) {
+	d := l.d
+	now := d.cfg.Now()
+	d.mu.Lock()
+	var batch *graph.Batch
+	var waiters []*waiter
+	if !l.proposing {
+		batch, waiters = l.nextBatch(now)
+	}
+	orders := l.core.Orders(now)
+	looks := l.core.Looks(now)
+	added := l.core.TakeAdded()
+	for _, h := range added {
+		l.holds[h] = make(chan struct{}, 1)
+	}
+	d.mu.Unlock()
+
+	for _, h := range added {
+		go l.holdLoop(ctx, h, l.holds[h])
+	}
+	for i := range orders {
+		go l.sendOrder(ctx, orders[i])
+	}
+	for i := range looks {
+		go l.call(ctx, looks[i])
+	}
+	if batch != nil {
+		go l.propose(ctx, batch, waiters)
+	}
+}
+
+// nextBatch takes what is to be proposed; nil if there is nothing.
+func (l *leadership) nextBatch(now time.Time) (*graph.Batch, []*waiter) {
+	b := l.core.Plan(now, now.UnixMilli())
+	r := l.next
+	l.next = requests{}
+	b.Submits, b.Cancels, b.Config, b.Domains = r.submits, r.cancels, r.config, r.domains
+	if b.Empty() {
+		for _, w := range r.waiters {
+			w.done <- nil
+		}
+		return nil, nil
+	}
+	for _, w := range r.waiters {
+		w.proposed = true
+	}
+	l.proposing = true
+	return b, r.waiters
+}
+
+func (l *leadership) propose(ctx context.Context, b *graph.Batch, waiters []*waiter) {
+	res, err := l.commit(ctx, b)
+	d := l.d
+	now := d.cfg.Now()
+	d.mu.Lock()
+	l.proposing = false
+	if err == nil {
+		l.core.Applied(now, b, res)
+		l.logApplied(b, res)
+	} else {
+		l.core.Abandoned(b)
+	}
+	for h, wake := range l.holds {
+		if l.core.NeedsCall(now, h) {
+			notify(wake)
+		}
+	}
+	d.mu.Unlock()
+	for _, w := range waiters {
+		w.done <- err
+	}
+	l.poke()
+}
+
+// commit proposes a batch and returns the result of applying it.
+func (l *leadership) commit(ctx context.Context, b *graph.Batch) (*graph.Result, error) {
+	data, err := b.Encode()
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotTaken)
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	v, err := l.d.log.Propose(ctx, data)
+	switch {
+	case errors.Is(err, replica.ErrLost):
+		return nil, errors.Mark(err, ErrOutcomeUnknown)
+	case err != nil:
+		return nil, errors.Mark(err, ErrNotTaken)
+	}
+	res, ok := v.(*graph.Result)
+	if !ok {
+		return nil, errors.Mark(errors.Newf("apply failed: %v", v), ErrOutcomeUnknown)
+	}
+	return res, nil
+}
+
+func notify(ch chan struct{}) {
+	select {
+	case ch <- struct{}{}:
+	default:
+	}
+}
+
+// holdLoop keeps one call to a worker open.
+func (l *leadership) holdLoop(ctx context.Context, h graph.Handle, wake chan struct{}) {
+	defer func() {
+		l.d.mu.Lock()
+		delete(l.holds, h)
+		l.d.mu.Unlock()
+	}()
+	for ctx.Err() == nil {
+		now := l.d.cfg.Now()
+		l.d.mu.Lock()
+		hold, wait, ok := l.core.NextHold(now, h)
+		l.d.mu.Unlock()
+		if !ok {
+			return
+		}
+		if wait > 0 {
+			pause(ctx, wait, wake)
+			continue
+		}
+		l.call(ctx, hold)
+	}
+}
+
+func pause(ctx context.Context, wait time.Duration, wake <-chan struct{}) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-wake:
+	case <-timer.C:
+	}
+}
+
+// call sends one call for a worker's lists and takes the answer.
+func (l *leadership) call(ctx context.Context, hold dispatch.Hold) {
+	if !l.holdsLease() {
+		pause(ctx, leaseWait, nil)
+		return
+	}
+	d := l.d
+	wait := time.Duration(hold.WaitMS) * time.Millisecond
+	callCtx, cancel := context.WithTimeout(ctx, wait+holdGrace)
+	sent := d.cfg.Now()
+	reply, err := d.cfg.Workers.Hold(callCtx, hold)
+	cancel()
+	now := d.cfg.Now()
+	d.mu.Lock()
+	if err != nil {
+		l.core.HoldFailed(now, hold)
+	} else {
+		l.core.HoldDone(now, sent, hold, reply)
+	}
+	d.mu.Unlock()
+	if err != nil && ctx.Err() == nil {
+		d.cfg.Logger.Warn().Err(err).Str("step", "hold").Str("worker", hold.ID).Str("peer", hold.Address).Msg("worker did not answer")
+	}
+	if err == nil && len(reply.Finished)+len(reply.Running) > 0 {
+		l.poke()
+	}
+}
+
+func (l *leadership) sendOrder(ctx context.Context, o dispatch.Order) {
+	d := l.d
+	reply := dispatch.OrderReply{}
+	if l.holdsLease() {
+		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		reply = d.cfg.Workers.Order(callCtx, o)
+		cancel()
+	}
+	now := d.cfg.Now()
+	d.mu.Lock()
+	l.core.OrderDone(now, o, reply)
+	d.mu.Unlock()
+	if reply.Outcome != dispatch.Accepted {
+		d.cfg.Logger.Warn().Str("step", o.Kind.String()).Str("task", o.Task.String()).Int("run", o.Run).
+			Str("worker", o.ID).Uint64("token", o.Token).Str("outcome", reply.Outcome.String()).Msg("order was not accepted")
+	}
+	l.poke()
+}
+
+// logApplied writes one line for each decision that touches a job.
+func (l *leadership) logApplied(b *graph.Batch, res *graph.Result) {
+	log := &l.d.cfg.Logger
+	for i := range b.Ends {
+		e := &b.Ends[i]
+		if e.Kind != graph.EndDone {
+			log.Info().Str("task", e.Task.String()).Int("run", e.Run).Uint32("worker", uint32(e.Worker)).
+				Str("end", e.Kind.String()).Str("checkpoint", e.Checkpoint).Msg("run ended")
+		}
+	}
+	for i := range b.Releases {
+		r := &b.Releases[i]
+		log.Info().Str("task", r.Task.String()).Int("run", r.Run).Uint32("worker", uint32(r.Worker)).
+			Str("checkpoint", r.Checkpoint).Msg("run is released: it is certain not to be at work")
+	}
+	for _, j := range res.Finished {
+		log.Info().Str("job", string(j.Spec.ID)).Str("state", string(j.State)).
+			Int64("took_ms", j.EndedMS-j.AcceptedMS).Str("queue", j.Spec.Queue).Msg("job ended")
+	}
+	for i := range b.Workers {
+		w := &b.Workers[i]
+		log.Info().Str("worker", w.Report.ID).Int64("born", w.Report.Born).Str("domain", w.Report.Domain).
+			Bool("draining", w.Report.Draining).Bool("left", w.Left).Msg("worker recorded")
+	}
+	if b.Config != nil {
+		log.Info().Uint64("version", b.Config.Version).Int("queues", len(b.Config.Queues)).Msg("configuration recorded")
+	}
+	for _, d := range b.Domains {
+		log.Info().Str("domain", d.Name).Bool("out", d.Out).Msg("failure domain recorded")
+	}
+}
--- /dev/null
+++ b/host/group/group.go
@@ -0,0 +1,334 @@
+// Package group forms and heals the group of control hosts. The only thing a
+// host is told is the addresses of a few of them. At the very first start these
+// form the group; every other replica joins it. A replica's identity is that of
+// its data folder: one whose folder was lost joins under a new id, and its old
+// one is removed.
+package group
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/host/dispatcher"
+	"gooseberrypond/host/relay"
+	"gooseberrypond/store/consensus"
+	"gooseberrypond/store/replica"
+)
+
+const (
+	// clusterID marks folders and messages of this kind of group.
+	clusterID = "gooseberrypond-graph"
+	// healInterval is the period of the leader's look at the group.
+	healInterval = 150 * time.Millisecond
+	// deadAfter is how long a voter must have been silent before it may be
+	// replaced. It is well above an election and a frozen process's pause, and
+	// leaves time to replace it within the platform's catch-up bound of 4 s.
+	deadAfter = 2500 * time.Millisecond
+	// strayAfter is how long a replica hears from no leader before it asks
+	// whether it is still a member.
+	strayAfter = time.Second
+	// changeTimeout bounds one change of the membership.
+	changeTimeout = time.Second
+	// transferTimeout bounds the hand-over of leadership at a graceful stop.
+	transferTimeout = 800 * time.Millisecond
+)
+
+// Config holds the settings of a control host's part in the group.
+type Config struct {
+	// Dir is the data folder.
+	Dir string
+	// IP is the host's own address.
+	IP string
+	// RelayPort and ReplicaPort are the same on all control hosts.
+	RelayPort, ReplicaPort int
+	// Founders are the IP addresses of the hosts that form the group when the
+	// whole system starts for the first time; empty at every other start.
+	Founders []string
+	Logger   zerolog.Logger
+}
+
+// Group is one control host's part in the group.
+type Group struct {
+	cfg    Config
+	d      *dispatcher.Dispatcher
+	client *relay.Client
+
+	rep     atomic.Pointer[replica.Replica]
+	id      string
+	heardAt time.Time
+	// ledTerm is the last term that this replica led, ledSince when it began to.
+	ledTerm  uint64
+	ledSince time.Time
+}
+
+// New returns the host's part in the group; Run starts it.
+func New(cfg Config, d *dispatcher.Dispatcher, client *relay.Client) *Group {
+	return &Group{cfg: cfg, d: d, client: client}
+}
+
+// Run opens the replica and keeps it a member until ctx ends; then it hands
+// over leadership and closes it. An error means that the replica failed.
+func (g *Group) Run(ctx context.Context) error {
+	for {
+		if err := g.open(); err != nil {
+			return err
+		}
+		again, err := g.serve(ctx)
+		if err != nil || !again {
+			return err
+		}
+		if err := g.startOver(); err != nil {
+			return err
+		}
+	}
+}
+
+// open opens the replica under the id in its folder, or under a new one.
+func (g *Group) open() error {
+	id, found, err := replica.StoredID(g.cfg.Dir)
+	if err != nil {
+		return err
+	}
+	cfg := replica.Config{
+		ClusterID: clusterID, Dir: g.cfg.Dir, StateMachine: g.d, Logger: g.cfg.Logger,
+		Listen: g.replicaAddress(g.cfg.IP), Advertise: g.replicaAddress(g.cfg.IP),
+	}
+	switch {
+	case found:
+		cfg.ID = id
+	case slices.Contains(g.cfg.Founders, g.cfg.IP):
+		cfg.ID = founderID(g.cfg.IP)
+		for _, ip := range g.cfg.Founders {
+			cfg.Members = append(cfg.Members, replica.Member{ID: founderID(ip), Address: g.replicaAddress(ip)})
+		}
+	default:
+		cfg.ID = newID(g.cfg.IP)
+	}
+	rep, err := replica.Open(cfg)
+	if err != nil {
+		return err
+	}
+	g.id, g.heardAt = cfg.ID, time.Now()
+	g.rep.Store(rep)
+	g.cfg.Logger.Info().Str("replica", g.id).Bool("stored", found).Int("founders", len(cfg.Members)).Msg("replica opened")
+	return nil
+}
+
+func founderID(ip string) string { return "founder-" + ip }
+
+// newID returns an id that was never used before.
+func newID(ip string) string {
+	b := make([]byte, 6)
+	rand.Read(b) // never fails
+	return "joined-" + ip + "-" + hex.EncodeToString(b)
+}
+
+func (g *Group) replicaAddress(ip string) string {
+	return net.JoinHostPort(ip, strconv.Itoa(g.cfg.ReplicaPort))
+}
+
+// relayAddress returns the relay address of the host of a replica's address.
+func (g *Group) relayAddress(replicaAddress string) string {
+	ip, _, err := net.SplitHostPort(replicaAddress)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(ip, strconv.Itoa(g.cfg.RelayPort))
+}
+
+// serve runs the replica. It reports whether the replica must start over with
+// an empty folder because the group has replaced it.
+func (g *Group) serve(ctx context.Context) (again bool, err error) {
+	rep := g.rep.Load()
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		g.d.Run(runCtx, rep)
+	}()
+	ticker := time.NewTicker(healInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			g.handOver(rep)
+			cancel()
+			<-done
+			return false, rep.Close()
+		case <-rep.Done():
+			return false, errors.Wrap(rep.Err(), "replica stopped")
+		case <-ticker.C:
+		}
+		if rep.HoldsLease() {
+			g.heal(ctx, rep)
+		} else if g.replaced(ctx, rep) {
+			cancel()
+			<-done
+			return true, rep.Close()
+		}
+	}
+}
+
+func (g *Group) handOver(rep *replica.Replica) {
+	if !rep.HoldsLease() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), transferTimeout)
+	defer cancel()
+	if err := rep.TransferLeadership(ctx); err != nil {
+		g.cfg.Logger.Warn().Err(err).Str("step", "hand over").Msg("leadership was not handed over")
+	}
+}
+
+// startOver empties the data folder of a replica that is no longer a member.
+// The group holds everything it has: the leader said so under its lease.
+func (g *Group) startOver() error {
+	g.cfg.Logger.Warn().Str("replica", g.id).Msg("replica was replaced; joining again under a new id")
+	names, err := os.ReadDir(g.cfg.Dir)
+	if err != nil {
+		return errors.Wrap(err, "list data folder")
+	}
+	for _, n := range names {
+		if err := os.RemoveAll(filepath.Join(g.cfg.Dir, n.Name())); err != nil {
+			return errors.Wrap(err, "empty data folder")
+		}
+	}
+	return g.d.Restore(nil)
+}
+
+// Info implements relay.Group.
+func (g *Group) Info() relay.Info {
+	rep := g.rep.Load()
+	if rep == nil {
+		return relay.Info{}
+	}
+	s := rep.Status()
+	info := relay.Info{Leading: rep.HoldsLease(), Term: s.Term}
+	for _, m := range s.Members {
+		info.Hosts = append(info.Hosts, g.relayAddress(m.Address))
+		info.Members = append(info.Members, m.ID)
+	}
+	if s.LeaderAddress != "" {
+		info.Leader = g.relayAddress(s.LeaderAddress)
+	}
+	return info
+}
+
+// Join implements relay.Group: it adds a replica that does not vote yet. A
+// member at the same address has lost its folder, and is removed first.
+func (g *Group) Join(ctx context.Context, id, address string) error {
+	rep := g.rep.Load()
+	if rep == nil || !rep.HoldsLease() {
+		return replica.ErrNotLeader
+	}
+	for _, m := range rep.Status().Members {
+		if m.ID == id {
+			return nil
+		}
+		if m.Address == address {
+			if err := rep.Remove(ctx, m.ID); err != nil {
+				return errors.Wrapf(err, "remove replica %s, whose folder was lost", m.ID)
+			}
+			g.cfg.Logger.Warn().Str("replica", m.ID).Str("successor", id).Msg("replica removed: its folder was lost")
+		}
+	}
+	if err := rep.AddLearner(ctx, id, address); err != nil {
+		return errors.Wrapf(err, "add replica %s", id)
+	}
+	g.cfg.Logger.Info().Str("replica", id).Str("address", address).Msg("replica added")
+	return nil
+}
+
+// heal promotes a replica that has caught up, and removes a voter that has been
+// silent while another takes its place or the number of voters is even.
+func (g *Group) heal(ctx context.Context, rep *replica.Replica) {
+	s := rep.Status()
+	g.heardAt = time.Now()
+	if g.ledTerm != s.Term {
+		g.ledTerm, g.ledSince = s.Term, g.heardAt
+	}
+	var dead, learners []replica.MemberStatus
+	voters := 0
+	for _, m := range s.Members {
+		silent := m.ID != s.ID && time.Since(latest(m.Contact, g.ledSince)) > deadAfter
+		switch {
+		case m.Voter:
+			voters++
+			if silent {
+				dead = append(dead, m)
+			}
+		case !silent:
+			learners = append(learners, m)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	switch {
+	case len(dead) > 0 && (len(learners) > 0 || voters%2 == 0) && voters > 1:
+		err := rep.Remove(ctx, dead[0].ID)
+		g.logChange(err, dead[0].ID, "replica removed: it is silent")
+	case len(learners) > 0:
+		err := rep.Promote(ctx, learners[0].ID)
+		if !errors.Is(err, consensus.ErrNotCaughtUp) {
+			g.logChange(err, learners[0].ID, "replica votes")
+		}
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (g *Group) logChange(err error, id, what string) {
+	if err != nil {
+		g.cfg.Logger.Warn().Err(err).Str("replica", id).Str("step", "heal").Msg("membership was not changed")
+		return
+	}
+	g.cfg.Logger.Info().Str("replica", id).Msg(what)
+}
+
+// replaced asks the leader about this replica while it hears from none. It
+// joins the group if it never was a member, and reports whether it was removed.
+func (g *Group) replaced(ctx context.Context, rep *replica.Replica) bool {
+	s := rep.Status()
+	member := slices.ContainsFunc(s.Members, func(m replica.MemberStatus) bool { return m.ID == s.ID })
+	if s.LeaderID != "" && member && !s.Removed {
+		g.heardAt = time.Now()
+		return false
+	}
+	if member && !s.Removed && time.Since(g.heardAt) < strayAfter {
+		return false
+	}
+	leader := g.client.Leader()
+	if leader == "" {
+		return false
+	}
+	info, err := g.client.Info(ctx, leader)
+	if err != nil || !info.Leading || slices.Contains(info.Members, s.ID) {
+		return false
+	}
+	if len(s.Members) > 0 || s.Applied > 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	if err := g.client.Join(ctx, leader, s.ID, g.replicaAddress(g.cfg.IP)); err != nil {
+		g.cfg.Logger.Warn().Err(err).Str("peer", leader).Str("step", "join").Msg("not added to the group")
+	}
+	return false
+}
--- /dev/null
+++ b/host/relay/client.go
@@ -0,0 +1,401 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"net/rpc"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/core/graph"
+	"gooseberrypond/host/dispatcher"
+)
+
+const (
+	// pingInterval is how often the leader is asked whether it still leads.
+	// With pingTimeout it bounds how long a call waits for a silent leader.
+	pingInterval = 250 * time.Millisecond
+	// pingTimeout is several times the delay of the slowest link and a busy
+	// processor's turn.
+	pingTimeout = 350 * time.Millisecond
+	// dialTimeout bounds connecting to a control host.
+	dialTimeout = 300 * time.Millisecond
+	// searchPause is the pause between two searches for a leader.
+	searchPause = 50 * time.Millisecond
+	// leaderWait is how long a call waits for a leader to be found before it is
+	// refused; most elections that follow a planned stop are over by then.
+	leaderWait = 250 * time.Millisecond
+)
+
+// Errors of a call.
+var (
+	// ErrNoLeader means that no control host is known to lead; nothing was sent.
+	ErrNoLeader = errors.New("no control host is known to lead")
+	// ErrNoAnswer means that the call was sent and may or may not take effect.
+	ErrNoAnswer = errors.New("no answer from the leader")
+)
+
+// Client calls the control host that leads. It is safe for concurrent use.
+type Client struct {
+	// seeds returns the relay addresses of control hosts in the settings.
+	seeds  func() []string
+	logger zerolog.Logger
+
+	mu     sync.Mutex
+	conns  map[string]*rpc.Client
+	leader string
+	term   uint64
+	// changed is closed when the leader is lost or another one is found.
+	changed chan struct{}
+	hosts   []string
+	seenAt  time.Time
+	search  chan struct{}
+}
+
+// NewClient returns a client; Run must be running for its calls to succeed.
+func NewClient(seeds func() []string, logger zerolog.Logger) *Client {
+	return &Client{
+		seeds: seeds, logger: logger, conns: map[string]*rpc.Client{},
+		changed: make(chan struct{}), search: make(chan struct{}, 1),
+	}
+}
+
+// Run finds the leader and watches it until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-c.search:
+		}
+		if c.watch(ctx) {
+			timer.Reset(pingInterval)
+		} else {
+			timer.Reset(searchPause)
+		}
+	}
+}
+
+// watch asks the leader whether it still leads, and all others if it does not.
+func (c *Client) watch(ctx context.Context) bool {
+	leader, _ := c.current()
+	if leader != "" {
+		if info, err := c.info(ctx, leader); err == nil && info.Leading {
+			c.found(leader, info)
+			return true
+		}
+		c.lost(leader)
+	}
+	return c.find(ctx)
+}
+
+// find asks all known control hosts and takes the leader of the highest term.
+// It returns with the first that leads.
+func (c *Client) find(ctx context.Context) bool {
+	type result struct {
+		address string
+		info    Info
+		err     error
+	}
+	addresses := c.candidates()
+	results := make(chan result, len(addresses))
+	for _, a := range addresses {
+		go func() {
+			info, err := c.info(ctx, a)
+			results <- result{a, info, err}
+		}()
+	}
+	for range addresses {
+		r := <-results
+		if r.err != nil {
+			continue
+		}
+		c.learn(r.info.Hosts)
+		if r.info.Leading {
+			c.found(r.address, r.info)
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Client) candidates() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := slices.Concat(c.seeds(), c.hosts)
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+func (c *Client) learn(hosts []string) {
+	if len(hosts) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.hosts = hosts
+}
+
+func (c *Client) info(ctx context.Context, address string) (Info, error) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	var info Info
+	err := c.callAt(ctx, address, "Info", &None{}, &info)
+	return info, err
+}
+
+func (c *Client) found(address string, info Info) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.seenAt = time.Now()
+	c.hosts = info.Hosts
+	if c.leader == address && c.term == info.Term {
+		return
+	}
+	if info.Term < c.term && c.leader != "" {
+		return
+	}
+	c.logger.Info().Str("leader", address).Uint64("term", info.Term).Msg("leader found")
+	c.leader, c.term = address, info.Term
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *Client) lost(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != address {
+		return
+	}
+	c.logger.Warn().Str("leader", address).Uint64("term", c.term).Msg("leader lost")
+	c.leader = ""
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+func (c *Client) current() (leader string, changed chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader, c.changed
+}
+
+// Leader returns the relay address of the leader; empty if none is known.
+func (c *Client) Leader() string {
+	leader, _ := c.current()
+	return leader
+}
+
+// SinceSeen returns how long ago a leader last answered.
+func (c *Client) SinceSeen() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.seenAt.IsZero() {
+		return 1<<63 - 1
+	}
+	return time.Since(c.seenAt)
+}
+
+// callAt calls a method at one control host.
+func (c *Client) callAt(ctx context.Context, address, method string, args, reply any) error {
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return err
+	}
+	call := conn.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if call.Error == rpc.ErrShutdown || isNetwork(call.Error) {
+			c.drop(address, conn)
+		}
+		return call.Error
+	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.drop(address, conn) // it may be silent for good
+		}
+		return ctx.Err()
+	}
+}
+
+func isNetwork(err error) bool {
+	var server rpc.ServerError
+	return err != nil && !errors.As(err, &server)
+}
+
+func (c *Client) connect(ctx context.Context, address string) (*rpc.Client, error) {
+	c.mu.Lock()
+	conn := c.conns[address]
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	dialer := net.Dialer{Timeout: dialTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connect to control host %s", address)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[address]; other != nil {
+		raw.Close()
+		return other, nil
+	}
+	conn = rpc.NewClient(raw)
+	c.conns[address] = conn
+	return conn, nil
+}
+
+func (c *Client) drop(address string, conn *rpc.Client) {
+	c.mu.Lock()
+	if c.conns[address] == conn {
+		delete(c.conns, address)
+	}
+	c.mu.Unlock()
+	conn.Close()
+}
+
+// lead calls a method at the leader. Every method may be repeated safely. It
+// follows changes of leader until ctx ends.
+func (c *Client) lead(ctx context.Context, method string, args any) (dispatcher.Answer, error) {
+	sent := false
+	refused := 0
+	start := time.Now()
+	for {
+		leader, changed := c.current()
+		if leader == "" {
+			if err := c.await(ctx, changed, leaderWait-time.Since(start)); err != nil {
+				return dispatcher.Answer{}, outcome(sent)
+			}
+			continue
+		}
+		var r Reply
+		err := c.callUntil(ctx, changed, leader, method, args, &r)
+		switch {
+		case err == nil && r.Code == dispatcher.NotLeader:
+			refused++
+			c.lost(leader)
+		case err == nil && r.Code == dispatcher.NotTaken && sent:
+			// An earlier send may have been taken.
+			return dispatcher.Answer{}, outcome(sent)
+		case err == nil:
+			return r.Answer, nil
+		case isNetwork(err) && !errors.Is(err, errUnsent):
+			sent = true
+			c.lost(leader)
+		default:
+			c.lost(leader)
+		}
+		if ctx.Err() != nil {
+			return dispatcher.Answer{}, outcome(sent)
+		}
+		start = time.Now()
+		c.poke()
+	}
+}
+
+// errUnsent marks a call that was not sent.
+var errUnsent = errors.New("not sent")
+
+// callUntil is callAt that ends early when the leader changes.
+func (c *Client) callUntil(ctx context.Context, changed <-chan struct{}, address, method string, args, reply any) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if _, err := c.connect(ctx, address); err != nil {
+		return errors.Mark(err, errUnsent)
+	}
+	done := make(chan error, 1)
+	go func() { done <- c.callAt(ctx, address, method, args, reply) }()
+	select {
+	case err := <-done:
+		return err
+	case <-changed:
+		cancel()
+		<-done // args and reply are not used any more
+		return errors.New("the leader changed meanwhile")
+	}
+}
+
+func outcome(sent bool) error {
+	if sent {
+		return ErrNoAnswer
+	}
+	return ErrNoLeader
+}
+
+func (c *Client) await(ctx context.Context, changed <-chan struct{}, wait time.Duration) error {
+	c.poke()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return nil
+	case <-timer.C:
+		return ErrNoLeader
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (c *Client) poke() {
+	select {
+	case c.search <- struct{}{}:
+	default:
+	}
+}
+
+// Submit accepts a job.
+func (c *Client) Submit(ctx context.Context, host, path string, spec graph.Spec) (dispatcher.Answer, error) {
+	return c.lead(ctx, "Submit", &JobArgs{Host: host, Path: path, Spec: spec})
+}
+
+// Cancel cancels a job.
+func (c *Client) Cancel(ctx context.Context, host, path string) (dispatcher.Answer, error) {
+	return c.lead(ctx, "Cancel", &JobArgs{Host: host, Path: path})
+}
+
+// Look returns the state of a job or queue.
+func (c *Client) Look(ctx context.Context, host, path string) (dispatcher.Answer, error) {
+	return c.lead(ctx, "Look", &JobArgs{Host: host, Path: path})
+}
+
+// PutConfig puts a configuration in force.
+func (c *Client) PutConfig(ctx context.Context, cfg *graph.Config) (dispatcher.Answer, error) {
+	return c.lead(ctx, "PutConfig", &ConfigArgs{Config: *cfg})
+}
+
+// GetConfig returns the configuration in force.
+func (c *Client) GetConfig(ctx context.Context) (dispatcher.Answer, error) {
+	return c.lead(ctx, "GetConfig", &None{})
+}
+
+// SetDomain takes a failure domain out of service or brings it back.
+func (c *Client) SetDomain(ctx context.Context, name string, out bool) (dispatcher.Answer, error) {
+	return c.lead(ctx, "SetDomain", &DomainArgs{Name: name, Out: out})
+}
+
+// Beat passes on a worker's report of itself.
+func (c *Client) Beat(ctx context.Context, r graph.WorkerReport) (dispatcher.Answer, error) {
+	return c.lead(ctx, "Beat", &BeatArgs{Report: r})
+}
+
+// Leave passes on a worker's word that it is gone.
+func (c *Client) Leave(ctx context.Context, id string) (dispatcher.Answer, error) {
+	return c.lead(ctx, "Leave", &LeaveArgs{ID: id})
+}
+
+// Info asks one control host what it knows of the group.
+func (c *Client) Info(ctx context.Context, address string) (Info, error) { return c.info(ctx, address) }
+
+// Hosts returns the relay addresses of all known control hosts.
+func (c *Client) Hosts() []string { return c.candidates() }
+
+// Join asks the leader to add a replica to the group.
+func (c *Client) Join(ctx context.Context, leader, id, address string) error {
+	return c.callAt(ctx, leader, "Join", &JoinArgs{ID: id, Address: address}, &None{})
+}
