Pace fillers by the headroom of serving tasks and learn which images disturb

Cause: fillers were slowed to a standstill beside serving tasks whose reservation, not whose use, filled the workers; a linear model of target/tail lets the pace follow.

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -19,6 +19,9 @@
 	if ws.listed > ws.ack && now.Sub(ws.listedAt) < commitWait {
 		return Hold{}, commitWait - now.Sub(ws.listedAt), true
 	}
+	if ws.paced {
+		return c.hold(now, ws, pacedHoldWait), 0, true
+	}
 	return c.hold(now, ws, HoldWait), 0, true
 }
 
@@ -92,6 +95,7 @@
 	if first {
 		c.settlePredecessors(ws, reply)
 	}
+	c.observe(ws)
 	c.adjustPace(now, ws)
 }
 
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -65,15 +65,4 @@
 	// maxStarts bounds the starts in one batch, so that its entry is written in
 	// a few milliseconds.
 	maxStarts = 200
-
-	// paceDownRatio of the tail target is where fillers are slowed, paceUpRatio
-	// where they are given more again; the gap keeps the pace steady.
-	paceDownRatio = 0.8
-	paceUpRatio   = 0.5
-	// paceStep is how much pace, in percent, fillers are given back at a time.
-	paceStep = 20
-	// paceUpInterval is the least time between two increases, and
-	// paceDownInterval between two decreases: the measure covers half a second.
-	paceUpInterval   = 1500 * time.Millisecond
-	paceDownInterval = 500 * time.Millisecond
 )
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -42,19 +42,12 @@
 	if r.answeredAt.IsZero() && !r.seen {
 		return true
 	}
-	return r.wantPace() != r.pace
+	return c.wantPace(r) != r.pace
 }
 
 // toStop reports whether the run is to be stopped.
 func (r *runState) toStop() bool { return r.giveUp || !r.a.Wanted() }
 
-func (r *runState) wantPace() int {
-	if !r.a.Step.Filler {
-		return 100
-	}
-	return r.ws.pace
-}
-
 func (c *Core) order(now time.Time, r *runState) (Order, bool) {
 	o := Order{Target: r.ws.target(), Task: r.a.Ref(), Run: r.a.Run, run: r}
 	switch {
@@ -74,7 +67,7 @@
 		o.Payload, o.Checkpoint = r.a.Step.Occurrence.Job.Spec.Payload, r.a.Resumed
 		r.sends++
 	default:
-		o.Kind, o.Percent = OrderPace, r.wantPace()
+		o.Kind, o.Percent = OrderPace, c.wantPace(r)
 		c.Stats.Paces++
 	}
 	return o, true
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -2,40 +2,88 @@
 
 import "time"
 
-// adjustPace slows the fillers of a worker while a task that serves there is
-// near its tail target, and lets them work again once it is well below.
+const (
+	// headroomSet is the headroom, tail target divided by tail, at which fillers
+	// are held. A tail rises without bound as its worker fills up, but its
+	// inverse falls in a straight line, which a linear controller can follow.
+	headroomSet = 1.3
+	// headroomMax caps the headroom that counts, so that an idle task does not
+	// bring a long time of full pace before the first reaction.
+	headroomMax = 2.5
+	// paceGain is the change of pace, in percent, for each unit of headroom.
+	paceGain = 30.0
+	// paceInterval is the least time between two changes: a measure covers half a second.
+	paceInterval = 450 * time.Millisecond
+	// paceTolerance is the difference, in percent, that is not worth an order.
+	paceTolerance = 8
+	// minPace is the share, in percent, below which fillers stand still: a
+	// filler hardly works there and still disturbs.
+	minPace = 5
+	// pacedHoldWait bounds how old a measure is where fillers run beside tasks
+	// with a tail target.
+	pacedHoldWait = 500 * time.Millisecond
+)
+
+// adjustPace sets how fast the fillers of a worker may work, so that the tasks
+// that serve there stay below their tail targets.
 func (c *Core) adjustPace(now time.Time, ws *workerState) {
-	worst, fillers := 0.0, false
+	serving, fillers := false, false
+	ws.headroom = headroomSeen
 	for a, r := range ws.runs {
 		if a.Step.Filler {
 			fillers = true
 		}
-		if a.Step.TailTargetMS > 0 && r.seen && r.percent >= 100 {
-			worst = max(worst, r.measure/float64(a.Step.TailTargetMS))
+		if a.Step.TailTargetMS > 0 {
+			serving = true
+			if r.seen && r.measure > 0 {
+				ws.headroom = min(ws.headroom, float64(a.Step.TailTargetMS)/r.measure)
+			}
 		}
 	}
-	if !fillers {
+	ws.paced = serving && fillers
+	if !ws.paced {
 		ws.pace = 100
-		return
-	}
-	switch since := now.Sub(ws.pacedAt); {
-	case worst >= 1 && since >= paceDownInterval && ws.pace > 0:
-		ws.pace, ws.pacedAt = ws.pace/4, now
-	case worst >= paceDownRatio && since >= paceDownInterval && ws.pace > 0:
-		ws.pace, ws.pacedAt = ws.pace*2/3, now
-	case worst < paceUpRatio && since >= paceUpInterval && ws.pace < 100:
-		ws.pace, ws.pacedAt = min(100, ws.pace+paceStep), now
-	}
-	if ws.pace < minPace {
-		ws.pace = 0
+	} else if now.Sub(ws.pacedAt) >= paceInterval {
+		ws.pacedAt = now
+		ws.pace = nextPace(ws.pace, min(ws.headroom, headroomMax))
 	}
 	for a, r := range ws.runs {
-		if a.Step.Filler && r.pace != ws.pace && (r.seen || !r.answeredAt.IsZero()) {
+		if a.Step.Filler && (r.seen || !r.answeredAt.IsZero()) && c.wantPace(r) != r.pace {
 			c.openRun(r)
 		}
 	}
 }
 
-// minPace is the share below which fillers stand still: a filler disturbs by
-// its presence at any share, and does next to nothing.
-const minPace = 5
+// nextPace returns the pace after one step of the controller.
+func nextPace(pace, headroom float64) float64 {
+	pace += paceGain * (headroom - headroomSet)
+	if headroom < 1 && pace > 0 {
+		pace /= 2
+	}
+	return min(100, max(-100, pace))
+}
+
+// wantPace returns the pace of a run. Fillers that hardly disturb are slowed
+// only once the others on the worker stand still.
+func (c *Core) wantPace(r *runState) int {
+	if !r.a.Step.Filler {
+		return 100
+	}
+	want := r.ws.pace
+	if c.pressureOf(r.a.Step.Image) < lightPressure {
+		want += 100
+	}
+	return paceOrder(min(100, max(0, want)), r.pace)
+}
+
+// paceOrder returns the pace to order, given the one last accepted.
+func paceOrder(want float64, accepted int) int {
+	w := int(want)
+	if w < minPace {
+		return 0
+	}
+	if diff := w - accepted; w < 100 && diff < paceTolerance && diff > -paceTolerance {
+		return accepted
+	}
+	return w
+}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -13,11 +13,12 @@
 type candidate struct {
 	ws   *workerState
 	free structs.Resources
-	// spareMilli is the processor time that neither reservations nor fillers take.
+	// spareMilli is the processor time that is expected to be idle.
 	spareMilli int64
 	// serving is set if a task with a tail target runs there.
 	serving bool
-	fillers int
+	// headroom is what fillers may still take from the serving tasks.
+	headroom float64
 }
 
 // ranked is a step with waiting tasks and its place in the order of starts.
@@ -36,7 +37,7 @@
 		return nil
 	}
 	pools := c.candidates(now)
-	p := &placer{nowMS: nowMS, perStep: map[graph.Handle]int{}}
+	p := &placer{c: c, perStep: map[graph.Handle]int{}}
 	for i := range steps {
 		if len(p.starts) >= maxStarts {
 			break
@@ -97,14 +98,10 @@
 		}
 		c.Stats.Usable++
 		free := ws.w.Free()
-		cd := &candidate{ws: ws, free: free, spareMilli: free.CPUMilli - ws.w.FillerCPUMilli}
+		cd := &candidate{ws: ws, free: free, spareMilli: ws.w.Capacity.CPUMilli, headroom: ws.headroom - headroomSet}
 		for a := range ws.w.Attempts {
-			if a.Step.TailTargetMS > 0 {
-				cd.serving = true
-			}
-			if a.Step.Filler {
-				cd.fillers++
-			}
+			cd.spareMilli -= expectedUse(a.Step.Step)
+			cd.serving = cd.serving || a.Step.TailTargetMS > 0
 		}
 		pools[ws.w.Pool] = append(pools[ws.w.Pool], cd)
 	}
@@ -116,7 +113,7 @@
 
 // placer collects the starts of one plan.
 type placer struct {
-	nowMS  int64
+	c      *Core
 	starts []graph.Start
 	// perStep counts the tasks of the step at hand on each worker.
 	perStep map[graph.Handle]int
@@ -165,7 +162,7 @@
 		cd := p.pick(s, &s.Tasks[i], pool)
 		if cd == nil {
 			for _, t := range taken {
-				t.give(s)
+				p.give(t, s)
 			}
 			p.starts = p.starts[:first]
 			return
@@ -176,23 +173,30 @@
 }
 
 func (p *placer) start(s *graph.StepState, index, run int, cd *candidate) {
-	cd.take(s)
+	p.take(cd, s)
 	p.perStep[cd.ws.w.Handle]++
 	p.starts = append(p.starts, graph.Start{Task: s.Ref(index), Run: run, Worker: cd.ws.w.Handle})
 }
 
-func (cd *candidate) take(s *graph.StepState) {
+func (p *placer) take(cd *candidate, s *graph.StepState) {
 	cd.free = cd.free.Sub(s.Occupies())
-	cd.spareMilli -= s.Need.CPUMilli
+	cd.spareMilli -= expectedUse(s.Step)
 	cd.serving = cd.serving || s.TailTargetMS > 0
-	if s.Filler {
-		cd.fillers++
-	}
+	cd.headroom -= p.disturbance(cd, s)
 }
 
-func (cd *candidate) give(s *graph.StepState) {
+func (p *placer) give(cd *candidate, s *graph.StepState) {
 	cd.free = cd.free.Add(s.Occupies())
-	cd.spareMilli += s.Need.CPUMilli
+	cd.spareMilli += expectedUse(s.Step)
+	cd.headroom += p.disturbance(cd, s)
+}
+
+// disturbance returns the headroom that a filler takes from serving tasks.
+func (p *placer) disturbance(cd *candidate, s *graph.StepState) float64 {
+	if !s.Filler {
+		return 0
+	}
+	return p.c.pressureOf(s.Image) * float64(s.Need.CPUMilli) / float64(max(cd.ws.w.Capacity.CPUMilli, 1))
 }
 
 // pick returns the best worker for a task, or nil.
@@ -204,7 +208,7 @@
 		if !need.Fits(cd.free) || !p.feasible(s, cd) {
 			continue
 		}
-		score, ok := score(s, task, cd)
+		score, ok := p.score(s, task, cd)
 		if ok && (best == nil || score > bestScore) {
 			best, bestScore = cd, score
 		}
@@ -224,33 +228,57 @@
 // it starts; with less it would hardly work and only disturb.
 const fillerShare = 0.5
 
+// fillerMinPace is the pace, in percent, of a worker's fillers below which it
+// gets no more of those that disturb.
+const fillerMinPace = 60
+
+// servingUse is the part of its processors that a task with a tail target is
+// expected to use: it reserves for its busiest time.
+const servingUse = 0.55
+
+// expectedUse returns the processor time that a task of the step is expected to use.
+func expectedUse(s *graph.Step) int64 {
+	if s.TailTargetMS > 0 {
+		return int64(servingUse * float64(s.Need.CPUMilli))
+	}
+	return s.Need.CPUMilli
+}
+
 // Weights of score, in shares of a worker's processors.
 const (
 	// failedHereWeight keeps a task away from the worker on which it failed.
 	failedHereWeight = 2.0
-	// servingWeight keeps fillers away from tasks with a tail target.
-	servingWeight = 0.3
-	// besideFillerWeight keeps tasks with a tail target away from fillers.
-	besideFillerWeight = 0.05
 	// dataRackWeight draws a task to its data.
 	dataRackWeight = 1.0
+	// packWeight packs tasks with a tail target on few workers, so that fillers
+	// find others where they disturb nobody.
+	packWeight = 1.0
+	// disturbWeight keeps fillers away from tasks that they disturb.
+	disturbWeight = 4.0
 )
 
-// score ranks a worker for a task: higher is better.
-func score(s *graph.StepState, task *graph.Task, cd *candidate) (float64, bool) {
+// score ranks a worker for a task: higher is better. It is not ok if the task
+// must not start there now.
+func (p *placer) score(s *graph.StepState, task *graph.Task, cd *candidate) (float64, bool) {
 	w := cd.ws.w
 	whole := float64(max(w.Capacity.CPUMilli, 1))
-	v := float64(cd.spareMilli) / whole
-	if s.Filler {
-		if float64(cd.spareMilli) < fillerShare*float64(s.Need.CPUMilli) {
+	spare := float64(cd.spareMilli) / whole
+	v := spare
+	switch {
+	case s.Filler:
+		if !p.fillerFits(s, cd) {
 			return 0, false
 		}
 		if cd.serving {
-			v -= servingWeight
+			v -= disturbWeight * p.disturbance(cd, s)
 		}
-	}
-	if s.TailTargetMS > 0 {
-		v -= besideFillerWeight * float64(cd.fillers)
+	case s.TailTargetMS > 0:
+		v = -float64(cd.free.CPUMilli) / whole
+		if cd.serving {
+			v += packWeight
+		}
+	case cd.serving:
+		v += packWeight // its reservation is of no use to fillers there
 	}
 	if task.LastWorker == w.Handle && task.Failures > 0 {
 		v -= failedHereWeight
@@ -260,3 +288,18 @@
 	}
 	return v, true
 }
+
+// fillerFits reports whether a filler would find idle processors, and leave the
+// serving tasks enough headroom.
+func (p *placer) fillerFits(s *graph.StepState, cd *candidate) bool {
+	if float64(cd.spareMilli) < fillerShare*float64(s.Need.CPUMilli) {
+		return false
+	}
+	if !cd.serving {
+		return true
+	}
+	if p.c.pressureOf(s.Image) >= lightPressure && cd.ws.pace < fillerMinPace {
+		return false
+	}
+	return cd.headroom >= p.disturbance(cd, s)
+}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -42,10 +42,16 @@
 	asideFor    time.Duration
 	pausedUntil time.Time
 
-	// pace is the share of work, in percent, that fillers here may do.
-	pace    int
+	// pace is the share of work, in percent, that fillers here may do. Below 0
+	// those that disturb stand still and the others are slowed.
+	pace    float64
 	pacedAt time.Time
-	runs    map[*graph.Attempt]*runState
+	// paced is set while fillers run beside tasks with a tail target.
+	paced bool
+	// headroom is the least of the serving tasks', as last listed.
+	headroom float64
+	last     observation
+	runs     map[*graph.Attempt]*runState
 }
 
 // runState is what the leader knows of one attempt.
