Do not move a silent worker's lease on

A worker that has not answered is called without a deadline until it answers.

Ruled out: counting only answered deadlines (an unanswered call may have arrived).

--- /dev/null
+++ b/core/dispatch/helpers_test.go
@@ -0,0 +1,170 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gooseberrypond/core/graph"
+	"gooseberrypond/core/structs"
+)
+
+// rig is a leader's core with its tables; the log commits at once.
+type rig struct {
+	t      *testing.T
+	now    time.Time
+	tables *graph.Tables
+	core   *Core
+	index  uint64
+	lists  map[graph.Handle]*fakeLists
+}
+
+// fakeLists is what a worker would list.
+type fakeLists struct {
+	running  map[graph.TaskRef]RunningRow
+	finished []FinishedRow
+	next     uint64
+	token    uint64
+}
+
+var testLimits = Limits{LeaseMax: 10 * time.Second, StopTimeout: time.Second, Interference: 4 * time.Second}
+
+func newRig(t *testing.T) *rig {
+	t.Helper()
+	r := &rig{t: t, now: time.Unix(1_700_000_000, 0), tables: graph.New(), lists: map[graph.Handle]*fakeLists{}}
+	r.apply(&graph.Batch{Config: &graph.Config{
+		Version: 1,
+		Queues:  []graph.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Attempts: 3, DeadlineFactor: 2, TargetLatencyMS: 1000, TimeoutMS: 3000}},
+		Pools:   []graph.Pool{{Name: "p", Guards: true}},
+	}})
+	r.elect(1)
+	return r
+}
+
+func (r *rig) elect(term uint64) { r.core = New(r.now, r.tables, term, testLimits) }
+
+func (r *rig) apply(b *graph.Batch) *graph.Result {
+	r.index++
+	b.NowMS = r.now.UnixMilli()
+	data, err := b.Encode()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	if b, err = graph.DecodeBatch(data); err != nil {
+		r.t.Fatal(err)
+	}
+	res := r.tables.Apply(r.index, b)
+	if r.core != nil {
+		r.core.Applied(r.now, b, res)
+	}
+	return res
+}
+
+// turn commits what the core wants to record.
+func (r *rig) turn() *graph.Result { return r.apply(r.core.Plan(r.now, r.now.UnixMilli())) }
+
+func (r *rig) pass(d time.Duration) { r.now = r.now.Add(d) }
+
+func worker(id string, born int64) graph.WorkerReport {
+	return graph.WorkerReport{ID: id, Born: born, Address: id + ":80", Pool: "p", Domain: "d1",
+		Labels: []string{"a", "r1"}, Capacity: structs.Resources{CPUMilli: 8000, MemoryMB: 8000}}
+}
+
+// register adds a worker and lets it answer its first call.
+func (r *rig) register(id string, born int64) graph.Handle {
+	r.t.Helper()
+	r.core.Beat(r.now, worker(id, born))
+	r.turn()
+	w := r.tables.WorkerByID(id)
+	if w == nil {
+		r.t.Fatalf("worker %s was not recorded", id)
+	}
+	r.lists[w.Handle] = &fakeLists{running: map[graph.TaskRef]RunningRow{}}
+	r.hold(w.Handle)
+	return w.Handle
+}
+
+// hold lets a worker answer a call with its lists.
+func (r *rig) hold(h graph.Handle) {
+	r.t.Helper()
+	hold, _, ok := r.core.NextHold(r.now, h)
+	if !ok {
+		r.t.Fatalf("no call to worker %d", h)
+	}
+	if hold.Address == "" {
+		hold = r.core.hold(r.now, r.core.workers[h], 0)
+	}
+	r.answer(hold)
+}
+
+func (r *rig) answer(hold Hold) {
+	l := r.lists[hold.Worker]
+	l.token = max(l.token, hold.Token)
+	reply := &HoldReply{Born: r.tables.Worker(hold.Worker).Born, ClockMS: r.now.UnixMilli()}
+	for _, row := range l.running {
+		reply.Running = append(reply.Running, row)
+	}
+	for _, row := range l.finished {
+		if row.N > hold.AckCursor {
+			reply.Finished = append(reply.Finished, row)
+		}
+	}
+	r.core.HoldDone(r.now, r.now, hold, reply)
+}
+
+// end lets a run end on its worker.
+func (r *rig) end(h graph.Handle, ref graph.TaskRef, kind graph.EndKind) {
+	l := r.lists[h]
+	row := l.running[ref]
+	delete(l.running, ref)
+	l.next++
+	l.finished = append(l.finished, FinishedRow{N: l.next, Task: ref, Run: row.Run, Kind: kind})
+}
+
+// deliver carries out all orders that are due and answers them.
+func (r *rig) deliver() []Order {
+	orders := r.core.Orders(r.now)
+	for _, o := range orders {
+		l := r.lists[o.Worker]
+		switch o.Kind {
+		case OrderStart:
+			l.running[o.Task] = RunningRow{Task: o.Task, Run: o.Run, Percent: 100}
+		case OrderStop:
+			if _, ok := l.running[o.Task]; ok {
+				r.end(o.Worker, o.Task, graph.EndStopped)
+			}
+		}
+		r.core.OrderDone(r.now, o, OrderReply{Outcome: Accepted, ClockMS: r.now.UnixMilli()})
+	}
+	return orders
+}
+
+// drop takes all orders that are due without an answer.
+func (r *rig) drop() []Order {
+	orders := r.core.Orders(r.now)
+	for _, o := range orders {
+		r.core.OrderDone(r.now, o, OrderReply{Outcome: NoAnswer})
+	}
+	return orders
+}
+
+func step(count int, cpu int64) graph.Step {
+	return graph.Step{Count: count, Need: structs.Resources{CPUMilli: cpu, MemoryMB: 100}, EstimateMS: 1000}
+}
+
+func (r *rig) submit(id graph.JobID, steps ...graph.Step) *graph.Job {
+	r.apply(&graph.Batch{Submits: []graph.Spec{{ID: id, Queue: "q", Payload: "x", Steps: steps}}})
+	return r.tables.Job(id)
+}
+
+// started returns the workers on which attempts of the job are.
+func (r *rig) started(id graph.JobID) []*graph.Attempt {
+	var out []*graph.Attempt
+	for _, o := range r.tables.Job(id).Occurrences {
+		for _, s := range o.Steps {
+			for i := range s.Tasks {
+				out = append(out, s.Tasks[i].Attempts...)
+			}
+		}
+	}
+	return out
+}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -29,10 +29,13 @@
 	if !ws.fenced {
 		wait = 0
 	}
-	return Hold{
-		Target: ws.target(), AckCursor: ws.ack,
-		DeadlineMS: ws.nextDeadline(now, c.limits.LeaseMax), WaitMS: wait.Milliseconds(),
+	h := Hold{Target: ws.target(), AckCursor: ws.ack, WaitMS: wait.Milliseconds()}
+	if !ws.suspect {
+		// A call that may go unanswered must not move the end of the lease on,
+		// or a dead worker would keep its runs for ever.
+		h.DeadlineMS = ws.nextDeadline(now, c.limits.LeaseMax)
 	}
+	return h
 }
 
 func (ws *workerState) target() Target {
--- /dev/null
+++ b/core/dispatch/lease_test.go
@@ -0,0 +1,60 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gooseberrypond/core/graph"
+)
+
+const job1 graph.JobID = "00000000000000a1"
+
+// Guards against a lease that never ends: calls that a dead worker does not
+// answer must not move the end of its lease on.
+func TestSilentWorkerLosesItsRuns(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit(job1, step(1, 1000))
+	r.turn()
+	r.deliver()
+	r.hold(a)
+	b := r.register("b", 1)
+
+	for range 140 { // 14 s
+		r.pass(100 * time.Millisecond)
+		if hold, wait, _ := r.core.NextHold(r.now, a); wait == 0 {
+			r.core.HoldFailed(r.now, hold)
+		}
+		r.hold(b)
+		r.turn()
+		r.deliver()
+	}
+	as := r.started(job1)
+	if len(as) != 1 || as[0].Worker.Handle != b || as[0].Run != 2 {
+		t.Fatalf("after 14 s without an answer of its worker the task has attempts %+v, want run 2 on worker %d", as, b)
+	}
+}
+
+// Guards against a task that runs twice: it must not move while its worker's
+// lease may last, counted for a clock that is slow.
+func TestRunsStayWhileTheLeaseMayLast(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit(job1, step(1, 1000))
+	r.turn()
+	r.deliver()
+	r.hold(a)
+	r.hold(a)
+	b := r.register("b", 1)
+	for range 101 { // 10.1 s; a clock 2% slow ends a lease of 10 s after 10.2 s
+		r.pass(100 * time.Millisecond)
+		if hold, wait, _ := r.core.NextHold(r.now, a); wait == 0 {
+			r.core.HoldFailed(r.now, hold)
+		}
+		r.hold(b)
+		r.turn()
+	}
+	if as := r.started(job1); len(as) != 1 || as[0].Worker.Handle != a {
+		t.Fatalf("attempts %+v, want one on worker %d, whose lease may last", as, a)
+	}
+}
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -59,7 +59,10 @@
 		o.Kind = OrderStop
 		c.Stats.Stops++
 	case r.answeredAt.IsZero() && !r.seen:
-		deadline := r.ws.nextDeadline(now, c.limits.LeaseMax)
+		deadline := r.ws.deadlineMS
+		if !r.ws.suspect {
+			deadline = r.ws.nextDeadline(now, c.limits.LeaseMax)
+		}
 		if deadline == 0 {
 			return o, false
 		}
