Learn how much each filler image disturbs each serving image

Serving tasks of one image are packed together, and fillers go where no serving image minds them.

Ruled out: more idle reserve (reservations are 80 to 95% of the fleet, nothing can be kept free of serving tasks).

--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -24,34 +24,62 @@
 	pacedHoldWait = 500 * time.Millisecond
 )
 
+// servingState is the state of the serving tasks of one image on a worker.
+type servingState struct {
+	// headroom is the least of the tasks', as last listed.
+	headroom float64
+	// pace is the share of work, in percent, that fillers which disturb them
+	// may do. Below 0 these stand still and the others are slowed.
+	pace float64
+}
+
 // adjustPace sets how fast the fillers of a worker may work, so that the tasks
 // that serve there stay below their tail targets.
 func (c *Core) adjustPace(now time.Time, ws *workerState) {
-	serving, fillers := false, false
-	ws.headroom = headroomSeen
+	fillers := ws.updateServing()
+	ws.paced = fillers && len(ws.serving) > 0
+	if ws.paced && now.Sub(ws.pacedAt) >= paceInterval {
+		ws.pacedAt = now
+		for _, s := range ws.serving {
+			s.pace = nextPace(s.pace, min(s.headroom, headroomMax))
+		}
+	}
+	for a, r := range ws.runs {
+		if a.Step.Filler && (r.seen || !r.answeredAt.IsZero()) && c.wantPace(r) != r.pace {
+			c.openRun(r)
+		}
+	}
+}
+
+// updateServing reads the headroom of the serving tasks from the last list, and
+// reports whether there are fillers.
+func (ws *workerState) updateServing() (fillers bool) {
+	for _, s := range ws.serving {
+		s.headroom = 0
+	}
 	for a, r := range ws.runs {
 		if a.Step.Filler {
 			fillers = true
 		}
-		if a.Step.TailTargetMS > 0 {
-			serving = true
-			if r.seen && r.measure > 0 {
-				ws.headroom = min(ws.headroom, float64(a.Step.TailTargetMS)/r.measure)
-			}
+		if a.Step.TailTargetMS <= 0 || !r.seen || r.measure <= 0 {
+			continue
+		}
+		h := min(headroomSeen, float64(a.Step.TailTargetMS)/r.measure)
+		s := ws.serving[a.Step.Image]
+		if s == nil {
+			s = &servingState{pace: 100}
+			ws.serving[a.Step.Image] = s
+		}
+		if s.headroom == 0 || h < s.headroom {
+			s.headroom = h
 		}
 	}
-	ws.paced = serving && fillers
-	if !ws.paced {
-		ws.pace = 100
-	} else if now.Sub(ws.pacedAt) >= paceInterval {
-		ws.pacedAt = now
-		ws.pace = nextPace(ws.pace, min(ws.headroom, headroomMax))
-	}
-	for a, r := range ws.runs {
-		if a.Step.Filler && (r.seen || !r.answeredAt.IsZero()) && c.wantPace(r) != r.pace {
-			c.openRun(r)
+	for image, s := range ws.serving {
+		if s.headroom == 0 {
+			delete(ws.serving, image)
 		}
 	}
+	return fillers
 }
 
 // nextPace returns the pace after one step of the controller.
@@ -69,11 +97,15 @@
 	if !r.a.Step.Filler {
 		return 100
 	}
-	want := r.ws.pace
-	if c.pressureOf(r.a.Step.Image) < lightPressure {
-		want += 100
+	want := 100.0
+	for image, s := range r.ws.serving {
+		p := s.pace
+		if c.pressureOf(r.a.Step.Image, image) < lightPressure {
+			p += 100
+		}
+		want = min(want, p)
 	}
-	return paceOrder(min(100, max(0, want)), r.pace)
+	return paceOrder(max(0, want), r.pace)
 }
 
 // paceOrder returns the pace to order, given the one last accepted.
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -15,10 +15,9 @@
 	free structs.Resources
 	// spareMilli is the processor time that is expected to be idle.
 	spareMilli int64
-	// serving is set if a task with a tail target runs there.
-	serving bool
-	// headroom is what fillers may still take from the serving tasks.
-	headroom float64
+	// serving holds the headroom that fillers may still take from the tasks
+	// with a tail target, by image.
+	serving map[string]float64
 }
 
 // ranked is a step with waiting tasks and its place in the order of starts.
@@ -98,10 +97,15 @@
 		}
 		c.Stats.Usable++
 		free := ws.w.Free()
-		cd := &candidate{ws: ws, free: free, spareMilli: ws.w.Capacity.CPUMilli, headroom: ws.headroom - headroomSet}
+		cd := &candidate{ws: ws, free: free, spareMilli: ws.w.Capacity.CPUMilli, serving: map[string]float64{}}
 		for a := range ws.w.Attempts {
 			cd.spareMilli -= expectedUse(a.Step.Step)
-			cd.serving = cd.serving || a.Step.TailTargetMS > 0
+			if a.Step.TailTargetMS > 0 {
+				cd.serving[a.Step.Image] = headroomNew - headroomSet
+			}
+		}
+		for image, s := range ws.serving {
+			cd.serving[image] = s.headroom - headroomSet
 		}
 		pools[ws.w.Pool] = append(pools[ws.w.Pool], cd)
 	}
@@ -181,22 +185,31 @@
 func (p *placer) take(cd *candidate, s *graph.StepState) {
 	cd.free = cd.free.Sub(s.Occupies())
 	cd.spareMilli -= expectedUse(s.Step)
-	cd.serving = cd.serving || s.TailTargetMS > 0
-	cd.headroom -= p.disturbance(cd, s)
+	if _, ok := cd.serving[s.Image]; !ok && s.TailTargetMS > 0 {
+		cd.serving[s.Image] = headroomNew - headroomSet
+	}
+	p.disturb(cd, s, 1)
 }
 
 func (p *placer) give(cd *candidate, s *graph.StepState) {
 	cd.free = cd.free.Add(s.Occupies())
 	cd.spareMilli += expectedUse(s.Step)
-	cd.headroom += p.disturbance(cd, s)
+	p.disturb(cd, s, -1)
 }
 
-// disturbance returns the headroom that a filler takes from serving tasks.
-func (p *placer) disturbance(cd *candidate, s *graph.StepState) float64 {
+// disturb takes the headroom that n fillers of the step need.
+func (p *placer) disturb(cd *candidate, s *graph.StepState, n float64) {
 	if !s.Filler {
-		return 0
+		return
 	}
-	return p.c.pressureOf(s.Image) * float64(s.Need.CPUMilli) / float64(max(cd.ws.w.Capacity.CPUMilli, 1))
+	for image := range cd.serving {
+		cd.serving[image] -= n * p.disturbance(cd, s, image)
+	}
+}
+
+// disturbance returns the headroom that one filler takes from serving tasks.
+func (p *placer) disturbance(cd *candidate, s *graph.StepState, serving string) float64 {
+	return p.c.pressureOf(s.Image, serving) * float64(s.Need.CPUMilli) / float64(max(cd.ws.w.Capacity.CPUMilli, 1))
 }
 
 // pick returns the best worker for a task, or nil.
@@ -228,9 +241,9 @@
 // it starts; with less it would hardly work and only disturb.
 const fillerShare = 0.5
 
-// fillerMinPace is the pace, in percent, of a worker's fillers below which it
-// gets no more of those that disturb.
-const fillerMinPace = 60
+// headroomNew is the headroom assumed for serving tasks that have not been
+// listed yet.
+const headroomNew = 2.0
 
 // servingUse is the part of its processors that a task with a tail target is
 // expected to use: it reserves for its busiest time.
@@ -250,9 +263,12 @@
 	failedHereWeight = 2.0
 	// dataRackWeight draws a task to its data.
 	dataRackWeight = 1.0
-	// packWeight packs tasks with a tail target on few workers, so that fillers
-	// find others where they disturb nobody.
+	// packWeight draws batch tasks to workers that serve, so that fillers find
+	// idle processors where they disturb nobody.
 	packWeight = 1.0
+	// sameImageWeight packs serving tasks of one image together: fillers that
+	// disturb one image hardly disturb another.
+	sameImageWeight = 1.5
 	// disturbWeight keeps fillers away from tasks that they disturb.
 	disturbWeight = 4.0
 )
@@ -266,18 +282,19 @@
 	v := spare
 	switch {
 	case s.Filler:
-		if !p.fillerFits(s, cd) {
+		worst, ok := p.fillerFits(s, cd)
+		if !ok {
 			return 0, false
 		}
-		if cd.serving {
-			v -= disturbWeight * p.disturbance(cd, s)
-		}
+		v -= disturbWeight * worst
 	case s.TailTargetMS > 0:
 		v = -float64(cd.free.CPUMilli) / whole
-		if cd.serving {
-			v += packWeight
+		if _, ok := cd.serving[s.Image]; ok {
+			v += sameImageWeight
+		} else if len(cd.serving) > 0 {
+			v -= sameImageWeight
 		}
-	case cd.serving:
+	case len(cd.serving) > 0:
 		v += packWeight // its reservation is of no use to fillers there
 	}
 	if task.LastWorker == w.Handle && task.Failures > 0 {
@@ -289,17 +306,18 @@
 	return v, true
 }
 
-// fillerFits reports whether a filler would find idle processors, and leave the
-// serving tasks enough headroom.
-func (p *placer) fillerFits(s *graph.StepState, cd *candidate) bool {
+// fillerFits reports whether a filler would find idle processors and leave the
+// serving tasks enough headroom, and how much it takes of it.
+func (p *placer) fillerFits(s *graph.StepState, cd *candidate) (worst float64, ok bool) {
 	if float64(cd.spareMilli) < fillerShare*float64(s.Need.CPUMilli) {
-		return false
-	}
-	if !cd.serving {
-		return true
+		return 0, false
 	}
-	if p.c.pressureOf(s.Image) >= lightPressure && cd.ws.pace < fillerMinPace {
-		return false
+	for image, headroom := range cd.serving {
+		d := p.disturbance(cd, s, image)
+		if d > headroom && p.c.pressureOf(s.Image, image) >= lightPressure {
+			return 0, false
+		}
+		worst = max(worst, d)
 	}
-	return cd.headroom >= p.disturbance(cd, s)
+	return worst, true
 }
--- a/core/dispatch/pressure.go
+++ b/core/dispatch/pressure.go
@@ -3,8 +3,6 @@
 import (
 	"cmp"
 	"slices"
-
-	"gooseberrypond/core/graph"
 )
 
 // Headroom is a tail target divided by the tail: 1 is at the target. It falls
@@ -12,8 +10,8 @@
 // without bound; so the effect of a filler can be learned as a slope.
 
 const (
-	// pressurePrior is the pressure of an image that has not been observed: the
-	// headroom that it would take by using all processors of a worker.
+	// pressurePrior is the pressure of a pair that has not been observed: the
+	// headroom that the filler would take by using all processors of a worker.
 	pressurePrior = 2.0
 	// pressureMax bounds an estimate against a burst of noise.
 	pressureMax = 12.0
@@ -23,23 +21,33 @@
 	// moving an estimate: a square of a change of use, in shares of a worker.
 	pressureFloor = 0.01
 	// lightPressure is where fillers do not need to be slowed for others' sake.
-	lightPressure = 0.7
+	lightPressure = 1.2
 	// headroomSeen caps the headroom that is observed: far from the target it
 	// is dominated by the tasks' own load.
 	headroomSeen = 4.0
 )
 
+// imagePair is a filler's image and that of a serving task beside it. How much
+// one disturbs the other differs from pair to pair.
+type imagePair struct{ filler, serving string }
+
 // observation is what a worker's list said about interference.
 type observation struct {
-	// headroom is the mean over the serving tasks that both lists name.
-	headroom map[*graph.Attempt]float64
+	// headroom holds the headroom of each serving task, by image.
+	headroom map[string][]taskHeadroom
 	// use is the processor use of fillers by image, in shares of the worker.
 	use map[string]float64
 }
 
+// taskHeadroom is the headroom of one serving task.
+type taskHeadroom struct {
+	run      *runState
+	headroom float64
+}
+
 // observe takes a worker's list and learns from the difference to the one before.
 func (c *Core) observe(ws *workerState) {
-	o := observation{headroom: map[*graph.Attempt]float64{}, use: map[string]float64{}}
+	o := observation{headroom: map[string][]taskHeadroom{}, use: map[string]float64{}}
 	whole := float64(max(ws.w.Capacity.CPUMilli, 1))
 	for a, r := range ws.runs {
 		switch {
@@ -47,67 +55,86 @@
 		case a.Step.Filler:
 			o.use[a.Step.Image] += r.measure / whole
 		case a.Step.TailTargetMS > 0:
-			o.headroom[a] = min(headroomSeen, float64(a.Step.TailTargetMS)/r.measure)
+			h := min(headroomSeen, float64(a.Step.TailTargetMS)/r.measure)
+			o.headroom[a.Step.Image] = append(o.headroom[a.Step.Image], taskHeadroom{r, h})
+		}
+	}
+	if diff := useChange(ws.last.use, o.use); len(diff) > 0 {
+		for image, after := range o.headroom {
+			if change, ok := headroomChange(ws.last.headroom[image], after); ok {
+				c.learn(image, change, diff)
+			}
 		}
 	}
-	c.learn(&ws.last, &o)
 	ws.last = o
 }
 
-// learn moves the images' pressures towards what explains the change of headroom.
-func (c *Core) learn(before, after *observation) {
-	var change, n float64
-	for a, h := range after.headroom {
-		if old, ok := before.headroom[a]; ok {
-			change += h - old
-			n++
-		}
-	}
-	if n == 0 {
-		return
-	}
-	change /= n
+// useChange returns how much the use of each filler image has changed.
+func useChange(before, after map[string]float64) map[string]float64 {
 	diff := map[string]float64{}
-	for image, use := range after.use {
-		diff[image] = use - before.use[image]
+	for image, use := range after {
+		diff[image] = use - before[image]
 	}
-	for image, use := range before.use {
-		if _, ok := after.use[image]; !ok {
+	for image, use := range before {
+		if _, ok := after[image]; !ok {
 			diff[image] = -use
 		}
 	}
+	return diff
+}
+
+// headroomChange returns the mean change over the tasks that both lists name.
+func headroomChange(before, after []taskHeadroom) (float64, bool) {
+	var sum, n float64
+	for _, x := range after {
+		for _, old := range before {
+			if old.run == x.run {
+				sum += x.headroom - old.headroom
+				n++
+			}
+		}
+	}
+	if n == 0 {
+		return 0, false
+	}
+	return sum / n, true
+}
+
+// learn moves the pressures on a serving image towards what explains the change
+// of its headroom, by a normalized step.
+func (c *Core) learn(serving string, change float64, diff map[string]float64) {
 	predicted, norm := 0.0, pressureFloor
 	for image, d := range diff {
-		predicted -= c.pressureOf(image) * d
+		predicted -= c.pressureOf(image, serving) * d
 		norm += d * d
 	}
 	for image, d := range diff {
-		k := c.pressureOf(image) - pressureGain*(change-predicted)*d/norm
-		c.pressure[image] = min(pressureMax, max(0, k))
+		k := c.pressureOf(image, serving) - pressureGain*(change-predicted)*d/norm
+		c.pressure[imagePair{image, serving}] = min(pressureMax, max(0, k))
 	}
 }
 
-// pressureOf returns the headroom that fillers of the image take by using all
-// processors of a worker.
-func (c *Core) pressureOf(image string) float64 {
-	if k, ok := c.pressure[image]; ok {
+// pressureOf returns the headroom that fillers of an image take from serving
+// tasks of another by using all processors of a worker.
+func (c *Core) pressureOf(filler, serving string) float64 {
+	if k, ok := c.pressure[imagePair{filler, serving}]; ok {
 		return k
 	}
 	return pressurePrior
 }
 
 // Pressures returns the learned pressures, the highest first, for dumps and logs.
-func (c *Core) Pressures() []ImagePressure {
-	out := make([]ImagePressure, 0, len(c.pressure))
-	for image, k := range c.pressure {
-		out = append(out, ImagePressure{image, k})
+func (c *Core) Pressures() []Pressure {
+	out := make([]Pressure, 0, len(c.pressure))
+	for p, k := range c.pressure {
+		out = append(out, Pressure{p.filler, p.serving, k})
 	}
-	slices.SortFunc(out, func(a, b ImagePressure) int { return cmp.Compare(b.Pressure, a.Pressure) })
+	slices.SortFunc(out, func(a, b Pressure) int { return cmp.Compare(b.Headroom, a.Headroom) })
 	return out
 }
 
-// ImagePressure is the learned pressure of one image.
-type ImagePressure struct {
-	Image    string
-	Pressure float64
+// Pressure is the learned pressure of a pair of images.
+type Pressure struct {
+	Filler, Serving string
+	Headroom        float64
 }
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -42,16 +42,13 @@
 	asideFor    time.Duration
 	pausedUntil time.Time
 
-	// pace is the share of work, in percent, that fillers here may do. Below 0
-	// those that disturb stand still and the others are slowed.
-	pace    float64
+	// serving holds the state of the serving tasks here by image.
+	serving map[string]*servingState
 	pacedAt time.Time
 	// paced is set while fillers run beside tasks with a tail target.
 	paced bool
-	// headroom is the least of the serving tasks', as last listed.
-	headroom float64
-	last     observation
-	runs     map[*graph.Attempt]*runState
+	last  observation
+	runs  map[*graph.Attempt]*runState
 }
 
 // runState is what the leader knows of one attempt.
@@ -83,7 +80,7 @@
 func (c *Core) newWorker(now time.Time, w *graph.Worker) *workerState {
 	ws := &workerState{
 		w: w, token: c.tokenFor(w.ID), lastBeat: now, lastAnswer: now,
-		pace: 100, runs: map[*graph.Attempt]*runState{},
+		serving: map[string]*servingState{}, runs: map[*graph.Attempt]*runState{},
 	}
 	c.workers[w.Handle] = ws
 	c.added = append(c.added, w.Handle)
