--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -6,7 +6,7 @@
 	// headroomSet is the headroom, tail target divided by tail, at which fillers
 	// are held. A tail rises without bound as its worker fills up, but its
 	// inverse falls in a straight line, which a linear controller can follow.
-	headroomSet = 1.3
+	headroomSet = 1.2
 	// headroomMax caps the headroom that counts, so that an idle task does not
 	// bring a long time of full pace before the first reaction.
 	headroomMax = 2.5
--- /dev/null
+++ b/core/graph/graph_test.go
@@ -0,0 +1,234 @@
+package graph
+
+import (
+	"bytes"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"gooseberrypond/core/structs"
+)
+
+const jobA JobID = "00000000000000a1"
+
+type world struct {
+	t     testing.TB
+	tab   *Tables
+	index uint64
+	nowMS int64
+}
+
+func newWorld(t testing.TB) *world {
+	w := &world{t: t, tab: New(), nowMS: 1000}
+	w.apply(&Batch{
+		Config: &Config{Version: 1, Queues: []Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", Attempts: 2, TimeoutMS: 1}}},
+		Workers: []WorkerChange{
+			{Report: WorkerReport{ID: "a", Born: 1, Address: "a:1", Pool: "p", Capacity: structs.Resources{CPUMilli: 4000, MemoryMB: 4000}}},
+			{Report: WorkerReport{ID: "b", Born: 1, Address: "b:1", Pool: "p", Capacity: structs.Resources{CPUMilli: 4000, MemoryMB: 4000}}},
+		},
+	})
+	return w
+}
+
+// apply sends a batch through its encoding, as the log does.
+func (w *world) apply(b *Batch) *Result {
+	w.index++
+	w.nowMS++
+	b.NowMS = w.nowMS
+	data, err := b.Encode()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if b, err = DecodeBatch(data); err != nil {
+		w.t.Fatal(err)
+	}
+	return w.tab.Apply(w.index, b)
+}
+
+func (w *world) start(job JobID, step, index, run int, h Handle) *Result {
+	return w.apply(&Batch{Starts: []Start{{Task: TaskRef{Job: job, Step: step, Index: index}, Run: run, Worker: h}}})
+}
+
+func (w *world) end(job JobID, step, index, run int, h Handle, k EndKind) *Result {
+	return w.apply(&Batch{Ends: []End{{Task: TaskRef{Job: job, Step: step, Index: index}, Run: run, Worker: h, Kind: k}}})
+}
+
+func twoSteps() []Step {
+	one := Step{Count: 1, Need: structs.Resources{CPUMilli: 1000, MemoryMB: 10}}
+	two := one
+	two.DependsOn = []int{0}
+	return []Step{one, two}
+}
+
+func (w *world) submit(id JobID, steps ...Step) {
+	w.apply(&Batch{Submits: []Spec{{ID: id, Queue: "q", Steps: steps}}})
+}
+
+// Guards against a step that starts before the steps it depends on are done.
+func TestStepWaitsForItsDependencies(t *testing.T) {
+	w := newWorld(t)
+	w.submit(jobA, twoSteps()...)
+	if r := w.start(jobA, 1, 0, 1, 1); len(r.Started) != 0 || r.Dropped != 1 {
+		t.Fatal("a step started before the one that it depends on")
+	}
+	w.start(jobA, 0, 0, 1, 1)
+	w.end(jobA, 0, 0, 1, 1, EndDone)
+	if r := w.start(jobA, 1, 0, 1, 2); len(r.Started) != 1 {
+		t.Fatal("a ready step did not start")
+	}
+	w.end(jobA, 1, 0, 1, 2, EndDone)
+	if s := w.tab.Job(jobA).State; s != JobCompleted {
+		t.Fatalf("job is %s after all its tasks were done, want completed", s)
+	}
+}
+
+// Guards against two runs of a task at the same time.
+func TestSecondStartOfARunningTaskIsDropped(t *testing.T) {
+	w := newWorld(t)
+	w.submit(jobA, twoSteps()...)
+	w.start(jobA, 0, 0, 1, 1)
+	if r := w.start(jobA, 0, 0, 2, 2); len(r.Started) != 0 {
+		t.Fatal("a task that has an attempt was started again")
+	}
+	w.apply(&Batch{Releases: []Release{{Task: TaskRef{Job: jobA}, Run: 1, Worker: 1}}})
+	if r := w.start(jobA, 0, 0, 1, 2); len(r.Started) != 0 {
+		t.Fatal("a run number was given out twice")
+	}
+	if r := w.start(jobA, 0, 0, 2, 2); len(r.Started) != 1 {
+		t.Fatal("a released task did not start again")
+	}
+	w.end(jobA, 0, 0, 1, 1, EndDone) // of the run that was released
+	if w.tab.Job(jobA).Occurrences[0].Steps[0].Open != 1 {
+		t.Fatal("the end of a released run counted")
+	}
+}
+
+// Guards against a job that fails early or never: only ends that failed count,
+// up to the queue's attempts.
+func TestJobFailsAfterItsAttempts(t *testing.T) {
+	w := newWorld(t)
+	w.submit(jobA, twoSteps()...)
+	w.start(jobA, 0, 0, 1, 1)
+	w.end(jobA, 0, 0, 1, 1, EndStopped)
+	w.start(jobA, 0, 0, 2, 1)
+	w.end(jobA, 0, 0, 2, 1, EndFailed)
+	if !w.tab.Job(jobA).Live() {
+		t.Fatal("the job failed after one failed run of two")
+	}
+	w.start(jobA, 0, 0, 3, 1)
+	w.end(jobA, 0, 0, 3, 1, EndFailed)
+	if s := w.tab.Job(jobA).State; s != JobFailed {
+		t.Fatalf("job is %s after two failed runs, want failed", s)
+	}
+}
+
+// Guards against a job that runs again: its id names the same job for ever,
+// also after it was cancelled and its tasks were forgotten.
+func TestResentSubmissionIsTheSameJob(t *testing.T) {
+	w := newWorld(t)
+	w.submit(jobA, twoSteps()...)
+	w.apply(&Batch{Cancels: []JobID{jobA}})
+	w.submit(jobA, twoSteps()...)
+	w.apply(&Batch{ForgetBeforeMS: w.nowMS + 10})
+	w.submit(jobA, twoSteps()...)
+	if j := w.tab.Job(jobA); j.State != JobCancelled || len(w.tab.Waiting()) != 0 {
+		t.Fatalf("a cancelled job that was sent again is %s with %d steps waiting", j.State, len(w.tab.Waiting()))
+	}
+}
+
+// Guards against a reverted configuration.
+func TestLowerVersionChangesNothing(t *testing.T) {
+	w := newWorld(t)
+	w.apply(&Batch{Config: &Config{Version: 7, Document: []byte("seven")}})
+	w.apply(&Batch{Config: &Config{Version: 7, Document: []byte("other")}})
+	w.apply(&Batch{Config: &Config{Version: 3, Document: []byte("three")}})
+	if c := w.tab.Config(); c.Version != 7 || string(c.Document) != "seven" {
+		t.Fatalf("version %d with document %q is in force, want 7, seven", c.Version, c.Document)
+	}
+}
+
+// Guards against a gang that starts over although one of its ends stands for all.
+func TestOneEndStandsForTheGang(t *testing.T) {
+	w := newWorld(t)
+	s := Step{Count: 2, Gang: true, Need: structs.Resources{CPUMilli: 10}}
+	w.submit(jobA, s)
+	w.start(jobA, 0, 0, 1, 1)
+	w.start(jobA, 0, 1, 1, 2)
+	w.end(jobA, 0, 1, 1, 2, EndDone)
+	if j := w.tab.Job(jobA); j.State != JobCompleted {
+		t.Fatalf("job is %s, want completed", j.State)
+	}
+}
+
+// Guards against a life of a worker that comes back: reports of an earlier one
+// change nothing, and its attempts stay until they are settled.
+func TestNewLifeReplacesTheOld(t *testing.T) {
+	w := newWorld(t)
+	w.submit(jobA, twoSteps()...)
+	w.start(jobA, 0, 0, 1, 1)
+	report := WorkerReport{ID: "a", Born: 5, Address: "a:1", Pool: "p"}
+	w.apply(&Batch{Workers: []WorkerChange{{Report: report}}})
+	old := report
+	old.Born = 1
+	w.apply(&Batch{Workers: []WorkerChange{{Report: old}}})
+	if now := w.tab.WorkerByID("a"); now.Born != 5 {
+		t.Fatalf("the worker's life is of %d, want 5", now.Born)
+	}
+	if x := w.tab.Worker(1); x == nil || !x.Left || len(x.Attempts) != 1 {
+		t.Fatal("the old life lost its attempt before it was settled")
+	}
+	w.apply(&Batch{Releases: []Release{{Task: TaskRef{Job: jobA}, Run: 1, Worker: 1}}})
+	if w.tab.Worker(1) != nil {
+		t.Fatal("an old life without attempts is still in the tables")
+	}
+}
+
+// Guards against replicas that differ after a restart: a snapshot of any state
+// must restore to tables that encode the same and hold the same sums.
+func TestSnapshotOfAnyStateRestores(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		w := newWorld(t)
+		runs := 0
+		for range rapid.IntRange(0, 60).Draw(rt, "steps") {
+			job := rapid.SampledFrom([]JobID{"00000000000000a1", "00000000000000a2", "00000000000000a3"}).Draw(rt, "job")
+			step, h := rapid.IntRange(0, 1).Draw(rt, "step"), Handle(rapid.IntRange(1, 2).Draw(rt, "worker"))
+			switch rapid.IntRange(0, 5).Draw(rt, "what") {
+			case 0:
+				w.submit(job, twoSteps()...)
+			case 1:
+				runs++
+				w.start(job, step, 0, runs, h)
+			case 2, 3:
+				kind := rapid.SampledFrom([]EndKind{EndDone, EndFailed, EndStopped, EndLapsed}).Draw(rt, "kind")
+				w.end(job, step, 0, runs, h, kind)
+			case 4:
+				w.apply(&Batch{Cancels: []JobID{job}, Domains: []DomainChange{{Name: "z", Out: runs%2 == 0}}})
+			case 5:
+				w.apply(&Batch{ForgetBeforeMS: w.nowMS})
+			}
+		}
+		data, err := w.tab.Encode()
+		if err != nil {
+			rt.Fatal(err)
+		}
+		back, err := Decode(data)
+		if err != nil {
+			rt.Fatal(err)
+		}
+		again, err := back.Encode()
+		if err != nil {
+			rt.Fatal(err)
+		}
+		if !bytes.Equal(data, again) {
+			rt.Fatal("the restored tables encode differently")
+		}
+		for h, x := range w.tab.workers {
+			if y := back.workers[h]; y == nil || y.Used != x.Used || len(y.Attempts) != len(x.Attempts) {
+				rt.Fatalf("worker %d differs after the restore", h)
+			}
+		}
+		if len(back.Waiting()) != len(w.tab.Waiting()) || back.Pending("q") != w.tab.Pending("q") {
+			rt.Fatal("waiting steps or pending jobs differ after the restore")
+		}
+	})
+}
