Move runs off workers that leave, and release those of workers that left

Standing tasks now move when their worker begins to drain; batch tasks stay if they end in time; a worker that said that it was gone is idle once it has not answered for 2.5 s.

Ruled out: ending the lease at the word alone (a word that was not acknowledged is followed by some more seconds of work).

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -86,6 +86,9 @@
 		return false // from an earlier life, or overtaken
 	}
 	ws.lastBeat, ws.beatSeq = now, r.Seq
+	if r.Draining && r.RemainingMS > 0 {
+		ws.leavesAt = now.Add(time.Duration(r.RemainingMS) * time.Millisecond)
+	}
 	r.Draining = r.Draining || w.Draining
 	if r.SameRecord(&w.WorkerReport) && !w.Left {
 		return false
@@ -235,9 +238,15 @@
 			delete(c.workers, h)
 			continue
 		}
-		if len(ws.runs) > 0 && (ws.suspect || !ws.fenced || ws.w.Left) && now.After(ws.leaseEnd()) {
+		if ws.w.Left && ws.leftAt.IsZero() {
+			ws.leftAt = now
+		}
+		if len(ws.runs) > 0 && c.surelyIdle(now, ws) {
 			c.releaseAll(ws)
 		}
+		if ws.w.Draining && !ws.w.Left {
+			c.clear(now, ws)
+		}
 		silent := now.Sub(ws.lastBeat) > beatTimeout && now.Sub(ws.lastAnswer) > beatTimeout
 		if silent && len(ws.runs) == 0 && !ws.w.Left {
 			c.change(graph.WorkerChange{Report: ws.w.WorkerReport, Left: true})
@@ -245,6 +254,18 @@
 	}
 }
 
+// surelyIdle reports whether nothing runs on a worker any more: its lease has
+// ended, or it has said that it is gone and has not answered since.
+func (c *Core) surelyIdle(now time.Time, ws *workerState) bool {
+	if !ws.suspect && ws.fenced && !ws.w.Left {
+		return false
+	}
+	if now.After(ws.leaseEnd()) {
+		return true
+	}
+	return ws.w.Left && ws.suspect && now.Sub(ws.leftAt) > leaveGrace
+}
+
 // releaseAll records that nothing runs on a worker any more.
 func (c *Core) releaseAll(ws *workerState) {
 	for _, r := range ws.runs {
--- /dev/null
+++ b/core/dispatch/drain_test.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against a standing task that is away for a whole lease because its
+// worker left with notice.
+func TestStandingTaskMovesOffADrainingWorker(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit(job1, serving(1, 1000, "s"))
+	r.turn()
+	r.deliver()
+	r.hold(a)
+	b := r.register("b", 1)
+	report := worker("a", 1)
+	report.Draining, report.RemainingMS, report.Seq = true, 3000, 2
+	r.core.Beat(r.now, report)
+	for range 10 {
+		r.pass(100 * time.Millisecond)
+		r.turn()
+		r.deliver()
+		r.hold(a)
+		r.hold(b)
+	}
+	as := r.started(job1)
+	if len(as) != 1 || as[0].Worker.Handle != b {
+		t.Fatalf("a second after its worker began to drain the task has attempts %+v, want one on worker %d", as, b)
+	}
+}
+
+// Guards against runs that wait for the whole lease of a worker that has said
+// that it is gone.
+func TestRunsOfAWorkerThatLeftAreReleasedSoon(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit(job1, step(1, 1000))
+	r.turn()
+	r.deliver()
+	r.hold(a)
+	b := r.register("b", 1)
+	if !r.core.Leave("a") {
+		t.Fatal("a worker's word that it is gone is not recorded")
+	}
+	for range 35 {
+		r.pass(100 * time.Millisecond)
+		if hold, wait, ok := r.core.NextHold(r.now, a); ok && wait == 0 {
+			r.core.HoldFailed(r.now, hold)
+		}
+		r.hold(b)
+		r.turn()
+	}
+	if as := r.started(job1); len(as) != 1 || as[0].Worker.Handle != b {
+		t.Fatalf("3.5 s after its worker left the task has attempts %+v, want one on worker %d", as, b)
+	}
+}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -30,7 +30,7 @@
 		wait = 0
 	}
 	h := Hold{Target: ws.target(), AckCursor: ws.ack, WaitMS: wait.Milliseconds()}
-	if !ws.suspect {
+	if !ws.suspect && !ws.w.Left {
 		// A call that may go unanswered must not move the end of the lease on,
 		// or a dead worker would keep its runs for ever.
 		h.DeadlineMS = ws.nextDeadline(now, c.limits.LeaseMax)
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -46,6 +46,13 @@
 	// record is dropped; several heartbeats long.
 	beatTimeout = 15 * time.Second
 
+	// leaveGrace is how long a worker that said it was gone may still run: one
+	// whose word was not acknowledged ends only some seconds later.
+	leaveGrace = 2500 * time.Millisecond
+	// clearMargin is how long before a worker leaves the runs that save their
+	// progress are stopped, beside the time that a stop may take.
+	clearMargin = 400 * time.Millisecond
+
 	// failStreak failed runs of different tasks in a row without a success
 	// set a worker aside, first for asideMin, doubling up to asideMax.
 	failStreak = 2
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -21,6 +21,11 @@
 	// deadlineMS is the latest lease deadline sent.
 	deadlineMS int64
 
+	// leftAt is when the worker said that it was gone; leavesAt is, while it
+	// drains, when it may be gone at the earliest.
+	leftAt   time.Time
+	leavesAt time.Time
+
 	lastBeat   time.Time
 	beatSeq    int64
 	lastAnswer time.Time
