Let fillers stand still beside a task that is over its target

A task that is over for 1.6 s stops all fillers beside it until there is headroom, and no filler starts beside one that is over.

Ruled out: a lower lease bound of fillers' share (costs work everywhere).

--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -16,6 +16,9 @@
 	paceInterval = 450 * time.Millisecond
 	// paceTolerance is the difference, in percent, that is not worth an order.
 	paceTolerance = 8
+	// guardShare is the part of the time for which a task may be over
+	// its target after which all fillers beside it stand still.
+	guardShare = 0.4
 	// minPace is the share, in percent, below which fillers stand still: a
 	// filler hardly works there and still disturbs.
 	minPace = 5
@@ -31,6 +34,27 @@
 	// pace is the share of work, in percent, that fillers which disturb them
 	// may do. Below 0 these stand still and the others are slowed.
 	pace float64
+	// overSince is when a task was first listed over its target, without a list
+	// in between that showed all below; zero if none is.
+	overSince time.Time
+	// guarded is set from when a task has been over its target for too long
+	// until there is headroom again.
+	guarded bool
+}
+
+// guard updates overSince and guarded.
+func (s *servingState) guard(now time.Time, after time.Duration) {
+	switch {
+	case s.headroom >= 1:
+		s.overSince = time.Time{}
+	case s.overSince.IsZero():
+		s.overSince = now
+	}
+	if s.headroom >= headroomSet {
+		s.guarded = false
+	} else if !s.overSince.IsZero() && now.Sub(s.overSince) >= after {
+		s.guarded = true
+	}
 }
 
 // adjustPace sets how fast the fillers of a worker may work, so that the tasks
@@ -42,6 +66,7 @@
 		ws.pacedAt = now
 		for _, s := range ws.serving {
 			s.pace = nextPace(s.pace, min(s.headroom, headroomMax))
+			s.guard(now, time.Duration(guardShare*float64(c.limits.Interference)))
 		}
 	}
 	for a, r := range ws.runs {
@@ -99,6 +124,9 @@
 	}
 	want := 100.0
 	for image, s := range r.ws.serving {
+		if s.guarded {
+			return 0
+		}
 		p := s.pace
 		if c.pressureOf(r.a.Step.Image, image) < lightPressure {
 			p += 100
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -313,6 +313,9 @@
 		return 0, false
 	}
 	for image, headroom := range cd.serving {
+		if headroom < 1-headroomSet {
+			return 0, false // a task is over its target already
+		}
 		d := p.disturbance(cd, s, image)
 		if d > headroom && p.c.pressureOf(s.Image, image) >= lightPressure {
 			return 0, false
--- a/core/dispatch/pressure_test.go
+++ b/core/dispatch/pressure_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -111,3 +112,39 @@
 		t.Errorf("after 3 s well below the target the filler is at %d%%, want 90 or more", got)
 	}
 }
+
+// Guards against a serving task that stays over its target because of fillers
+// whose pressure is underestimated: they must stand still, and no other may
+// start there, well within the 4 s that the platform allows.
+func TestUnderestimatedFillersStandStill(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit("00000000000000b1", serving(1, 4000, "s1"))
+	r.submit(job1, filler(1, 2000, "f"))
+	r.turn()
+	r.deliver()
+	pace := 100
+	for i := range 5 { // 2.5 s
+		r.core.pressure[imagePair{"f", "s1"}] = 0.1
+		for ref, row := range r.lists[a].running {
+			row.Measure = 60
+			r.lists[a].running[ref] = row
+		}
+		r.pass(500 * time.Millisecond)
+		r.hold(a)
+		for _, o := range r.deliver() {
+			if o.Kind == OrderPace {
+				pace = o.Percent
+			}
+		}
+		r.submit(graph.JobID(fmt.Sprintf("00000000000000c%d", i)), filler(1, 100, "f"))
+		r.turn()
+		r.deliver()
+	}
+	if pace != 0 {
+		t.Errorf("after 2.5 s over the target the filler is at %d%%, want 0", pace)
+	}
+	if n := len(r.started("00000000000000c4")); n != 0 {
+		t.Error("a filler started beside a task that is over its target")
+	}
+}
