Admit fillers for the headroom that those already there still need

Cause: fillers were admitted while others beside them were slowed, so that all of them finished late.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -105,7 +105,7 @@
 			}
 		}
 		for image, s := range ws.serving {
-			cd.serving[image] = s.headroom - headroomSet
+			cd.serving[image] = s.headroom - headroomSet - c.owedHeadroom(ws, image)
 		}
 		pools[ws.w.Pool] = append(pools[ws.w.Pool], cd)
 	}
@@ -115,6 +115,19 @@
 	return pools
 }
 
+// owedHeadroom returns the headroom that the fillers of a worker will take from
+// serving tasks of an image once they are not slowed any more.
+func (c *Core) owedHeadroom(ws *workerState, serving string) float64 {
+	var owed float64
+	for a, r := range ws.runs {
+		if a.Step.Filler && r.pace < 100 {
+			share := float64(a.Step.Need.CPUMilli) / float64(max(ws.w.Capacity.CPUMilli, 1))
+			owed += c.pressureOf(a.Step.Image, serving) * share * float64(100-r.pace) / 100
+		}
+	}
+	return owed
+}
+
 // placer collects the starts of one plan.
 type placer struct {
 	c      *Core
