Start first what can still be in time

Cause: in an overload the jobs nearest their due time went first although they could not make it any more.

Conclusion: the estimate itself is used, without a factor to tune.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -49,13 +49,14 @@
 }
 
 // rank orders steps by priority, then by when their job should be completed;
-// those that have missed that come after the others of their priority.
+// those that cannot make it come after the others of their priority.
 func rank(steps []*graph.StepState, nowMS int64) []ranked {
 	out := make([]ranked, len(steps))
 	for i, s := range steps {
 		o := s.Occurrence
 		due := o.DueMS + objectiveMS(o.Job)
-		out[i] = ranked{step: s, priority: o.Job.Queue.Priority, missed: due < nowMS, dueMS: due}
+		missed := nowMS+remainingMS(s) > due
+		out[i] = ranked{step: s, priority: o.Job.Queue.Priority, missed: missed, dueMS: due}
 	}
 	slices.SortStableFunc(out, func(a, b ranked) int {
 		if c := cmp.Compare(a.priority, b.priority); c != 0 {
@@ -72,6 +73,23 @@
 	return out
 }
 
+// remainingMS returns the longest chain of work from a step on, by the caller's estimates.
+func remainingMS(s *graph.StepState) int64 {
+	steps := s.Occurrence.Steps
+	ends := make([]int64, len(steps))
+	ends[s.Number] = s.EstimateMS
+	longest := s.EstimateMS
+	for i := s.Number + 1; i < len(steps); i++ {
+		for _, d := range steps[i].DependsOn {
+			if ends[d] > 0 {
+				ends[i] = max(ends[i], ends[d]+steps[i].EstimateMS)
+			}
+		}
+		longest = max(longest, ends[i])
+	}
+	return longest
+}
+
 // objectiveMS returns how long a job may take, by the caller's estimates.
 func objectiveMS(j *graph.Job) int64 {
 	ends := make([]int64, len(j.Spec.Steps))
