--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -33,6 +33,11 @@
 	Invalid
 )
 
+// String returns the name of the code.
+func (c Code) String() string {
+	return [...]string{"", "done", "not leader", "not taken", "unknown", "no config", "no queue", "no job", "invalid"}[c]
+}
+
 // Answer is the outcome of a call.
 type Answer struct {
 	Code Code
@@ -80,7 +85,8 @@
 }
 
 // Submit accepts a job. Its id and queue follow from host and path.
-func (d *Dispatcher) Submit(ctx context.Context, host, path string, spec graph.Spec) Answer {
+func (d *Dispatcher) Submit(ctx context.Context, host, path string, spec graph.Spec) (a Answer) {
+	defer func() { d.answered("submit", a) }()
 	d.mu.Lock()
 	l := d.leading()
 	if l == nil {
@@ -106,7 +112,8 @@
 }
 
 // Cancel cancels a job.
-func (d *Dispatcher) Cancel(ctx context.Context, host, path string) Answer {
+func (d *Dispatcher) Cancel(ctx context.Context, host, path string) (a Answer) {
+	defer func() { d.answered("cancel", a) }()
 	d.mu.Lock()
 	l := d.leading()
 	if l == nil {
@@ -132,7 +139,8 @@
 
 // Look returns a job's state, or, for a path that is a queue's prefix, the
 // number of its jobs of which no task has started.
-func (d *Dispatcher) Look(host, path string) Answer {
+func (d *Dispatcher) Look(host, path string) (a Answer) {
+	defer func() { d.answered("look", a) }()
 	d.mu.Lock()
 	l := d.leading()
 	if l == nil {
@@ -144,7 +152,7 @@
 		d.mu.Unlock()
 		return *refusal
 	}
-	a := Answer{Code: Done, Version: d.tables.Config().Version}
+	a = Answer{Code: Done, Version: d.tables.Config().Version}
 	if f.id == "" {
 		a.Pending = d.tables.Pending(f.queue.Name)
 	} else if j := d.tables.Job(f.id); j != nil {
@@ -158,7 +166,8 @@
 
 // PutConfig puts a configuration in force unless its version is not higher
 // than that of the present one; that changes nothing, and is acknowledged.
-func (d *Dispatcher) PutConfig(ctx context.Context, c *graph.Config) Answer {
+func (d *Dispatcher) PutConfig(ctx context.Context, c *graph.Config) (a Answer) {
+	defer func() { d.answered("putconfig", a) }()
 	for {
 		d.mu.Lock()
 		l := d.leading()
@@ -183,7 +192,8 @@
 }
 
 // GetConfig returns the configuration in force.
-func (d *Dispatcher) GetConfig() Answer {
+func (d *Dispatcher) GetConfig() (a Answer) {
+	defer func() { d.answered("getconfig", a) }()
 	d.mu.Lock()
 	l := d.leading()
 	if l == nil {
@@ -199,7 +209,8 @@
 }
 
 // SetDomain takes a failure domain out of service or brings it back.
-func (d *Dispatcher) SetDomain(ctx context.Context, name string, out bool) Answer {
+func (d *Dispatcher) SetDomain(ctx context.Context, name string, out bool) (a Answer) {
+	defer func() { d.answered("setdomain", a) }()
 	d.mu.Lock()
 	l := d.leading()
 	if l == nil {
@@ -211,7 +222,8 @@
 }
 
 // Beat takes a worker's report of itself.
-func (d *Dispatcher) Beat(ctx context.Context, r graph.WorkerReport) Answer {
+func (d *Dispatcher) Beat(ctx context.Context, r graph.WorkerReport) (a Answer) {
+	defer func() { d.answered("beat", a) }()
 	d.mu.Lock()
 	l := d.leading()
 	if l == nil {
@@ -226,7 +238,8 @@
 }
 
 // Leave takes a worker's word that it is gone.
-func (d *Dispatcher) Leave(ctx context.Context, id string) Answer {
+func (d *Dispatcher) Leave(ctx context.Context, id string) (a Answer) {
+	defer func() { d.answered("leave", a) }()
 	d.mu.Lock()
 	l := d.leading()
 	if l == nil {
@@ -240,6 +253,11 @@
 	return d.wait(ctx, l)
 }
 
+// answered counts an answer.
+func (d *Dispatcher) answered(call string, a Answer) {
+	d.metrics.answers.WithLabelValues(call, a.Code.String()).Inc()
+}
+
 // confirm returns a if the leader's lease is still held after the tables were
 // read; no other leader can have changed them then.
 func (d *Dispatcher) confirm(l *leadership, a Answer) Answer {
--- a/host/dispatcher/dispatcher.go
+++ b/host/dispatcher/dispatcher.go
@@ -57,8 +57,9 @@
 
 // Dispatcher is one replica's part. Its methods are safe for concurrent use.
 type Dispatcher struct {
-	cfg Config
-	log Log
+	cfg     Config
+	log     Log
+	metrics *metrics
 
 	mu     sync.Mutex
 	tables *graph.Tables
@@ -71,7 +72,7 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
-	return &Dispatcher{cfg: cfg, tables: graph.New()}
+	return &Dispatcher{cfg: cfg, tables: graph.New(), metrics: newMetrics()}
 }
 
 // Run follows the log's changes of leader until ctx ends.
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -168,9 +168,11 @@
 }
 
 func (l *leadership) propose(ctx context.Context, b *graph.Batch, waiters []*waiter) {
-	res, err := l.commit(ctx, b)
 	d := l.d
+	start := d.cfg.Now()
+	res, err := l.commit(ctx, b)
 	now := d.cfg.Now()
+	d.metrics.commit.Observe(now.Sub(start).Seconds())
 	d.mu.Lock()
 	l.proposing = false
 	if err == nil {
@@ -273,7 +275,10 @@
 		l.core.HoldDone(now, sent, hold, reply)
 	}
 	d.mu.Unlock()
-	if err != nil && ctx.Err() == nil {
+	if err == nil {
+		d.metrics.holds.WithLabelValues("answered").Inc()
+	} else if ctx.Err() == nil {
+		d.metrics.holds.WithLabelValues("unanswered").Inc()
 		d.cfg.Logger.Warn().Err(err).Str("step", "hold").Str("worker", hold.ID).Str("peer", hold.Address).Msg("worker did not answer")
 	}
 	if err == nil && len(reply.Finished)+len(reply.Running) > 0 {
@@ -284,12 +289,14 @@
 func (l *leadership) sendOrder(ctx context.Context, o dispatch.Order) {
 	d := l.d
 	reply := dispatch.OrderReply{}
+	start := d.cfg.Now()
 	if l.holdsLease() {
 		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
 		reply = d.cfg.Workers.Order(callCtx, o)
 		cancel()
 	}
 	now := d.cfg.Now()
+	d.metrics.ordered(o, reply.Outcome, now.Sub(start))
 	d.mu.Lock()
 	l.core.OrderDone(now, o, reply)
 	d.mu.Unlock()
--- /dev/null
+++ b/host/dispatcher/metrics.go
@@ -0,0 +1,107 @@
+package dispatcher
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"gooseberrypond/core/dispatch"
+)
+
+// latencyBuckets span 1 ms to 4 s.
+var latencyBuckets = prometheus.ExponentialBuckets(0.001, 2, 13)
+
+// metrics are the figures of one control host. Names follow the conventions of
+// Prometheus: base units, and _total for counters.
+type metrics struct {
+	commit  prometheus.Histogram
+	order   prometheus.Histogram
+	orders  *prometheus.CounterVec
+	holds   *prometheus.CounterVec
+	answers *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	hist := func(name, help string) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: "gooseberrypond_" + name, Help: help, Buckets: latencyBuckets})
+	}
+	count := func(name, help string, labels ...string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "gooseberrypond_" + name, Help: help}, labels)
+	}
+	return &metrics{
+		commit:  hist("commit_seconds", "Time from proposal to local apply."),
+		order:   hist("order_seconds", "Time from an order to its answer."),
+		orders:  count("orders_total", "Orders to workers by kind and outcome.", "kind", "outcome"),
+		holds:   count("holds_total", "Calls for workers' lists by result.", "result"),
+		answers: count("answers_total", "Answers of the leader by call and code.", "call", "code"),
+	}
+}
+
+func (m *metrics) ordered(o dispatch.Order, outcome dispatch.Outcome, took time.Duration) {
+	m.order.Observe(took.Seconds())
+	m.orders.WithLabelValues(o.Kind.String(), outcome.String()).Inc()
+}
+
+// Register adds the host's figures to a registry.
+func (d *Dispatcher) Register(reg prometheus.Registerer) {
+	m := d.metrics
+	reg.MustRegister(m.commit, m.order, m.orders, m.holds, m.answers)
+	gauge := func(name, help string, read func(*leadership) float64) {
+		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gooseberrypond_" + name, Help: help}, d.whileLeading(read)))
+	}
+	counter := func(name, help string, read func(*dispatch.Stats) uint64) {
+		f := d.whileLeading(func(l *leadership) float64 { return float64(read(&l.core.Stats)) })
+		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "gooseberrypond_" + name, Help: help}, f))
+	}
+	gauge("leader", "1 while this replica leads and holds its lease.", func(*leadership) float64 { return 1 })
+	gauge("waiting_steps", "Ready steps with tasks that have no attempt.", func(l *leadership) float64 { return float64(l.core.Stats.Waiting) })
+	gauge("usable_workers", "Workers that may get new work.", func(l *leadership) float64 { return float64(l.core.Stats.Usable) })
+	gauge("live_jobs", "Jobs that have not reached a final state.", func(l *leadership) float64 { return float64(l.d.tables.LiveJobs()) })
+	counter("run_starts_total", "Starts recorded in this term.", func(s *dispatch.Stats) uint64 { return s.Starts })
+	counter("run_ends_total", "Ends recorded in this term.", func(s *dispatch.Stats) uint64 { return s.Ends })
+	counter("run_releases_total", "Runs released as certain not to be at work, in this term.", func(s *dispatch.Stats) uint64 { return s.Releases })
+	counter("lease_ends_total", "Runs released because their worker's lease had ended, in this term.", func(s *dispatch.Stats) uint64 { return s.LeaseEnds })
+	counter("orders_unanswered_total", "Orders without an answer, in this term.", func(s *dispatch.Stats) uint64 { return s.Unanswered })
+	counter("room_refusals_total", "Starts refused by a worker for want of room, in this term.", func(s *dispatch.Stats) uint64 { return s.RoomRefusals })
+}
+
+// whileLeading returns a function that reads a figure of the leader; it is 0 on
+// a host that does not lead.
+func (d *Dispatcher) whileLeading(read func(*leadership) float64) func() float64 {
+	return func() float64 {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if l := d.leading(); l != nil {
+			return read(l)
+		}
+		return 0
+	}
+}
+
+// Dump is a copy of what a control host believes, for engineers.
+type Dump struct {
+	Leading   bool                  `json:"leading"`
+	Term      uint64                `json:"term,omitempty"`
+	Index     uint64                `json:"index"`
+	Version   uint64                `json:"config_version"`
+	LiveJobs  int                   `json:"live_jobs"`
+	Stats     *dispatch.Stats       `json:"stats,omitempty"`
+	Pressures []dispatch.Pressure   `json:"pressures,omitempty"`
+	Workers   []dispatch.WorkerDump `json:"workers,omitempty"`
+}
+
+// Dump returns what this host believes.
+func (d *Dispatcher) Dump() Dump {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := Dump{Index: d.tables.Index(), LiveJobs: d.tables.LiveJobs()}
+	if c := d.tables.Config(); c != nil {
+		out.Version = c.Version
+	}
+	if l := d.leading(); l != nil {
+		stats := l.core.Stats
+		out.Leading, out.Term, out.Stats = true, l.term, &stats
+		out.Pressures, out.Workers = l.core.Pressures(), l.core.Workers(d.cfg.Now())
+	}
+	return out
+}
--- /dev/null
+++ b/host/logsink/logsink_test.go
@@ -0,0 +1,73 @@
+package logsink
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// blockedWriter is a reader that has stopped reading.
+type blockedWriter struct{ release chan struct{} }
+
+func (b blockedWriter) Write(p []byte) (int, error) {
+	<-b.release
+	return len(p), nil
+}
+
+// Guards against decisions that wait for a reader of the log.
+func TestWriteDoesNotWaitForTheReader(t *testing.T) {
+	b := blockedWriter{make(chan struct{})}
+	s := New(b, 1<<30)
+	done := make(chan struct{})
+	go func() {
+		for range 3 * queueLines {
+			s.Write([]byte("line\n"))
+		}
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-time.After(30 * time.Second):
+		t.Fatal("writes wait for a reader that does not read")
+	}
+	if s.Dropped() == 0 {
+		t.Error("no line is counted as left out")
+	}
+	close(b.release)
+	s.Close(time.Second)
+}
+
+type safeBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (s *safeBuffer) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.b.Write(p)
+}
+
+// Guards against a log that grows with the load, and against lines that are
+// missing without a word.
+func TestBudgetBoundsTheVolumeAndSaysWhatIsMissing(t *testing.T) {
+	var out safeBuffer
+	now := time.Unix(1000, 0)
+	s := newSink(&out, 100, func() time.Time { return now })
+	line := []byte(strings.Repeat("x", 49) + "\n")
+	for range 100 {
+		s.Write(line)
+	}
+	now = now.Add(3 * time.Second)
+	s.Write(line)
+	s.Close(10 * time.Second)
+	got := out.b.String()
+	if n := strings.Count(got, "xxx\n"); n != 9 { // 400 bytes of burst, then one more
+		t.Errorf("%d lines were written, want 9 within the budget", n)
+	}
+	if !strings.Contains(got, `"dropped":92`) {
+		t.Errorf("the log does not say that 92 lines are missing:\n%s", got)
+	}
+}
