--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -260,6 +260,11 @@
 	if !ws.suspect && ws.fenced && !ws.w.Left {
 		return false
 	}
+	if next := c.t.WorkerByID(ws.w.ID); next != nil && next != ws.w {
+		if s := c.workers[next.Handle]; s != nil && s.fenced {
+			return false // the new life's lists settle what ran here
+		}
+	}
 	if now.After(ws.leaseEnd()) {
 		return true
 	}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"gooseberrypond/core/graph"
@@ -85,7 +86,6 @@
 	}
 	ws.answered(now, reply.ClockMS)
 	ws.nextHold = now
-	first := !ws.fenced
 	ws.fenced = true
 	running := make(map[*graph.Attempt]bool, len(reply.Running))
 	for i := range reply.Running {
@@ -95,9 +95,7 @@
 	if len(reply.Finished) < MaxFinishedRows {
 		c.seeMissing(sent, ws, running, finished)
 	}
-	if first {
-		c.settlePredecessors(ws, reply)
-	}
+	c.settlePredecessors(ws, reply)
 	c.observe(ws)
 	c.adjustPace(now, ws)
 }
@@ -214,16 +212,17 @@
 // life has answered, and obeys no order that was meant for them. A run that one
 // of those orders started here all the same is stopped before its task is free.
 func (c *Core) settlePredecessors(ws *workerState, reply *HoldReply) {
-	for _, old := range c.workers {
-		if old == ws || old.w.ID != ws.w.ID || old.w.Born >= ws.w.Born {
-			continue
-		}
+	ws.predecessors = slices.DeleteFunc(ws.predecessors, func(old *workerState) bool {
+		open := false
 		for a, r := range old.runs {
-			if !lists(reply, a) {
-				c.release(r)
+			if lists(reply, a) {
+				open = true
+				continue
 			}
+			c.release(r)
 		}
-	}
+		return !open
+	})
 }
 
 func lists(reply *HoldReply, a *graph.Attempt) bool {
--- /dev/null
+++ b/core/dispatch/order_test.go
@@ -0,0 +1,174 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gooseberrypond/core/graph"
+)
+
+// Guards against two runs of a task: a start without an answer may be carried
+// out late, so its task may move only once a stop of that run was answered and
+// a later list does not name it.
+func TestUnansweredStartIsStoppedBeforeItsTaskMoves(t *testing.T) {
+	r := newRig(t)
+	r.register("a", 1)
+	r.register("b", 1)
+	r.submit(job1, step(1, 1000))
+	r.turn()
+	first := r.started(job1)[0].Worker.Handle
+	for range startTries {
+		if os := r.drop(); len(os) != 1 || os[0].Kind != OrderStart || os[0].Run != 1 {
+			t.Fatalf("orders %+v, want the start of run 1", os)
+		}
+		r.pass(orderRetry)
+		r.hold(first) // the worker answers other calls
+	}
+	r.turn()
+	if as := r.started(job1); len(as) != 1 || as[0].Run != 1 {
+		t.Fatal("the task moved although its start may still be carried out")
+	}
+	if os := r.deliver(); len(os) != 1 || os[0].Kind != OrderStop || os[0].Run != 1 {
+		t.Fatalf("orders %+v, want the stop of run 1", os)
+	}
+	r.pass(lookDelay)
+	for _, h := range r.core.Looks(r.now) {
+		r.answer(h)
+	}
+	r.turn()
+	r.turn()
+	as := r.started(job1)
+	if len(as) != 1 || as[0].Run != 2 {
+		t.Fatalf("attempts %+v after the stop, want run 2", as)
+	}
+}
+
+// Guards against a task that is started by two leaders: a new one must keep what
+// a worker that it cannot reach may run, and may release only what an answer to
+// its own token does not list.
+func TestNewLeaderKeepsWhatMayRun(t *testing.T) {
+	r := newRig(t)
+	a, b := r.register("a", 1), r.register("b", 1)
+	r.submit(job1, step(2, 5000)) // one on each worker
+	r.turn()
+	r.deliver()
+	r.hold(a)
+	r.hold(b)
+	for ref := range r.lists[a].running {
+		delete(r.lists[a].running, ref) // its start was lost on the way
+	}
+
+	r.pass(time.Second)
+	r.elect(2)
+	r.hold(a)
+	r.turn()
+	var runs []int
+	for _, at := range r.started(job1) {
+		runs = append(runs, at.Run)
+		if at.Worker.Handle == b && at.Run != 1 {
+			t.Errorf("a run was started on worker %d, which has not answered the new leader", b)
+		}
+	}
+	if len(runs) != 1 {
+		t.Fatalf("attempts have runs %v, want only the one on the worker that was not reached", runs)
+	}
+	r.turn()
+	if n := len(r.started(job1)); n != 2 {
+		t.Fatalf("%d attempts, want 2: the released task may start again on the worker that answered", n)
+	}
+	if got := r.core.workers[a].token; got <= 1<<tokenLifeBits+1 {
+		t.Errorf("the new leader's token %d is not higher than the old one's", got)
+	}
+}
+
+// Guards against a worker that starts again under its id: what ran on its old
+// life is free once the new one has answered, and a run that a late order
+// started on the new life is stopped first.
+func TestNewLifeOfAWorker(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit(job1, step(2, 1000))
+	r.turn()
+	r.deliver()
+	r.hold(a)
+	old := r.core.workers[a].token
+
+	r.core.Beat(r.now, worker("a", 50))
+	r.turn()
+	h := r.tables.WorkerByID("a").Handle
+	late := graph.TaskRef{Job: job1, Index: 1}
+	r.lists[h] = &fakeLists{running: map[graph.TaskRef]RunningRow{late: {Task: late, Run: 1}}}
+	r.hold(h)
+	if got := r.core.workers[h].token; got <= old {
+		t.Errorf("the new life's token %d is not higher than the old life's %d", got, old)
+	}
+	r.turn()
+	left := r.tables.Worker(a)
+	if left == nil || len(left.Attempts) != 1 {
+		t.Fatal("the attempt whose late start runs on the new life must stay until it is stopped")
+	}
+	stopped := false
+	for _, o := range r.deliver() {
+		stopped = stopped || o.Kind == OrderStop && o.Task == late && o.Worker == h
+	}
+	if !stopped {
+		t.Error("the run that a late order started is not stopped")
+	}
+	r.hold(h)
+	r.turn()
+	if r.tables.Worker(a) != nil {
+		t.Error("the old life keeps an attempt after the late run was stopped")
+	}
+}
+
+// Guards against ends that are lost: the cursor that lets a worker forget them
+// must not pass an end that is not in the log yet.
+func TestCursorWaitsForTheLog(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit(job1, step(2, 1000))
+	r.turn()
+	r.deliver()
+	r.hold(a)
+	r.end(a, graph.TaskRef{Job: job1, Index: 0}, graph.EndDone)
+	r.hold(a)
+	open := r.core.Plan(r.now, r.now.UnixMilli()) // holds the first end
+	r.end(a, graph.TaskRef{Job: job1, Index: 1}, graph.EndDone)
+	r.pass(commitWait) // the call is sent all the same
+	r.hold(a)
+	r.apply(open)
+	if got := r.core.workers[a].ack; got >= 2 {
+		t.Fatalf("cursor is at %d although end 2 is not in the log", got)
+	}
+	r.turn()
+	if got := r.core.workers[a].ack; got != 2 {
+		t.Fatalf("cursor is at %d once both ends are in the log, want 2", got)
+	}
+	if s := r.tables.Job(job1).State; s != graph.JobCompleted {
+		t.Fatalf("job is %s, want completed", s)
+	}
+}
+
+// Guards against a worker that fails all it starts and, being empty, draws all
+// that waits.
+func TestWorkerThatFailsEverythingIsSetAside(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	for i, id := range []graph.JobID{"00000000000000d1", "00000000000000d2"} {
+		r.submit(id, step(1, 1000))
+		r.turn()
+		r.deliver()
+		r.hold(a)
+		r.end(a, graph.TaskRef{Job: id}, graph.EndFailed)
+		r.hold(a)
+		r.apply(&graph.Batch{Cancels: []graph.JobID{id}, Ends: r.core.ends})
+		r.core.ends = nil
+		if want := i+1 < failStreak; r.core.usable(r.now, r.core.workers[a]) != want {
+			t.Fatalf("after %d failed runs the worker's usability is not %v", i+1, want)
+		}
+	}
+	r.pass(asideMin)
+	if !r.core.usable(r.now, r.core.workers[a]) {
+		t.Error("the worker is not tried again")
+	}
+}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -15,6 +15,8 @@
 
 	// fenced is set once the worker has answered a call with token.
 	fenced bool
+	// predecessors are earlier lives under the id whose runs are not settled.
+	predecessors []*workerState
 	// clockMS is the worker's clock as read in an answer received at clockAt.
 	clockMS int64
 	clockAt time.Time
@@ -87,6 +89,11 @@
 		w: w, token: c.tokenFor(w.ID), lastBeat: now, lastAnswer: now,
 		serving: map[string]*servingState{}, runs: map[*graph.Attempt]*runState{},
 	}
+	for _, old := range c.workers {
+		if old.w.ID == w.ID && old.w.Born < w.Born {
+			ws.predecessors = append(ws.predecessors, old)
+		}
+	}
 	c.workers[w.Handle] = ws
 	c.added = append(c.added, w.Handle)
 	return ws
