--- a/host/group/group.go
+++ b/host/group/group.go
@@ -226,6 +226,16 @@
 	return info
 }
 
+// Votes reports whether this replica is a voter of the group, as far as it knows.
+func (g *Group) Votes() bool {
+	rep := g.rep.Load()
+	if rep == nil {
+		return false
+	}
+	s := rep.Status()
+	return slices.ContainsFunc(s.Members, func(m replica.MemberStatus) bool { return m.ID == s.ID && m.Voter })
+}
+
 // Join implements relay.Group: it adds a replica that does not vote yet. A
 // member at the same address has lost its folder, and is removed first.
 func (g *Group) Join(ctx context.Context, id, address string) error {
