--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -34,8 +34,8 @@
 
 // Stats count decisions.
 type Stats struct {
-	Starts, Stops, Paces, Ends, Releases, LeaseEnds, Unanswered, RoomRefusals uint64
-	Waiting, Usable                                                           int
+	Starts, Stops, Paces, Ends, Releases, LeaseEnds, Unanswered, RoomRefusals, Stuck uint64
+	Waiting, Usable                                                                  int
 }
 
 // New returns the core of the leader elected at now for a term. The tables
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -96,6 +96,7 @@
 		c.seeMissing(sent, ws, running, finished)
 	}
 	c.settlePredecessors(ws, reply)
+	c.checkProgress(now, ws)
 	c.observe(ws)
 	c.adjustPace(now, ws)
 }
@@ -113,8 +114,8 @@
 		return
 	}
 	running[a] = true
-	r.seen = true
-	r.percent, r.measure = row.Percent, row.Measure
+	r.noteProgress(now, row.Percent)
+	r.seen, r.measure = true, row.Measure
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
 	}
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -55,7 +55,8 @@
 	for i, s := range steps {
 		o := s.Occurrence
 		due := o.DueMS + objectiveMS(o.Job)
-		missed := nowMS+remainingMS(s) > due
+		// A task that lasts serves from whenever it is at work: it is never too late.
+		missed := !s.LongRunning && nowMS+remainingMS(s) > due
 		out[i] = ranked{step: s, priority: o.Job.Queue.Priority, missed: missed, dueMS: due}
 	}
 	slices.SortStableFunc(out, func(a, b ranked) int {
--- /dev/null
+++ b/core/dispatch/place_test.go
@@ -0,0 +1,84 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gooseberrypond/core/graph"
+)
+
+// Guards against a standing task that waits behind an endless stream of small
+// tasks of its own priority once its job's objective has passed.
+func TestStandingTaskComesBeforeNewerBatchWork(t *testing.T) {
+	r := newRig(t)
+	r.register("a", 1)
+	r.submit("00000000000000b1", step(8, 1000)) // fills the worker
+	r.turn()
+	r.submit(job1, serving(1, 3000, "s"))
+	r.pass(time.Minute)
+	r.submit("00000000000000b2", step(8, 1000))
+	var ends []graph.End
+	for _, at := range r.started("00000000000000b1")[:3] {
+		ends = append(ends, graph.End{Task: at.Ref(), Run: at.Run, Worker: at.Worker.Handle, Kind: graph.EndDone})
+	}
+	r.apply(&graph.Batch{Ends: ends})
+	r.turn()
+	if n := len(r.started(job1)); n != 1 {
+		t.Fatal("room for the standing task went to batch work that came later")
+	}
+}
+
+// Guards against work that waits for what can no longer be in time.
+func TestHopelessJobsComeLast(t *testing.T) {
+	r := newRig(t)
+	late, soon := step(1, 8000), step(1, 8000)
+	r.submit("00000000000000b1", late)
+	r.pass(2500 * time.Millisecond) // its objective is 3 s, its work takes 1 s
+	r.submit(job1, soon)
+	r.register("a", 1)
+	r.turn()
+	if len(r.started(job1)) != 1 {
+		t.Fatal("a job that cannot be in time any more came before one that can")
+	}
+}
+
+// Guards against tasks on workers that must not run them.
+func TestConstraintsOfPlacement(t *testing.T) {
+	r := newRig(t)
+	r.register("a", 1)
+	other := worker("b", 1)
+	other.Labels, other.Domain = []string{"x", "r2"}, "d2"
+	r.core.Beat(r.now, other)
+	r.turn()
+	b := r.tables.WorkerByID("b").Handle
+	r.lists[b] = &fakeLists{running: map[graph.TaskRef]RunningRow{}}
+	r.hold(b)
+
+	label := step(1, 100)
+	label.Label = "x"
+	r.submit("00000000000000b1", label)
+	apart := step(4, 100)
+	apart.MaxPerWorker = 1
+	r.submit("00000000000000b2", apart)
+	gang := step(3, 5000)
+	gang.Gang = true
+	r.submit("00000000000000b3", gang)
+	r.turn()
+	if as := r.started("00000000000000b1"); len(as) != 1 || as[0].Worker.Handle != b {
+		t.Error("a task is not on the worker with its label")
+	}
+	if as := r.started("00000000000000b2"); len(as) != 2 || as[0].Worker == as[1].Worker {
+		t.Errorf("%d tasks started, want one on each of two workers", len(as))
+	}
+	if as := r.started("00000000000000b3"); len(as) != 0 {
+		t.Errorf("%d members of a gang started, want none: they do not all fit", len(as))
+	}
+	r.apply(&graph.Batch{Domains: []graph.DomainChange{{Name: "d1", Out: true}}})
+	r.submit(job1, step(2, 100))
+	r.turn()
+	for _, at := range r.started(job1) {
+		if at.Worker.Domain == "d1" {
+			t.Error("a task started in a failure domain that is out of service")
+		}
+	}
+}
--- /dev/null
+++ b/core/dispatch/progress_test.go
@@ -0,0 +1,74 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"gooseberrypond/core/graph"
+)
+
+// Guards against tasks that stand still on a worker whose calls are answered:
+// they must move within a few seconds, and the worker gets no more for a while.
+func TestStuckTasksMove(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit(job1, step(2, 1000))
+	r.turn()
+	r.deliver()
+	for ref, row := range r.lists[a].running {
+		row.Percent = 7
+		r.lists[a].running[ref] = row
+	}
+	b := r.register("b", 1)
+	for range 6 { // 3 s
+		r.pass(500 * time.Millisecond)
+		r.hold(a)
+		r.hold(b)
+		r.turn()
+		r.deliver()
+	}
+	as := r.started(job1)
+	if len(as) != 2 {
+		t.Fatalf("%d attempts, want 2", len(as))
+	}
+	for _, at := range as {
+		if at.Worker.Handle != b {
+			t.Errorf("task %s still stands still on its worker", at.Ref())
+		}
+	}
+	if r.core.usable(r.now, r.core.workers[a]) {
+		t.Error("a worker on which tasks stand still gets new ones")
+	}
+}
+
+// Guards against work thrown away: a run that advances, and a filler that was
+// slowed on purpose, are not given up.
+func TestAdvancingAndSlowedRunsStay(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	slow := filler(1, 1000, "f")
+	r.submit(job1, step(1, 1000))
+	r.submit("00000000000000b1", slow)
+	r.turn()
+	r.deliver()
+	for at, run := range r.core.workers[a].runs {
+		if at.Step.Filler {
+			run.pace = 0
+		}
+	}
+	r.core.workers[a].serving["s"] = &servingState{headroom: 0.5, pace: -100, guarded: true}
+	for i := range 20 { // 10 s
+		ref := graph.TaskRef{Job: job1}
+		row := r.lists[a].running[ref]
+		row.Percent = i
+		r.lists[a].running[ref] = row
+		r.pass(500 * time.Millisecond)
+		r.hold(a)
+		r.core.workers[a].serving["s"] = &servingState{headroom: 0.5, pace: -100, guarded: true}
+		r.turn()
+		r.deliver()
+	}
+	if len(r.started(job1)) != 1 || r.started(job1)[0].Run != 1 || r.started("00000000000000b1")[0].Run != 1 {
+		t.Error("a run that advances or was slowed on purpose was given up")
+	}
+}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -46,6 +46,7 @@
 
 	inFlight    int
 	streak      int
+	stuck       int
 	asideFor    time.Duration
 	pausedUntil time.Time
 
@@ -78,6 +79,7 @@
 
 	checkpoint string
 	percent    int
+	progressAt time.Time // when percent was last seen to rise
 	measure    float64
 	pace       int // as last accepted by the worker
 	ending     bool
@@ -164,15 +166,14 @@
 func (ws *workerState) noteEnd(now time.Time, kind graph.EndKind, task *graph.Task) {
 	switch kind {
 	case graph.EndDone:
-		ws.streak, ws.asideFor = 0, 0
+		ws.streak, ws.stuck, ws.asideFor = 0, 0, 0
 	case graph.EndFailed:
 		if task.Failures > 0 {
 			return // it failed elsewhere too
 		}
 		ws.streak++
 		if ws.streak >= failStreak {
-			ws.asideFor = min(max(2*ws.asideFor, asideMin), asideMax)
-			ws.pausedUntil = now.Add(ws.asideFor)
+			ws.setAside(now)
 			ws.streak = failStreak - 1 // the next failure sets it aside again
 		}
 	}
