Log what happens to a job; wait longer for a leader once a call was sent

Cause: in the incident a job could not be followed from its acceptance to its starts, and 27 requests got a 504 although the next leader was there 0.1 s later. A call that may have been taken now waits up to 1.5 s for another leader; one that was not sent is refused after 250 ms as before.

--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -307,9 +307,35 @@
 	l.poke()
 }
 
+// logStarts writes one line for the starts of one step: its workers, and how
+// long the step has been waiting since its job was accepted.
+func (l *leadership) logStarts(res *graph.Result) {
+	for i := 0; i < len(res.Started); {
+		first := res.Started[i]
+		workers := []uint32{}
+		runs := []int{}
+		for ; i < len(res.Started) && res.Started[i].Step == first.Step; i++ {
+			workers = append(workers, uint32(res.Started[i].Worker.Handle))
+			runs = append(runs, res.Started[i].Run)
+		}
+		o := first.Step.Occurrence
+		l.d.cfg.Logger.Info().Str("job", string(o.Job.Spec.ID)).Int("occurrence", o.Number).Int("step", first.Step.Number).
+			Int("first", first.Index).Uints32("workers", workers).Ints("runs", runs).Int("waiting", first.Step.Waiting).
+			Int64("age_ms", first.StartedMS-o.Job.AcceptedMS).Msg("tasks placed")
+	}
+}
+
 // logApplied writes one line for each decision that touches a job.
 func (l *leadership) logApplied(b *graph.Batch, res *graph.Result) {
 	log := &l.d.cfg.Logger
+	for i := range b.Submits {
+		j := &b.Submits[i]
+		log.Info().Str("job", string(j.ID)).Str("queue", j.Queue).Int("steps", len(j.Steps)).Int("times", j.Times).Msg("job accepted")
+	}
+	for _, id := range b.Cancels {
+		log.Info().Str("job", string(id)).Msg("job cancelled")
+	}
+	l.logStarts(res)
 	for i := range b.Ends {
 		e := &b.Ends[i]
 		if e.Kind != graph.EndDone {
--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -29,6 +29,10 @@
 	// leaderWait is how long a call waits for a leader to be found before it is
 	// refused; most elections that follow a planned stop are over by then.
 	leaderWait = 250 * time.Millisecond
+	// sentWait is the same for a call that may have been taken: nothing certain
+	// can be said of it until another leader answers, which an election brings
+	// within about a second.
+	sentWait = 1500 * time.Millisecond
 )
 
 // Errors of a call.
@@ -264,12 +268,15 @@
 // follows changes of leader until ctx ends.
 func (c *Client) lead(ctx context.Context, method string, args any) (dispatcher.Answer, error) {
 	sent := false
-	refused := 0
 	start := time.Now()
 	for {
 		leader, changed := c.current()
 		if leader == "" {
-			if err := c.await(ctx, changed, leaderWait-time.Since(start)); err != nil {
+			wait := leaderWait
+			if sent {
+				wait = sentWait
+			}
+			if err := c.await(ctx, changed, wait-time.Since(start)); err != nil {
 				return dispatcher.Answer{}, outcome(sent)
 			}
 			continue
@@ -278,7 +285,6 @@
 		err := c.callUntil(ctx, changed, leader, method, args, &r)
 		switch {
 		case err == nil && r.Code == dispatcher.NotLeader:
-			refused++
 			c.lost(leader)
 		case err == nil && r.Code == dispatcher.NotTaken && sent:
 			// An earlier send may have been taken.
