Weigh disturbance more when fillers are placed; a failed try with the pace

Cause: a filler's place was chosen mostly by idle processors.

Ruled out (reverted): a gain of the pace from the learned pressures of all fillers on a worker.

Conclusion: weight 10, gain as before.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -302,7 +302,7 @@
 	// disturb one image hardly disturb another.
 	sameImageWeight = 1.5
 	// disturbWeight keeps fillers away from tasks that they disturb.
-	disturbWeight = 4.0
+	disturbWeight = 10.0
 )
 
 // score ranks a worker for a task: higher is better. It is not ok if the task
