--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -120,11 +120,11 @@
 		for a := range ws.w.Attempts {
 			cd.spareMilli -= expectedUse(a.Step.Step)
 			if a.Step.TailTargetMS > 0 {
-				cd.serving[a.Step.Image] = headroomNew - headroomSet
+				cd.serving[a.Step.Image] = headroomNew - headroomAdmit
 			}
 		}
 		for image, s := range ws.serving {
-			cd.serving[image] = s.headroom - headroomSet - c.owedHeadroom(ws, image)
+			cd.serving[image] = s.headroom - headroomAdmit - c.owedHeadroom(ws, image)
 		}
 		pools[ws.w.Pool] = append(pools[ws.w.Pool], cd)
 	}
@@ -218,7 +218,7 @@
 	cd.free = cd.free.Sub(s.Occupies())
 	cd.spareMilli -= expectedUse(s.Step)
 	if _, ok := cd.serving[s.Image]; !ok && s.TailTargetMS > 0 {
-		cd.serving[s.Image] = headroomNew - headroomSet
+		cd.serving[s.Image] = headroomNew - headroomAdmit
 	}
 	p.disturb(cd, s, 1)
 }
@@ -273,6 +273,10 @@
 // it starts; with less it would hardly work and only disturb.
 const fillerShare = 0.5
 
+// headroomAdmit is the headroom that must be left where a filler starts. It is
+// above what the pace holds, because a start is noticed half a second later.
+const headroomAdmit = 1.4
+
 // headroomNew is the headroom assumed for serving tasks that have not been
 // listed yet.
 const headroomNew = 2.0
@@ -345,7 +349,7 @@
 		return 0, false
 	}
 	for image, headroom := range cd.serving {
-		if headroom < 1-headroomSet {
+		if headroom < 1-headroomAdmit {
 			return 0, false // a task is over its target already
 		}
 		d := p.disturbance(cd, s, image)
