Keep room for batch work from new standing tasks

New standing tasks now leave 1.5 times what tasks that end have lately reserved, at most 15% of the pool; one that ran before gets its place back.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -22,12 +22,15 @@
 	// openRuns are the runs with an order to send or to be settled.
 	openRuns []*runState
 
+	rooms    map[string]*poolRoom
 	changes  map[string]graph.WorkerChange
 	ends     []graph.End
 	releases []graph.Release
 
-	sweptAt  time.Time
-	forgetAt time.Time
+	sweptAt time.Time
+	// measuredAt is when the rooms were last measured.
+	measuredAt time.Time
+	forgetAt   time.Time
 	// Stats count what was decided since the election.
 	Stats Stats
 }
@@ -44,7 +47,7 @@
 	c := &Core{
 		t: t, term: term, limits: limits,
 		workers: map[graph.Handle]*workerState{}, lives: map[string]uint64{}, pressure: map[imagePair]float64{},
-		changes: map[string]graph.WorkerChange{}, forgetAt: now.Add(forgetEvery),
+		changes: map[string]graph.WorkerChange{}, rooms: map[string]*poolRoom{}, forgetAt: now.Add(forgetEvery),
 	}
 	inherited := now.Add(time.Duration(float64(limits.LeaseMax) / (1 - MaxClockSlow)))
 	for w := range t.Workers {
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -15,6 +15,8 @@
 	free structs.Resources
 	// spareMilli is the processor time that is expected to be idle.
 	spareMilli int64
+	// batchMilli is what tasks that end reserve.
+	batchMilli int64
 	// serving holds the headroom that fillers may still take from the tasks
 	// with a tail target, by image.
 	serving map[string]float64
@@ -32,10 +34,11 @@
 func (c *Core) place(now time.Time, nowMS int64) []graph.Start {
 	steps := rank(c.t.Waiting(), nowMS)
 	c.Stats.Waiting = len(steps)
-	if len(steps) == 0 {
+	if len(steps) == 0 && now.Sub(c.measuredAt) < measureInterval {
 		return nil
 	}
 	pools := c.candidates(now)
+	c.measureRoom(now, pools)
 	p := &placer{c: c, perStep: map[graph.Handle]int{}}
 	for i := range steps {
 		if len(p.starts) >= maxStarts {
@@ -43,6 +46,7 @@
 		}
 		s := steps[i].step
 		q := &s.Occurrence.Job.Queue
+		p.room = c.rooms[q.Pool]
 		p.placeStep(s, pools[q.Pool])
 	}
 	return p.starts
@@ -119,6 +123,9 @@
 		cd := &candidate{ws: ws, free: free, spareMilli: ws.w.Capacity.CPUMilli, serving: map[string]float64{}}
 		for a := range ws.w.Attempts {
 			cd.spareMilli -= expectedUse(a.Step.Step)
+			if !a.Step.LongRunning {
+				cd.batchMilli += a.Step.Occupies().CPUMilli
+			}
 			if a.Step.TailTargetMS > 0 {
 				cd.serving[a.Step.Image] = headroomNew - headroomAdmit
 			}
@@ -151,6 +158,7 @@
 type placer struct {
 	c      *Core
 	starts []graph.Start
+	room   *poolRoom
 	// perStep counts the tasks of the step at hand on each worker.
 	perStep map[graph.Handle]int
 }
@@ -173,6 +181,9 @@
 		if task.Done || len(task.Attempts) > 0 {
 			continue
 		}
+		if p.room == nil || !p.room.mayStand(s, task) {
+			continue
+		}
 		cd := p.pick(s, task, pool)
 		if cd == nil {
 			return // the other tasks of the step are of the same size
@@ -189,6 +200,9 @@
 	if s.Waiting < len(s.Tasks) {
 		return // members of the last run have not all ended
 	}
+	if p.room == nil {
+		return
+	}
 	run, first := 0, len(p.starts)
 	for i := range s.Tasks {
 		run = max(run, s.Tasks[i].LastRun+1)
@@ -216,6 +230,7 @@
 
 func (p *placer) take(cd *candidate, s *graph.StepState) {
 	cd.free = cd.free.Sub(s.Occupies())
+	p.room.free -= s.Occupies().CPUMilli
 	cd.spareMilli -= expectedUse(s.Step)
 	if _, ok := cd.serving[s.Image]; !ok && s.TailTargetMS > 0 {
 		cd.serving[s.Image] = headroomNew - headroomAdmit
@@ -225,6 +240,7 @@
 
 func (p *placer) give(cd *candidate, s *graph.StepState) {
 	cd.free = cd.free.Add(s.Occupies())
+	p.room.free += s.Occupies().CPUMilli
 	cd.spareMilli += expectedUse(s.Step)
 	p.disturb(cd, s, -1)
 }
--- a/core/dispatch/place_test.go
+++ b/core/dispatch/place_test.go
@@ -82,3 +82,38 @@
 		}
 	}
 }
+
+// Guards against quick jobs that starve behind new standing tasks of their own
+// priority: these leave what batch work has lately used, but a standing task
+// that ran before gets its place back.
+func TestNewStandingTasksLeaveRoomForBatchWork(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit("00000000000000b1", step(1, 1000))
+	for range 100 { // 10 s
+		r.turn()
+		r.deliver()
+		r.pass(100 * time.Millisecond)
+		r.hold(a)
+	}
+	for ref := range r.lists[a].running {
+		r.end(a, ref, graph.EndDone)
+	}
+	r.hold(a)
+	r.turn()
+	r.submit("00000000000000b2", serving(8, 1000, "s"))
+	r.turn()
+	as := r.started("00000000000000b2")
+	if len(as) != 6 {
+		t.Fatalf("%d standing tasks of 1 core started on 8 cores, want 6: 1.2 are kept for batch work", len(as))
+	}
+	r.apply(&graph.Batch{Releases: []graph.Release{{Task: as[0].Ref(), Run: 1, Worker: a}}})
+	r.submit(job1, step(1, 1000))
+	r.turn()
+	if len(r.started(job1)) != 1 {
+		t.Error("the quick job found no room")
+	}
+	if n := len(r.started("00000000000000b2")); n != 6 {
+		t.Errorf("%d standing tasks run, want 6: the one that ran before gets its place back", n)
+	}
+}
