--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -9,8 +9,9 @@
 
 const (
 	// reserveFactor of the processors that batch tasks have lately reserved is
-	// kept free of new standing tasks: a burst is about half above the mean.
-	reserveFactor = 1.5
+	// kept free of new standing tasks: what is free lies in pieces on many workers,
+	// and a task needs its room on one.
+	reserveFactor = 2.5
 	// reserveMax bounds the reserve, in shares of a pool.
 	reserveMax = 0.15
 	// reserveWindow is the time constant of the mean.
