Fix a race on the map of workers' calls; say why a run is given up

Cause: found in reading the diff: the leader's turn read the map of calls outside the lock while ended calls deleted from it; two at once end the process ('concurrent map read and map write').

--- a/core/dispatch/drain.go
+++ b/core/dispatch/drain.go
@@ -12,11 +12,11 @@
 		left = unknownLeave
 	}
 	for _, r := range ws.runs {
-		if r.giveUp || r.ending || r.releasing {
+		if r.giveUp != "" || r.ending || r.releasing {
 			continue
 		}
 		if c.mustMove(r, left) {
-			r.giveUp = true
+			r.giveUp = "its worker leaves"
 			c.openRun(r)
 		}
 	}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -119,7 +119,7 @@
 	if row.Checkpoint != "" {
 		r.checkpoint = row.Checkpoint
 	}
-	if !a.Wanted() || r.giveUp {
+	if r.toStop() {
 		c.openRun(r)
 	}
 }
@@ -135,7 +135,7 @@
 	if task == nil {
 		return
 	}
-	c.openRun(&runState{a: &graph.Attempt{Step: step, Index: row.Task.Index, Run: row.Run, Worker: ws.w}, ws: ws, giveUp: true, seen: true})
+	c.openRun(&runState{a: &graph.Attempt{Step: step, Index: row.Task.Index, Run: row.Run, Worker: ws.w}, ws: ws, giveUp: "started by a late order", seen: true})
 }
 
 func (c *Core) strayStep(ref graph.TaskRef) (*graph.StepState, *graph.Task) {
@@ -203,7 +203,7 @@
 		case !r.stoppedAt.IsZero() && sent.After(r.stoppedAt):
 			c.release(r)
 		case !r.answeredAt.IsZero() && sent.After(r.answeredAt):
-			r.giveUp = true // it was started and is gone without an end
+			r.giveUp = "started, and gone without an end"
 			c.openRun(r)
 		}
 	}
--- a/core/dispatch/messages.go
+++ b/core/dispatch/messages.go
@@ -78,6 +78,8 @@
 	Checkpoint string
 	DeadlineMS int64
 	Percent    int
+	// Reason says why a wanted run is stopped; empty if it is not wanted any more.
+	Reason string
 
 	run *runState
 }
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -46,7 +46,7 @@
 }
 
 // toStop reports whether the run is to be stopped.
-func (r *runState) toStop() bool { return r.giveUp || !r.a.Wanted() }
+func (r *runState) toStop() bool { return r.giveUp != "" || !r.a.Wanted() }
 
 func (c *Core) order(now time.Time, r *runState) (Order, bool) {
 	o := Order{Target: r.ws.target(), Task: r.a.Ref(), Run: r.a.Run, run: r}
@@ -56,7 +56,7 @@
 			c.release(r) // its start was never sent
 			return o, false
 		}
-		o.Kind = OrderStop
+		o.Kind, o.Reason = OrderStop, r.giveUp
 		c.Stats.Stops++
 	case r.answeredAt.IsZero() && !r.seen:
 		deadline := r.ws.deadlineMS
@@ -105,7 +105,7 @@
 	if o.Kind == OrderStart {
 		r.unanswered = true
 		if r.sends >= startTries {
-			r.giveUp = true
+			r.giveUp = "its start is not answered"
 		}
 	}
 }
@@ -137,7 +137,7 @@
 		r.ws.pausedUntil = until
 	}
 	if r.unanswered {
-		r.giveUp = true // an earlier send may still be carried out
+		r.giveUp = "refused, and an earlier start may still be carried out"
 		return
 	}
 	c.release(r)
--- a/core/dispatch/progress.go
+++ b/core/dispatch/progress.go
@@ -29,13 +29,13 @@
 // to other workers, and this one gets nothing for a while.
 func (c *Core) checkProgress(now time.Time, ws *workerState) {
 	for _, r := range ws.runs {
-		if !r.seen || r.giveUp || r.ending || r.releasing || !r.a.Wanted() {
+		if !r.seen || r.giveUp != "" || r.ending || r.releasing || !r.a.Wanted() {
 			continue
 		}
 		if now.Sub(r.progressAt) < r.patience() {
 			continue
 		}
-		r.giveUp = true
+		r.giveUp = "no progress"
 		c.openRun(r)
 		c.Stats.Stuck++
 		ws.noteStuck(now)
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -70,8 +70,9 @@
 	unanswered bool
 	answeredAt time.Time
 	seen       bool
-	// giveUp means that the run is to be stopped although its task is wanted.
-	giveUp    bool
+	// giveUp says why the run is to be stopped although its task is wanted;
+	// empty if it is not.
+	giveUp    string
 	stoppedAt time.Time // when a stop was answered
 	inFlight  bool
 	nextAt    time.Time
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -42,11 +42,7 @@
 
 // waiter waits for the outcome of a proposal. done receives nil, an error that
 // wraps ErrNotTaken, or one that wraps ErrOutcomeUnknown.
-type waiter struct {
-	done chan error
-	// proposed is set once what is waited for is part of a proposal.
-	proposed bool
-}
+type waiter struct{ done chan error }
 
 // Errors of a proposal.
 var (
@@ -128,15 +124,13 @@
 	}
 	orders := l.core.Orders(now)
 	looks := l.core.Looks(now)
-	added := l.core.TakeAdded()
-	for _, h := range added {
-		l.holds[h] = make(chan struct{}, 1)
+	for _, h := range l.core.TakeAdded() {
+		wake := make(chan struct{}, 1)
+		l.holds[h] = wake
+		go l.holdLoop(ctx, h, wake)
 	}
 	d.mu.Unlock()
 
-	for _, h := range added {
-		go l.holdLoop(ctx, h, l.holds[h])
-	}
 	for i := range orders {
 		go l.sendOrder(ctx, orders[i])
 	}
@@ -160,9 +154,6 @@
 		}
 		return nil, nil
 	}
-	for _, w := range r.waiters {
-		w.proposed = true
-	}
 	l.proposing = true
 	return b, r.waiters
 }
@@ -300,6 +291,10 @@
 	d.mu.Lock()
 	l.core.OrderDone(now, o, reply)
 	d.mu.Unlock()
+	if o.Kind == dispatch.OrderStop && o.Reason != "" {
+		d.cfg.Logger.Info().Str("task", o.Task.String()).Int("run", o.Run).Str("worker", o.ID).
+			Str("reason", o.Reason).Str("outcome", reply.Outcome.String()).Msg("run is given up: its task goes elsewhere")
+	}
 	if reply.Outcome != dispatch.Accepted {
 		d.cfg.Logger.Warn().Str("step", o.Kind.String()).Str("task", o.Task.String()).Int("run", o.Run).
 			Str("worker", o.ID).Uint64("token", o.Token).Str("outcome", reply.Outcome.String()).Msg("order was not accepted")
