--- /dev/null
+++ b/host/dispatcher/dispatcher_test.go
@@ -0,0 +1,164 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/core/dispatch"
+	"gooseberrypond/core/graph"
+	"gooseberrypond/core/structs"
+	"gooseberrypond/store/replica"
+)
+
+// soloLog is a log of one replica that commits at once.
+type soloLog struct {
+	mu      sync.Mutex
+	d       *Dispatcher
+	index   uint64
+	lease   bool
+	fail    error
+	changes chan replica.LeaderChange
+}
+
+func (l *soloLog) Propose(_ context.Context, data []byte) (any, error) {
+	l.mu.Lock()
+	fail := l.fail
+	l.index++
+	index := l.index
+	l.mu.Unlock()
+	if fail != nil {
+		return nil, fail
+	}
+	return l.d.Apply(index, data), nil
+}
+
+func (l *soloLog) LeaseTerm() (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return 1, l.lease
+}
+
+func (l *soloLog) LeaderChanges() <-chan replica.LeaderChange { return l.changes }
+
+func (l *soloLog) set(f func()) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	f()
+}
+
+// idleWorkers answer every call at once.
+type idleWorkers struct{}
+
+func (idleWorkers) Hold(ctx context.Context, h dispatch.Hold) (*dispatch.HoldReply, error) {
+	if h.WaitMS > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Millisecond):
+		}
+	}
+	return &dispatch.HoldReply{Born: 1, ClockMS: time.Now().UnixMilli()}, nil
+}
+
+func (idleWorkers) Order(context.Context, dispatch.Order) dispatch.OrderReply {
+	return dispatch.OrderReply{Outcome: dispatch.Accepted, ClockMS: time.Now().UnixMilli()}
+}
+
+func startSolo(t *testing.T) (*Dispatcher, *soloLog) {
+	t.Helper()
+	d := New(Config{Workers: idleWorkers{}, Logger: zerolog.Nop(), Limits: dispatch.Limits{LeaseMax: 10 * time.Second, Interference: 4 * time.Second}})
+	log := &soloLog{d: d, lease: true, changes: make(chan replica.LeaderChange, 1)}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		d.Run(ctx, log)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	log.changes <- replica.LeaderChange{Leading: true, Term: 1}
+	for !d.Dump().Leading {
+		time.Sleep(time.Millisecond)
+	}
+	return d, log
+}
+
+func report(i int) graph.WorkerReport {
+	id := fmt.Sprintf("w%d", i)
+	return graph.WorkerReport{ID: id, Born: 1, Address: id, Pool: "p", Domain: "d", Capacity: structs.Resources{CPUMilli: 1000, MemoryMB: 1000}, Seq: 1}
+}
+
+// Guards against a leader whose process ends on unguarded state while workers
+// come and go; it needs the race detector to fail.
+func TestWorkersComeAndGo(t *testing.T) {
+	d, _ := startSolo(t)
+	ctx := context.Background()
+	var wg sync.WaitGroup
+	for i := range 200 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			if a := d.Beat(ctx, report(i)); a.Code != Done {
+				t.Errorf("a report got %s", a.Code)
+			}
+			if a := d.Leave(ctx, report(i).ID); a.Code != Done {
+				t.Errorf("a leaving worker got %s", a.Code)
+			}
+		}()
+	}
+	wg.Wait()
+}
+
+// Guards against refusals that are not true and acknowledgements that are not
+// certain: only what cannot be in the log is refused, and nothing is answered
+// without the leader's lease.
+func TestAnswersSayWhatIsCertain(t *testing.T) {
+	d, log := startSolo(t)
+	ctx := context.Background()
+	spec := graph.Spec{Steps: []graph.Step{{Count: 1}}}
+	if a := d.Submit(ctx, "h", "/q/00000000000000aa", spec); a.Code != NoConfig {
+		t.Errorf("without a configuration a job got %s", a.Code)
+	}
+	cfg := &graph.Config{Version: 5, Document: []byte("five"), Queues: []graph.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", TimeoutMS: 1}}}
+	if a := d.PutConfig(ctx, cfg); a.Code != Done {
+		t.Fatalf("a configuration got %s", a.Code)
+	}
+	if a := d.PutConfig(ctx, &graph.Config{Version: 4, Document: []byte("four")}); a.Code != Done {
+		t.Errorf("an older configuration got %s, want it acknowledged", a.Code)
+	}
+	if a := d.GetConfig(); string(a.Config) != "five" {
+		t.Errorf("the configuration read back is %q", a.Config)
+	}
+	log.set(func() { log.fail = errors.Wrap(replica.ErrBusy, "full") })
+	if a := d.Submit(ctx, "h", "/q/00000000000000aa", spec); a.Code != NotTaken {
+		t.Errorf("a job that was not appended got %s, want not taken", a.Code)
+	}
+	log.set(func() { log.fail = errors.Wrap(replica.ErrLost, "leadership ended") })
+	if a := d.Submit(ctx, "h", "/q/00000000000000aa", spec); a.Code != Unknown {
+		t.Errorf("a job that may be in the log got %s, want unknown", a.Code)
+	}
+	log.set(func() { log.fail = nil })
+	if a := d.Submit(ctx, "h", "/q/00000000000000aa", spec); a.Code != Done {
+		t.Errorf("a job got %s", a.Code)
+	}
+	if a := d.Look("h", "/q/00000000000000aa"); a.State != graph.JobQueued {
+		t.Errorf("the job is %q, want queued", a.State)
+	}
+	if a := d.Submit(ctx, "h", "/q/short", spec); a.Code != Invalid {
+		t.Errorf("a bad id got %s", a.Code)
+	}
+	log.set(func() { log.lease = false })
+	if a := d.Look("h", "/q/00000000000000aa"); a.Code != NotLeader {
+		t.Errorf("without the lease a read got %s", a.Code)
+	}
+	if a := d.GetConfig(); a.Code != NotLeader {
+		t.Errorf("without the lease the configuration was read: %s", a.Code)
+	}
+}
