Let the test of coming and going workers meet the race that it guards against

Cause: on the code before the mend the test passed: all workers were added before the first one left. Rounds of both, at once, make the race detector report it there.

--- a/host/dispatcher/dispatcher_test.go
+++ b/host/dispatcher/dispatcher_test.go
@@ -101,15 +101,19 @@
 	d, _ := startSolo(t)
 	ctx := context.Background()
 	var wg sync.WaitGroup
-	for i := range 200 {
+	for i := range 20 {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			if a := d.Beat(ctx, report(i)); a.Code != Done {
-				t.Errorf("a report got %s", a.Code)
-			}
-			if a := d.Leave(ctx, report(i).ID); a.Code != Done {
-				t.Errorf("a leaving worker got %s", a.Code)
+			for round := range 20 {
+				r := report(100*i + round)
+				if a := d.Beat(ctx, r); a.Code != Done {
+					t.Errorf("a report got %s", a.Code)
+				}
+				time.Sleep(time.Duration(i%5) * time.Millisecond) // its call begins
+				if a := d.Leave(ctx, r.ID); a.Code != Done {
+					t.Errorf("a leaving worker got %s", a.Code)
+				}
 			}
 		}()
 	}
