--- a/host/logsink/logsink.go
+++ b/host/logsink/logsink.go
@@ -10,8 +10,7 @@
 )
 
 const (
-	// DefaultRate is the budget in bytes a second: on the heaviest standard day
-	// the leader writes about a tenth of it, and a minute of it is 4 MiB.
+	// DefaultRate is the budget in bytes a second; a minute of it is 4 MiB.
 	DefaultRate = 64 << 10
 	// burstSeconds of the budget may be used at once, after an election for instance.
 	burstSeconds = 4
