Learn the pressure of fillers by least squares; admit them with more headroom

Each observation moved them along its own error, so they followed the noise of the tasks' own load.

Change: one least squares model a serving image over the changes between two lists, older ones fade within a minute. With pressures known, the headroom that must be left where a filler starts is 2.0 instead of 1.4.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -15,8 +15,8 @@
 
 	workers map[graph.Handle]*workerState
 	lives   map[string]uint64
-	// pressure is how much fillers disturb serving tasks.
-	pressure map[imagePair]float64
+	// pressure is how much fillers disturb serving tasks, by the latter's image.
+	pressure map[string]*pressureModel
 	// added lists the workers whose calls have not begun.
 	added []graph.Handle
 	// openRuns are the runs with an order to send or to be settled.
@@ -46,7 +46,7 @@
 func New(now time.Time, t *graph.Tables, term uint64, limits Limits) *Core {
 	c := &Core{
 		t: t, term: term, limits: limits,
-		workers: map[graph.Handle]*workerState{}, lives: map[string]uint64{}, pressure: map[imagePair]float64{},
+		workers: map[graph.Handle]*workerState{}, lives: map[string]uint64{}, pressure: map[string]*pressureModel{},
 		changes: map[string]graph.WorkerChange{}, rooms: map[string]*poolRoom{}, forgetAt: now.Add(forgetEvery),
 	}
 	inherited := now.Add(time.Duration(float64(limits.LeaseMax) / (1 - MaxClockSlow)))
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -97,7 +97,7 @@
 	}
 	c.settlePredecessors(ws, reply)
 	c.checkProgress(now, ws)
-	c.observe(ws)
+	c.observe(now, ws)
 	c.adjustPace(now, ws)
 }
 
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -290,12 +290,13 @@
 const fillerShare = 0.5
 
 // headroomAdmit is the headroom that must be left where a filler starts. It is
-// above what the pace holds, because a start is noticed half a second later.
-const headroomAdmit = 1.4
+// above what the pace holds, because a start is noticed half a second later and
+// the tasks' own load rises within that time.
+const headroomAdmit = 2.0
 
 // headroomNew is the headroom assumed for serving tasks that have not been
-// listed yet.
-const headroomNew = 2.0
+// listed yet: the mean of those that nothing disturbs.
+const headroomNew = 2.4
 
 // servingUse is the part of its processors that a task with a tail target is
 // expected to use: it reserves for its busiest time.
--- a/core/dispatch/pressure.go
+++ b/core/dispatch/pressure.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 )
 
 // Headroom is a tail target divided by the tail: 1 is at the target. It falls
@@ -10,16 +11,6 @@
 // without bound; so the effect of a filler can be learned as a slope.
 
 const (
-	// pressurePrior is the pressure of a pair that has not been observed: the
-	// headroom that the filler would take by using all processors of a worker.
-	pressurePrior = 2.0
-	// pressureMax bounds an estimate against a burst of noise.
-	pressureMax = 12.0
-	// pressureGain is the share of an error that one observation corrects.
-	pressureGain = 0.2
-	// pressureFloor keeps small changes of use, whose error is noise, from
-	// moving an estimate: a square of a change of use, in shares of a worker.
-	pressureFloor = 0.01
 	// lightPressure is where fillers do not need to be slowed for others' sake.
 	lightPressure = 1.2
 	// headroomSeen caps the headroom that is observed: far from the target it
@@ -27,10 +18,6 @@
 	headroomSeen = 4.0
 )
 
-// imagePair is a filler's image and that of a serving task beside it. How much
-// one disturbs the other differs from pair to pair.
-type imagePair struct{ filler, serving string }
-
 // observation is what a worker's list said about interference.
 type observation struct {
 	// headroom holds the headroom of each serving task, by image.
@@ -46,7 +33,7 @@
 }
 
 // observe takes a worker's list and learns from the difference to the one before.
-func (c *Core) observe(ws *workerState) {
+func (c *Core) observe(now time.Time, ws *workerState) {
 	o := observation{headroom: map[string][]taskHeadroom{}, use: map[string]float64{}}
 	whole := float64(max(ws.w.Capacity.CPUMilli, 1))
 	for a, r := range ws.runs {
@@ -62,7 +49,7 @@
 	if diff := useChange(ws.last.use, o.use); len(diff) > 0 {
 		for image, after := range o.headroom {
 			if change, ok := headroomChange(ws.last.headroom[image], after); ok {
-				c.learn(image, change, diff)
+				c.learn(now, image, change, diff)
 			}
 		}
 	}
@@ -100,34 +87,48 @@
 	return sum / n, true
 }
 
-// learn moves the pressures on a serving image towards what explains the change
-// of its headroom, by a normalized step.
-func (c *Core) learn(serving string, change float64, diff map[string]float64) {
-	predicted, norm := 0.0, pressureFloor
-	for image, d := range diff {
-		predicted -= c.pressureOf(image, serving) * d
-		norm += d * d
+// learn takes a change of the headroom of serving tasks of an image and the
+// changes of the fillers' use that go with it.
+func (c *Core) learn(now time.Time, serving string, change float64, diff map[string]float64) {
+	m := c.pressure[serving]
+	if m == nil {
+		c.forgetOldestModel()
+		m = &pressureModel{at: now}
+		c.pressure[serving] = m
+	}
+	m.fade(now)
+	m.add(change, diff)
+}
+
+func (c *Core) forgetOldestModel() {
+	if len(c.pressure) < maxServingImages {
+		return
 	}
-	for image, d := range diff {
-		k := c.pressureOf(image, serving) - pressureGain*(change-predicted)*d/norm
-		c.pressure[imagePair{image, serving}] = min(pressureMax, max(0, k))
+	oldest := ""
+	for image, m := range c.pressure {
+		if oldest == "" || m.at.Before(c.pressure[oldest].at) {
+			oldest = image
+		}
 	}
+	delete(c.pressure, oldest)
 }
 
 // pressureOf returns the headroom that fillers of an image take from serving
 // tasks of another by using all processors of a worker.
 func (c *Core) pressureOf(filler, serving string) float64 {
-	if k, ok := c.pressure[imagePair{filler, serving}]; ok {
-		return k
+	if m := c.pressure[serving]; m != nil {
+		return m.of(filler)
 	}
 	return pressurePrior
 }
 
 // Pressures returns the learned pressures, the highest first, for dumps and logs.
 func (c *Core) Pressures() []Pressure {
-	out := make([]Pressure, 0, len(c.pressure))
-	for p, k := range c.pressure {
-		out = append(out, Pressure{p.filler, p.serving, k})
+	out := make([]Pressure, 0, 8*len(c.pressure))
+	for serving, m := range c.pressure {
+		for i, filler := range m.fillers {
+			out = append(out, Pressure{filler, serving, m.pressure[i]})
+		}
 	}
 	slices.SortFunc(out, func(a, b Pressure) int { return cmp.Compare(b.Headroom, a.Headroom) })
 	return out
--- a/core/dispatch/pressure_test.go
+++ b/core/dispatch/pressure_test.go
@@ -21,11 +21,24 @@
 	return s
 }
 
+// knownPressure returns a model that is certain of the pressure of one filler image.
+func knownPressure(filler string, pressure float64) *pressureModel {
+	const weight = 1e6
+	return &pressureModel{
+		fillers:  []string{filler},
+		products: [][]float64{{weight}},
+		targets:  []float64{weight * pressure},
+		pressure: []float64{pressure},
+	}
+}
+
 // Guards against treating all images alike: the pressure of each pair must be
 // told from lists in which several fillers change at once, beside a noisy load.
 func TestPressureOfPairsIsLearned(t *testing.T) {
-	truth := map[imagePair]float64{{"x", "s1"}: 5, {"y", "s1"}: 0.3, {"x", "s2"}: 0.3, {"y", "s2"}: 5}
-	c := &Core{pressure: map[imagePair]float64{}}
+	type pair struct{ filler, serving string }
+	truth := map[pair]float64{{"x", "s1"}: 5, {"y", "s1"}: 0.3, {"x", "s2"}: 0.3, {"y", "s2"}: 5}
+	c := &Core{pressure: map[string]*pressureModel{}}
+	now := time.Unix(1_700_000_000, 0)
 	rng := rand.New(rand.NewPCG(1, 2))
 	use := map[string]float64{}
 	for range 400 {
@@ -33,9 +46,9 @@
 		for _, s := range []string{"s1", "s2"} {
 			change := rng.NormFloat64() * 0.05
 			for f, u := range next {
-				change -= truth[imagePair{f, s}] * (u - use[f])
+				change -= truth[pair{f, s}] * (u - use[f])
 			}
-			c.learn(s, change, useChange(use, next))
+			c.learn(now, s, change, useChange(use, next))
 		}
 		use = next
 	}
@@ -46,6 +59,56 @@
 	}
 }
 
+// Guards against a burst that ends before it is known which fillers disturb:
+// with six images beside a serving one and its load as noisy as the platform's,
+// 300 changes (three seconds of fifty workers) must tell them apart.
+func TestPressureIsLearnedWithinABurst(t *testing.T) {
+	truth := map[string]float64{"a": 5, "b": 0, "c": 4, "d": 0.2, "e": 0, "f": 6}
+	c := &Core{pressure: map[string]*pressureModel{}}
+	rng := rand.New(rand.NewPCG(3, 4))
+	now := time.Unix(1_700_000_000, 0)
+	use := map[string]float64{}
+	for range 300 {
+		next := map[string]float64{}
+		for f := range truth {
+			if rng.IntN(3) == 0 {
+				next[f] = 0.1
+			}
+		}
+		change := rng.NormFloat64() * 0.5
+		for f, k := range truth {
+			change -= k * (next[f] - use[f])
+		}
+		now = now.Add(10 * time.Millisecond)
+		c.learn(now, "s", change, useChange(use, next))
+		use = next
+	}
+	for f, k := range truth {
+		if got := c.pressureOf(f, "s"); got < k-1.5 || got > k+1.5 {
+			t.Errorf("pressure of %s is %.2f, want %.1f within 1.5", f, got, k)
+		}
+	}
+}
+
+// Guards against memory that grows with the images that ever ran, and against
+// a new image that takes over the sums of the one that it replaces.
+func TestPressureModelIsBounded(t *testing.T) {
+	m := &pressureModel{}
+	for i := range 3 * maxFillerImages {
+		image := fmt.Sprint("f", i)
+		m.add(-0.4, map[string]float64{"steady": 0.1, image: 0.01})
+		if got := m.of(image); got > pressureMax {
+			t.Fatalf("pressure of %s is %.2f", image, got)
+		}
+	}
+	if n := len(m.fillers); n > maxFillerImages {
+		t.Errorf("%d images are kept, want %d at the most", n, maxFillerImages)
+	}
+	if got := m.of("steady"); got < 3 || got > 4.5 {
+		t.Errorf("pressure of the steady filler is %.2f, want about 4", got)
+	}
+}
+
 // Guards against fillers beside the tasks that they disturb while another
 // worker's tasks would hardly notice them.
 func TestFillerAvoidsTasksItDisturbs(t *testing.T) {
@@ -61,8 +124,8 @@
 	if on1 == on2 {
 		t.Fatal("tasks of two images share a worker although another one is free")
 	}
-	r.core.pressure[imagePair{"f", "s1"}] = 6
-	r.core.pressure[imagePair{"f", "s2"}] = 0.2
+	r.core.pressure["s1"] = knownPressure("f", 6)
+	r.core.pressure["s2"] = knownPressure("f", 0.2)
 	r.submit(job1, filler(2, 2000, "f"))
 	r.turn()
 	for _, at := range r.started(job1) {
@@ -82,7 +145,7 @@
 	r := newRig(t)
 	a := r.register("a", 1)
 	r.submit("00000000000000b1", serving(1, 4000, "s1"))
-	r.submit(job1, filler(1, 2000, "f"))
+	r.submit(job1, filler(1, 1500, "f"))
 	r.turn()
 	r.deliver()
 	list := func(tailMS float64) int {
@@ -120,12 +183,12 @@
 	r := newRig(t)
 	a := r.register("a", 1)
 	r.submit("00000000000000b1", serving(1, 4000, "s1"))
-	r.submit(job1, filler(1, 2000, "f"))
+	r.submit(job1, filler(1, 1500, "f"))
 	r.turn()
 	r.deliver()
 	pace := 100
 	for i := range 5 { // 2.5 s
-		r.core.pressure[imagePair{"f", "s1"}] = 0.1
+		r.core.pressure["s1"] = knownPressure("f", 0.1)
 		for ref, row := range r.lists[a].running {
 			row.Measure = 60
 			r.lists[a].running[ref] = row
