Count fillers that have just started against the headroom of a worker

Cause: a measure in a worker's lists covers half a second, and plans come every few milliseconds. Until a filler was in the measure, the next ones found the headroom that it was about to take, so a burst put several beside one task. The test starts four fillers within 80 ms beside headroom for one; before, all four started.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -142,18 +142,38 @@
 }
 
 // owedHeadroom returns the headroom that the fillers of a worker will take from
-// serving tasks of an image once they are not slowed any more.
+// serving tasks of an image beyond what the last list shows: what is slowed may
+// speed up, and what has just started is not in the measure yet.
 func (c *Core) owedHeadroom(ws *workerState, serving string) float64 {
 	var owed float64
 	for a, r := range ws.runs {
-		if a.Step.Filler && r.pace < 100 {
+		if !a.Step.Filler {
+			continue
+		}
+		shown := float64(r.pace) / 100 * ws.shownShare(r)
+		if shown < 1 {
 			share := float64(a.Step.Need.CPUMilli) / float64(max(ws.w.Capacity.CPUMilli, 1))
-			owed += c.pressureOf(a.Step.Image, serving) * share * float64(100-r.pace) / 100
+			owed += c.pressureOf(a.Step.Image, serving) * share * (1 - shown)
 		}
 	}
 	return owed
 }
 
+// measureWindow is the time that a measure in a worker's lists covers.
+const measureWindow = 500 * time.Millisecond
+
+// shownShare returns the part of the last list's measures in which a run was at work.
+func (ws *workerState) shownShare(r *runState) float64 {
+	if !r.seen {
+		return 0
+	}
+	if r.answeredAt.IsZero() {
+		return 1 // started under an earlier leader
+	}
+	at := float64(ws.last.at.Sub(r.answeredAt)) / float64(measureWindow)
+	return min(1, max(0, at))
+}
+
 // placer collects the starts of one plan.
 type placer struct {
 	c      *Core
--- a/core/dispatch/place_test.go
+++ b/core/dispatch/place_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -117,3 +118,33 @@
 		t.Errorf("%d standing tasks run, want 6: the one that ran before gets its place back", n)
 	}
 }
+
+// Guards against a burst of fillers that start within the half second that a
+// measure covers, each beside the headroom that the one before is about to take.
+func TestFillersJustStartedAreCounted(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit("00000000000000b1", serving(1, 1000, "s1"))
+	r.turn()
+	r.deliver()
+	r.core.pressure["s1"] = knownPressure("f", 4)
+	for ref, row := range r.lists[a].running {
+		row.Measure = 50 / (headroomAdmit + 0.6) // bears one filler of 0.5
+		r.lists[a].running[ref] = row
+	}
+	r.pass(500 * time.Millisecond)
+	r.hold(a)
+	for i := range 4 {
+		r.submit(graph.JobID(fmt.Sprintf("00000000000000c%d", i)), filler(1, 1000, "f"))
+		r.turn()
+		r.deliver()
+		r.pass(20 * time.Millisecond)
+	}
+	started := 0
+	for i := range 4 {
+		started += len(r.started(graph.JobID(fmt.Sprintf("00000000000000c%d", i))))
+	}
+	if started != 1 {
+		t.Errorf("%d fillers started beside headroom for one", started)
+	}
+}
--- a/core/dispatch/pressure.go
+++ b/core/dispatch/pressure.go
@@ -24,6 +24,7 @@
 	headroom map[string][]taskHeadroom
 	// use is the processor use of fillers by image, in shares of the worker.
 	use map[string]float64
+	at  time.Time
 }
 
 // taskHeadroom is the headroom of one serving task.
@@ -34,7 +35,7 @@
 
 // observe takes a worker's list and learns from the difference to the one before.
 func (c *Core) observe(now time.Time, ws *workerState) {
-	o := observation{headroom: map[string][]taskHeadroom{}, use: map[string]float64{}}
+	o := observation{headroom: map[string][]taskHeadroom{}, use: map[string]float64{}, at: now}
 	whole := float64(max(ws.w.Capacity.CPUMilli, 1))
 	for a, r := range ws.runs {
 		switch {
