Keep light fillers from tasks near their target; search once a kind of task

Cause: fillers that hardly disturb were let in beside any task not yet over its target. They now leave 1.3. A demand for which none was found now answers for all that ask for as much or more.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -38,7 +38,9 @@
 // Stats count decisions.
 type Stats struct {
 	Starts, Stops, Paces, Ends, Releases, LeaseEnds, Unanswered, RoomRefusals, Stuck uint64
-	Waiting, Usable                                                                  int
+	// Scans counts searches for a worker through a whole pool.
+	Scans           uint64
+	Waiting, Usable int
 }
 
 // New returns the core of the leader elected at now for a term. The tables
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -181,6 +181,36 @@
 	room   *poolRoom
 	// perStep counts the tasks of the step at hand on each worker.
 	perStep map[graph.Handle]int
+	// unplaced are the tasks for which no worker was found in this plan.
+	unplaced []demand
+}
+
+// demand is what decides whether a task finds a worker.
+type demand struct {
+	pool, label, image string
+	filler             bool
+	need               structs.Resources
+}
+
+func demandOf(s *graph.StepState) demand {
+	d := demand{pool: s.Occurrence.Job.Queue.Pool, label: s.Label, filler: s.Filler, need: s.Need}
+	if s.Filler {
+		d.image = s.Image // only fillers are kept from workers for their image
+	}
+	return d
+}
+
+// exceeds reports whether no worker can be found for d if there is none for other.
+func (d demand) exceeds(other demand) bool {
+	return d.pool == other.pool && d.filler == other.filler && d.image == other.image &&
+		(other.label == "" || d.label == other.label) && other.need.Fits(d.need)
+}
+
+// hopeless reports whether a task of the step, or of one that asks for no more,
+// has found no worker in this plan. What is free only shrinks while it is made.
+func (p *placer) hopeless(s *graph.StepState) bool {
+	d := demandOf(s)
+	return slices.ContainsFunc(p.unplaced, d.exceeds)
 }
 
 func (p *placer) placeStep(s *graph.StepState, pool []*candidate) {
@@ -263,6 +293,7 @@
 	p.room.free += s.Occupies().CPUMilli
 	cd.spareMilli += expectedUse(s.Step)
 	p.disturb(cd, s, -1)
+	p.unplaced = p.unplaced[:0]
 }
 
 // disturb takes the headroom that n fillers of the step need.
@@ -282,6 +313,10 @@
 
 // pick returns the best worker for a task, or nil.
 func (p *placer) pick(s *graph.StepState, task *graph.Task, pool []*candidate) *candidate {
+	if p.hopeless(s) {
+		return nil
+	}
+	p.c.Stats.Scans++
 	var best *candidate
 	var bestScore float64
 	need := s.Occupies()
@@ -294,6 +329,9 @@
 			best, bestScore = cd, score
 		}
 	}
+	if best == nil && s.MaxPerWorker <= 0 {
+		p.unplaced = append(p.unplaced, demandOf(s))
+	}
 	return best
 }
 
@@ -314,6 +352,10 @@
 // the tasks' own load rises within that time.
 const headroomAdmit = 2.0
 
+// headroomAdmitLight is the same for fillers that hardly disturb: it covers the
+// tasks' own load only.
+const headroomAdmitLight = 1.3
+
 // headroomNew is the headroom assumed for serving tasks that have not been
 // listed yet: the mean of those that nothing disturbs.
 const headroomNew = 2.4
@@ -390,7 +432,10 @@
 			return 0, false // a task is over its target already
 		}
 		d := p.disturbance(cd, s, image)
-		if d > headroom && p.c.pressureOf(s.Image, image) >= lightPressure {
+		if p.c.pressureOf(s.Image, image) < lightPressure {
+			headroom += headroomAdmit - headroomAdmitLight
+		}
+		if d > headroom {
 			return 0, false
 		}
 		worst = max(worst, d)
--- a/core/dispatch/place_test.go
+++ b/core/dispatch/place_test.go
@@ -148,3 +148,55 @@
 		t.Errorf("%d fillers started beside headroom for one", started)
 	}
 }
+
+// Guards against plans whose cost grows with the product of waiting tasks and
+// workers: one search tells that no other task of the same kind finds a place.
+func TestWaitingTasksAreSearchedForOnce(t *testing.T) {
+	r := newRig(t)
+	r.register("a", 1)
+	r.submit("00000000000000b1", step(8, 1000)) // fills the worker
+	r.turn()
+	r.deliver()
+	for i := range 50 {
+		r.submit(graph.JobID(fmt.Sprintf("00000000000001%02d", i)), step(2, 1000+int64(i)))
+	}
+	before := r.core.Stats.Scans
+	r.turn()
+	if got := r.core.Stats.Scans - before; got > 2 {
+		t.Errorf("%d searches for 50 jobs of which the smallest has no place, want 2 at the most", got)
+	}
+	r.submit("00000000000000b2", step(1, 0))
+	r.turn()
+	if len(r.started("00000000000000b2")) != 1 {
+		t.Error("a task that needs no processors waits behind larger ones")
+	}
+}
+
+// Guards against fillers that hardly disturb beside a task that is about to
+// miss its target by its own load: it then misses it by more.
+func TestLightFillerLeavesATaskNearItsTarget(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit("00000000000000b1", serving(1, 1000, "s1"))
+	r.turn()
+	r.deliver()
+	r.core.pressure["s1"] = knownPressure("f", 0.5)
+	list := func(headroom float64) {
+		for ref, row := range r.lists[a].running {
+			row.Measure = 50 / headroom
+			r.lists[a].running[ref] = row
+		}
+		r.pass(500 * time.Millisecond)
+		r.hold(a)
+		r.turn()
+	}
+	r.submit(job1, filler(1, 1000, "f"))
+	list(1.1)
+	if len(r.started(job1)) != 0 {
+		t.Error("a filler started beside a task that is close to its target")
+	}
+	list(1.5)
+	if len(r.started(job1)) != 1 {
+		t.Error("a filler that hardly disturbs does not start beside a task well below its target")
+	}
+}
