Free what ran on a worker once another life answers at its address

Six workers had crashed at about 2 s and were back at 6.7 to 7.9 s, each under another id at its old address ("status 421" there, then "worker recorded"). Only a later life under the same id settled what had run before.

Now a later life at the same address counts too: only one life is at an address at a time, and this one has answered. Found beside it: an elected leader went through the workers in no fixed order, so a later life could miss its earlier one or get the lower fencing token. The test covers both; its three cases failed before. The line "worker recorded" names the address.

Ruled out: a refused or unanswered call as proof (a cut looks the same).

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -52,10 +52,9 @@
 		changes: map[string]graph.WorkerChange{}, rooms: map[string]*poolRoom{}, forgetAt: now.Add(forgetEvery),
 	}
 	inherited := now.Add(time.Duration(float64(limits.LeaseMax) / (1 - MaxClockSlow)))
-	for w := range t.Workers {
-		ws := c.newWorker(now, w)
+	for _, ws := range c.addWorkers(now) {
 		ws.inheritedEnd = inherited
-		for a := range w.Attempts {
+		for a := range ws.w.Attempts {
 			c.track(ws, a).inherited = true
 		}
 	}
@@ -183,11 +182,7 @@
 
 // Applied notes an applied batch.
 func (c *Core) Applied(now time.Time, b *graph.Batch, res *graph.Result) {
-	for w := range c.t.Workers {
-		if c.workers[w.Handle] == nil {
-			c.newWorker(now, w)
-		}
-	}
+	c.addWorkers(now)
 	for _, a := range res.Started {
 		c.openRun(c.track(c.workers[a.Worker.Handle], a))
 		c.Stats.Starts++
--- a/core/dispatch/order_test.go
+++ b/core/dispatch/order_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -121,6 +122,51 @@
 	}
 }
 
+// Guards against tasks that wait for the end of a lease although their worker
+// has started anew, under its old id or another one at its address, also when
+// the leader has changed in between.
+func TestSuccessorFreesWhatRanBefore(t *testing.T) {
+	for _, id := range []string{"a", "b"} {
+		for _, elected := range []bool{false, true} {
+			t.Run(fmt.Sprintf("id=%s/elected=%t", id, elected), func(t *testing.T) {
+				for range 8 { // the order of the tables' workers is not fixed
+					testSuccessor(t, id, elected)
+				}
+			})
+		}
+	}
+}
+
+func testSuccessor(t *testing.T, id string, elected bool) {
+	t.Helper()
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit(job1, step(2, 1000))
+	r.turn()
+	r.deliver()
+	r.hold(a)
+	next := worker(id, 50)
+	next.Address = worker("a", 1).Address
+	r.core.Beat(r.now, next)
+	r.turn()
+	if elected {
+		r.elect(2)
+	}
+	h := r.tables.WorkerByID(id).Handle
+	if id == "a" && r.core.workers[h].token <= r.core.workers[a].token {
+		t.Fatal("the later life does not have the higher token")
+	}
+	if n := len(r.tables.Worker(a).Attempts); n != 2 {
+		t.Fatalf("%d attempts are left before the successor has answered, want 2", n)
+	}
+	r.lists[h] = &fakeLists{running: map[graph.TaskRef]RunningRow{}}
+	r.hold(h)
+	r.turn()
+	if left := r.tables.Worker(a); left != nil && len(left.Attempts) > 0 {
+		t.Fatalf("%d attempts are left on a worker whose successor has answered", len(left.Attempts))
+	}
+}
+
 // Guards against ends that are lost: the cursor that lets a worker forget them
 // must not pass an end that is not in the log yet.
 func TestCursorWaitsForTheLog(t *testing.T) {
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"gooseberrypond/core/graph"
@@ -15,7 +17,7 @@
 
 	// fenced is set once the worker has answered a call with token.
 	fenced bool
-	// predecessors are earlier lives under the id whose runs are not settled.
+	// predecessors are earlier lives whose runs are not settled.
 	predecessors []*workerState
 	// clockMS is the worker's clock as read in an answer received at clockAt.
 	clockMS int64
@@ -87,13 +89,30 @@
 	releasing  bool
 }
 
+// addWorkers adds the recorded workers that have no state yet, in the order in
+// which they were recorded: a later life gets the higher fencing token.
+func (c *Core) addWorkers(now time.Time) []*workerState {
+	var added []*graph.Worker
+	for w := range c.t.Workers {
+		if c.workers[w.Handle] == nil {
+			added = append(added, w)
+		}
+	}
+	slices.SortFunc(added, func(a, b *graph.Worker) int { return cmp.Compare(a.Handle, b.Handle) })
+	out := make([]*workerState, len(added))
+	for i, w := range added {
+		out[i] = c.newWorker(now, w)
+	}
+	return out
+}
+
 func (c *Core) newWorker(now time.Time, w *graph.Worker) *workerState {
 	ws := &workerState{
 		w: w, token: c.tokenFor(w.ID), lastBeat: now, lastAnswer: now,
 		serving: map[string]*servingState{}, runs: map[*graph.Attempt]*runState{},
 	}
 	for _, old := range c.workers {
-		if old.w.ID == w.ID && old.w.Born < w.Born {
+		if succeeds(w, old.w) {
 			ws.predecessors = append(ws.predecessors, old)
 		}
 	}
@@ -102,6 +121,12 @@
 	return ws
 }
 
+// succeeds reports whether a worker is a later life of another one: it has its
+// id, or it answers at its address, under which only one life is at a time.
+func succeeds(w, old *graph.Worker) bool {
+	return w.Born > old.Born && (w.ID == old.ID || w.Address == old.Address)
+}
+
 // tokenFor returns the fencing token for a new life of a worker. It is higher
 // than that of every earlier life under the id, so that an order meant for one
 // of these is not obeyed once the new life has been called.
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -349,8 +349,8 @@
 	}
 	for i := range b.Workers {
 		w := &b.Workers[i]
-		log.Info().Str("worker", w.Report.ID).Int64("born", w.Report.Born).Str("domain", w.Report.Domain).
-			Bool("draining", w.Report.Draining).Bool("left", w.Left).Msg("worker recorded")
+		log.Info().Str("worker", w.Report.ID).Int64("born", w.Report.Born).Str("address", w.Report.Address).
+			Str("domain", w.Report.Domain).Bool("draining", w.Report.Draining).Bool("left", w.Left).Msg("worker recorded")
 	}
 	if b.Config != nil {
 		log.Info().Uint64("version", b.Config.Version).Int("queues", len(b.Config.Queues)).Msg("configuration recorded")
