--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -16,7 +16,8 @@
 	workers map[graph.Handle]*workerState
 	lives   map[string]uint64
 	// pressure is how much fillers disturb serving tasks, by the latter's image.
-	pressure map[string]*pressureModel
+	pressure         map[string]*pressureModel
+	pressuresSavedAt time.Time
 	// added lists the workers whose calls have not begun.
 	added []graph.Handle
 	// openRuns are the runs with an order to send or to be settled.
@@ -49,8 +50,9 @@
 	c := &Core{
 		t: t, term: term, limits: limits,
 		workers: map[graph.Handle]*workerState{}, lives: map[string]uint64{}, pressure: map[string]*pressureModel{},
-		changes: map[string]graph.WorkerChange{}, rooms: map[string]*poolRoom{}, forgetAt: now.Add(forgetEvery),
+		changes: map[string]graph.WorkerChange{}, rooms: map[string]*poolRoom{}, forgetAt: now.Add(forgetEvery), pressuresSavedAt: now,
 	}
+	c.inheritPressures(now)
 	inherited := now.Add(time.Duration(float64(limits.LeaseMax) / (1 - MaxClockSlow)))
 	for _, ws := range c.addWorkers(now) {
 		ws.inheritedEnd = inherited
@@ -149,6 +151,7 @@
 	clear(c.changes)
 	b.Occurrences = c.occurrences(nowMS)
 	b.Starts = c.place(now, nowMS)
+	b.Pressures = c.pressuresToSave(now)
 	if !now.Before(c.forgetAt) {
 		c.forgetAt = now.Add(forgetEvery)
 		b.ForgetBeforeMS = nowMS - forgetAfter.Milliseconds()
--- a/core/dispatch/pressure.go
+++ b/core/dispatch/pressure.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"gooseberrypond/core/graph"
 )
 
 // Headroom is a tail target divided by the tail: 1 is at the target. It falls
@@ -91,14 +93,20 @@
 // learn takes a change of the headroom of serving tasks of an image and the
 // changes of the fillers' use that go with it.
 func (c *Core) learn(now time.Time, serving string, change float64, diff map[string]float64) {
+	m := c.model(now, serving)
+	m.fade(now)
+	m.add(change, diff)
+}
+
+// model returns the model of a serving image, which it adds if need be.
+func (c *Core) model(now time.Time, serving string) *pressureModel {
 	m := c.pressure[serving]
 	if m == nil {
 		c.forgetOldestModel()
 		m = &pressureModel{at: now}
 		c.pressure[serving] = m
 	}
-	m.fade(now)
-	m.add(change, diff)
+	return m
 }
 
 func (c *Core) forgetOldestModel() {
@@ -124,19 +132,13 @@
 }
 
 // Pressures returns the learned pressures, the highest first, for dumps and logs.
-func (c *Core) Pressures() []Pressure {
-	out := make([]Pressure, 0, 8*len(c.pressure))
+func (c *Core) Pressures() []graph.Pressure {
+	out := make([]graph.Pressure, 0, 8*len(c.pressure))
 	for serving, m := range c.pressure {
 		for i, filler := range m.fillers {
-			out = append(out, Pressure{filler, serving, m.pressure[i]})
+			out = append(out, graph.Pressure{Filler: filler, Serving: serving, Headroom: float32(m.pressure[i])})
 		}
 	}
-	slices.SortFunc(out, func(a, b Pressure) int { return cmp.Compare(b.Headroom, a.Headroom) })
+	slices.SortFunc(out, func(a, b graph.Pressure) int { return cmp.Compare(b.Headroom, a.Headroom) })
 	return out
 }
-
-// Pressure is the learned pressure of a pair of images.
-type Pressure struct {
-	Filler, Serving string
-	Headroom        float64
-}
--- a/core/dispatch/pressure_model.go
+++ b/core/dispatch/pressure_model.go
@@ -13,6 +13,8 @@
 	// pressurePriorWeight is how much the prior counts against observations, as
 	// the square of a change of use: about nine starts on a tenth of a worker.
 	pressurePriorWeight = 0.09
+	// inheritedWeight is how much the estimate of a former leader counts.
+	inheritedWeight = 4 * pressurePriorWeight
 	// pressureMax bounds an estimate against a burst of noise.
 	pressureMax = 12.0
 	// pressureWindow is how long observations count.
@@ -34,7 +36,21 @@
 	products [][]float64
 	targets  []float64
 	pressure []float64
-	at       time.Time
+	// priors are what the pressures are taken for before any observation.
+	priors []prior
+	at     time.Time
+}
+
+// prior is an estimate and how much it counts against observations.
+type prior struct{ pressure, weight float64 }
+
+var unknownPressure = prior{pressurePrior, pressurePriorWeight}
+
+// inherit takes the estimate of a former leader.
+func (m *pressureModel) inherit(filler string, pressure float64) {
+	i := m.index(filler)
+	m.priors[i] = prior{pressure, inheritedWeight}
+	m.pressure[i] = pressure
 }
 
 // of returns the pressure of a filler image.
@@ -72,6 +88,7 @@
 	m.products = append(m.products, make([]float64, len(m.fillers)))
 	m.targets = append(m.targets, 0)
 	m.pressure = append(m.pressure, pressurePrior)
+	m.priors = append(m.priors, unknownPressure)
 	return len(m.fillers) - 1
 }
 
@@ -87,6 +104,7 @@
 		m.products[i][least], m.products[least][i] = 0, 0
 	}
 	m.fillers[least], m.targets[least], m.pressure[least] = filler, 0, pressurePrior
+	m.priors[least] = unknownPressure
 	return least
 }
 
@@ -109,12 +127,12 @@
 // Gauss-Seidel method, which keeps each of them within its bounds.
 func (m *pressureModel) solve() {
 	for i, row := range m.products {
-		rest := m.targets[i] + pressurePriorWeight*pressurePrior
+		rest := m.targets[i] + m.priors[i].weight*m.priors[i].pressure
 		for j, p := range row {
 			if j != i {
 				rest -= p * m.pressure[j]
 			}
 		}
-		m.pressure[i] = min(pressureMax, max(0, rest/(row[i]+pressurePriorWeight)))
+		m.pressure[i] = min(pressureMax, max(0, rest/(row[i]+m.priors[i].weight)))
 	}
 }
--- /dev/null
+++ b/core/dispatch/pressure_save.go
@@ -0,0 +1,58 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"gooseberrypond/core/graph"
+)
+
+const (
+	// pressureSaveInterval bounds what an election makes forget.
+	pressureSaveInterval = 5 * time.Second
+	// maxSavedPressures bounds the entry that keeps them to about 10 KB.
+	maxSavedPressures = 256
+	// savedWeight is the least weight of observations of an estimate that is kept.
+	savedWeight = pressurePriorWeight / 2
+)
+
+// inheritPressures begins with what former leaders have learned.
+func (c *Core) inheritPressures(now time.Time) {
+	for _, p := range c.t.Pressures() {
+		c.model(now, p.Serving).inherit(p.Filler, float64(p.Headroom))
+	}
+}
+
+// pressuresToSave returns the estimates that rest on most observations, if it
+// is time to record them.
+func (c *Core) pressuresToSave(now time.Time) []graph.Pressure {
+	if now.Sub(c.pressuresSavedAt) < pressureSaveInterval {
+		return nil
+	}
+	c.pressuresSavedAt = now
+	type weighed struct {
+		p      graph.Pressure
+		weight float64
+	}
+	var all []weighed
+	for serving, m := range c.pressure {
+		for i, filler := range m.fillers {
+			weight := m.products[i][i]
+			if m.priors[i].weight == inheritedWeight {
+				weight += inheritedWeight
+			}
+			if weight >= savedWeight {
+				all = append(all, weighed{graph.Pressure{Filler: filler, Serving: serving, Headroom: float32(m.pressure[i])}, weight})
+			}
+		}
+	}
+	slices.SortFunc(all, func(a, b weighed) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.p.Serving, b.p.Serving), cmp.Compare(a.p.Filler, b.p.Filler))
+	})
+	out := make([]graph.Pressure, min(len(all), maxSavedPressures))
+	for i := range out {
+		out[i] = all[i].p
+	}
+	return out
+}
--- a/core/dispatch/pressure_test.go
+++ b/core/dispatch/pressure_test.go
@@ -29,6 +29,34 @@
 		products: [][]float64{{weight}},
 		targets:  []float64{weight * pressure},
 		pressure: []float64{pressure},
+		priors:   []prior{unknownPressure},
+	}
+}
+
+// Guards against an election after which fillers disturb as if nothing had been
+// learned, and against a leader that trusts a former one for ever.
+func TestPressuresOutliveTheLeader(t *testing.T) {
+	r := newRig(t)
+	r.core.pressure["s1"] = knownPressure("f", 6)
+	r.pass(pressureSaveInterval)
+	r.turn()
+	data, err := r.tables.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.tables, err = graph.Decode(data); err != nil {
+		t.Fatal(err)
+	}
+	r.elect(2)
+	if got := r.core.pressureOf("f", "s1"); got != 6 {
+		t.Fatalf("the next leader takes the pressure for %.2f, want 6", got)
+	}
+	for range 500 {
+		r.core.learn(r.now, "s1", -0.01, map[string]float64{"f": 0.1})
+		r.core.learn(r.now, "s1", 0.01, map[string]float64{"f": -0.1})
+	}
+	if got := r.core.pressureOf("f", "s1"); got > 0.5 {
+		t.Errorf("after 1,000 observations of 0.1 the pressure is %.2f", got)
 	}
 }
 
--- a/core/graph/apply.go
+++ b/core/graph/apply.go
@@ -52,6 +52,9 @@
 	if b.ForgetBeforeMS > 0 {
 		t.forget(b.ForgetBeforeMS)
 	}
+	if len(b.Pressures) > 0 {
+		t.pressures = b.Pressures
+	}
 	return r
 }
 
--- a/core/graph/batch.go
+++ b/core/graph/batch.go
@@ -27,12 +27,14 @@
 	Starts      []Start         `cbor:"11,keyasint,omitempty"`
 	// ForgetBeforeMS drops the tasks of jobs that ended before it; 0 drops none.
 	ForgetBeforeMS int64 `cbor:"12,keyasint,omitempty"`
+	// Pressures replaces what is kept of them, if there are any.
+	Pressures []Pressure `cbor:"13,keyasint,omitempty"`
 }
 
 // Empty reports whether the batch changes nothing.
 func (b *Batch) Empty() bool {
 	return len(b.Workers)+len(b.Domains)+len(b.Submits)+len(b.Cancels)+len(b.Ends)+len(b.Releases)+
-		len(b.Occurrences)+len(b.Starts) == 0 && b.Config == nil && b.ForgetBeforeMS == 0
+		len(b.Occurrences)+len(b.Starts) == 0 && b.Config == nil && b.ForgetBeforeMS == 0 && len(b.Pressures) == 0
 }
 
 // WorkerChange registers a worker or changes its record.
@@ -111,6 +113,16 @@
 	Worker Handle
 }
 
+// Pressure is the headroom that fillers of one image take from serving tasks of
+// another by using all processors of a worker, as a leader has learned it. The
+// next leader begins with it.
+type Pressure struct {
+	_        struct{} `cbor:",toarray"`
+	Filler   string
+	Serving  string
+	Headroom float32
+}
+
 // Encode returns the log entry of a batch.
 func (b *Batch) Encode() ([]byte, error) {
 	b.Version = BatchVersion
--- a/core/graph/snapshot.go
+++ b/core/graph/snapshot.go
@@ -17,6 +17,7 @@
 	LastHandle Handle          `cbor:"6,keyasint"`
 	Workers    []workerImage   `cbor:"7,keyasint,omitempty"`
 	Jobs       []jobImage      `cbor:"8,keyasint,omitempty"`
+	Pressures  []Pressure      `cbor:"9,keyasint,omitempty"`
 }
 
 type workerImage struct {
@@ -66,7 +67,7 @@
 func (t *Tables) Encode() ([]byte, error) {
 	im := image{
 		Version: BatchVersion, Index: t.index, NowMS: t.nowMS,
-		Config: t.config, Domains: t.domains, LastHandle: t.lastHandle,
+		Config: t.config, Domains: t.domains, LastHandle: t.lastHandle, Pressures: t.pressures,
 	}
 	for _, w := range t.workers {
 		im.Workers = append(im.Workers, workerImage{Report: w.WorkerReport, Handle: w.Handle, Left: w.Left, Current: t.byID[w.ID] == w})
@@ -138,6 +139,7 @@
 			t.byID[w.ID] = w
 		}
 	}
+	t.pressures = im.Pressures
 	for i := range im.Jobs {
 		if err := t.restoreJob(&im.Jobs[i]); err != nil {
 			return nil, err
--- a/core/graph/tables.go
+++ b/core/graph/tables.go
@@ -22,6 +22,8 @@
 	pending map[string]int
 	// due holds the live jobs with occurrences still to come.
 	due map[JobID]*Job
+	// pressures are those that a leader recorded last.
+	pressures []Pressure
 }
 
 // New returns empty tables.
@@ -37,6 +39,9 @@
 // Index returns the log index of the last applied batch.
 func (t *Tables) Index() uint64 { return t.index }
 
+// Pressures returns what the leaders have learned of them.
+func (t *Tables) Pressures() []Pressure { return t.pressures }
+
 // Config returns the configuration in force, or nil.
 func (t *Tables) Config() *Config { return t.config }
 
--- a/host/dispatcher/metrics.go
+++ b/host/dispatcher/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"gooseberrypond/core/dispatch"
+	"gooseberrypond/core/graph"
 )
 
 // latencyBuckets span 1 ms to 4 s.
@@ -86,7 +87,7 @@
 	Version   uint64                `json:"config_version"`
 	LiveJobs  int                   `json:"live_jobs"`
 	Stats     *dispatch.Stats       `json:"stats,omitempty"`
-	Pressures []dispatch.Pressure   `json:"pressures,omitempty"`
+	Pressures []graph.Pressure      `json:"pressures,omitempty"`
 	Workers   []dispatch.WorkerDump `json:"workers,omitempty"`
 }
 
