--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -172,8 +172,9 @@
 	} else {
 		l.core.Abandoned(b)
 	}
-	for h, wake := range l.holds {
-		if l.core.NeedsCall(now, h) {
+	for i := range b.Ends { // their workers wait for the commit
+		h := b.Ends[i].Worker
+		if wake := l.holds[h]; wake != nil && l.core.NeedsCall(now, h) {
 			notify(wake)
 		}
 	}
