Metrics: ready steps, searches, the largest free piece

The latency from the end that made a step ready to the entry that places it, and the searches of a pool, were not shown either.

--- a/core/dispatch/place_test.go
+++ b/core/dispatch/place_test.go
@@ -234,3 +234,17 @@
 		t.Error("a new task waits for the retry of another")
 	}
 }
+
+// Guards against figures of free room that hide that it lies in pieces.
+func TestFreeRoomTellsItsLargestPiece(t *testing.T) {
+	r := newRig(t)
+	r.register("a", 1)
+	r.register("b", 1)
+	r.submit("00000000000000b1", step(4, 3000)) // two on each worker
+	r.turn()
+	r.pass(measureInterval)
+	r.turn()
+	if got, want := r.core.FreeRoom(), (FreeRoom{Sum: 4000, Largest: 2000}); got != want {
+		t.Errorf("free room is %+v, want %+v", got, want)
+	}
+}
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -25,6 +25,8 @@
 // take the last of them, and quick jobs of the same priority starve.
 type poolRoom struct {
 	capacity, free, batch int64
+	// largest is what is free on the emptiest worker.
+	largest int64
 	// batchMean is the mean of batch over reserveWindow.
 	batchMean float64
 	at        time.Time
@@ -39,10 +41,11 @@
 			r = &poolRoom{at: now}
 			c.rooms[name] = r
 		}
-		r.capacity, r.free, r.batch = 0, 0, 0
+		r.capacity, r.free, r.batch, r.largest = 0, 0, 0, 0
 		for _, cd := range pool {
 			r.capacity += cd.ws.w.Capacity.CPUMilli
 			r.free += cd.free.CPUMilli
+			r.largest = max(r.largest, cd.free.CPUMilli)
 			r.batch += cd.batchMilli
 		}
 		weight := 1 - math.Exp(-now.Sub(r.at).Seconds()/reserveWindow.Seconds())
@@ -65,3 +68,26 @@
 	}
 	return r.free-s.Need.CPUMilli >= r.reserve()
 }
+
+// FreeRoom is the processor time, in thousandths of a core, that no run
+// reserved when the pools were last measured.
+type FreeRoom struct {
+	Sum int64
+	// Largest is the largest piece on one worker, in the pool where it is least.
+	Largest int64
+}
+
+// FreeRoom returns what is free. Room in pieces that are too small for any
+// waiting task looks free by its sum alone.
+func (c *Core) FreeRoom() FreeRoom {
+	var out FreeRoom
+	first := true
+	for _, r := range c.rooms {
+		out.Sum += r.free
+		if first || r.largest < out.Largest {
+			out.Largest = r.largest
+		}
+		first = false
+	}
+	return out
+}
--- a/core/graph/graph_test.go
+++ b/core/graph/graph_test.go
@@ -232,3 +232,20 @@
 		}
 	})
 }
+
+// Guards against a latency of ready steps that is measured from another moment
+// than the last end that they waited for.
+func TestReadyMSIsTheLastEndWaitedFor(t *testing.T) {
+	w := newWorld(t)
+	w.apply(&Batch{Submits: []Spec{{ID: jobA, Queue: "q", Steps: twoSteps()}}})
+	w.start(jobA, 0, 0, 1, 1)
+	w.nowMS += 700
+	w.end(jobA, 0, 0, 1, 1, EndDone)
+	steps := w.tab.Job(jobA).Occurrences[0].Steps
+	if got := steps[1].ReadyMS(); got != w.nowMS {
+		t.Errorf("the second step is ready at %d, want %d", got, w.nowMS)
+	}
+	if got := steps[0].ReadyMS(); got != 0 {
+		t.Errorf("the first step waited for nothing and is ready at %d", got)
+	}
+}
--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -156,6 +156,18 @@
 	return TaskRef{Job: s.Occurrence.Job.Spec.ID, Occurrence: s.Occurrence.Number, Step: s.Number, Index: index}
 }
 
+// ReadyMS returns when the last task that the step waited for ended, in Unix
+// milliseconds; 0 if it waited for none or the end was before a snapshot.
+func (s *StepState) ReadyMS() int64 {
+	var last int64
+	for _, d := range s.DependsOn {
+		for i := range s.Occurrence.Steps[d].Tasks {
+			last = max(last, s.Occurrence.Steps[d].Tasks[i].EndedMS)
+		}
+	}
+	return last
+}
+
 // Task is the state of one task.
 type Task struct {
 	Done bool
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -314,6 +314,7 @@
 			workers = append(workers, uint32(res.Started[i].Worker.Handle))
 			runs = append(runs, res.Started[i].Run)
 		}
+		l.d.metrics.placed(first)
 		o := first.Step.Occurrence
 		l.d.cfg.Logger.Info().Str("job", string(o.Job.Spec.ID)).Int("occurrence", o.Number).Int("step", first.Step.Number).
 			Int("first", first.Index).Uints32("workers", workers).Ints("runs", runs).Int("waiting", first.Step.Waiting).
--- a/host/dispatcher/metrics.go
+++ b/host/dispatcher/metrics.go
@@ -17,6 +17,7 @@
 type metrics struct {
 	commit  prometheus.Histogram
 	order   prometheus.Histogram
+	ready   prometheus.Histogram
 	orders  *prometheus.CounterVec
 	holds   *prometheus.CounterVec
 	answers *prometheus.CounterVec
@@ -32,6 +33,7 @@
 	return &metrics{
 		commit:  hist("commit_seconds", "Time from proposal to local apply."),
 		order:   hist("order_seconds", "Time from an order to its answer."),
+		ready:   hist("step_ready_to_placed_seconds", "Time from the end that made a step ready to the entry that places its first task."),
 		orders:  count("orders_total", "Orders to workers by kind and outcome.", "kind", "outcome"),
 		holds:   count("holds_total", "Calls for workers' lists by result.", "result"),
 		answers: count("answers_total", "Answers of the leader by call and code.", "call", "code"),
@@ -43,10 +45,17 @@
 	m.orders.WithLabelValues(o.Kind.String(), outcome.String()).Inc()
 }
 
+// placed notes the first tasks of a step that waited for others.
+func (m *metrics) placed(first *graph.Attempt) {
+	if ready := first.Step.ReadyMS(); ready > 0 && first.Run == 1 && first.Index == 0 {
+		m.ready.Observe(float64(first.StartedMS-ready) / 1000)
+	}
+}
+
 // Register adds the host's figures to a registry.
 func (d *Dispatcher) Register(reg prometheus.Registerer) {
 	m := d.metrics
-	reg.MustRegister(m.commit, m.order, m.orders, m.holds, m.answers)
+	reg.MustRegister(m.commit, m.order, m.ready, m.orders, m.holds, m.answers)
 	gauge := func(name, help string, read func(*leadership) float64) {
 		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gooseberrypond_" + name, Help: help}, d.whileLeading(read)))
 	}
@@ -57,7 +66,10 @@
 	gauge("leader", "1 while this replica leads and holds its lease.", func(*leadership) float64 { return 1 })
 	gauge("waiting_steps", "Ready steps with tasks that have no attempt.", func(l *leadership) float64 { return float64(l.core.Stats.Waiting) })
 	gauge("usable_workers", "Workers that may get new work.", func(l *leadership) float64 { return float64(l.core.Stats.Usable) })
+	gauge("free_cores", "Processors of usable workers that no run reserves.", func(l *leadership) float64 { return cores(l.core.FreeRoom().Sum) })
+	gauge("largest_free_piece_cores", "Unreserved processors of the emptiest worker, in the pool where that is least.", func(l *leadership) float64 { return cores(l.core.FreeRoom().Largest) })
 	gauge("live_jobs", "Jobs that have not reached a final state.", func(l *leadership) float64 { return float64(l.d.tables.LiveJobs()) })
+	counter("worker_searches_total", "Searches of a pool for a worker, in this term.", func(s *dispatch.Stats) uint64 { return s.Scans })
 	counter("run_starts_total", "Starts recorded in this term.", func(s *dispatch.Stats) uint64 { return s.Starts })
 	counter("run_ends_total", "Ends recorded in this term.", func(s *dispatch.Stats) uint64 { return s.Ends })
 	counter("run_releases_total", "Runs released as certain not to be at work, in this term.", func(s *dispatch.Stats) uint64 { return s.Releases })
@@ -66,6 +78,8 @@
 	counter("room_refusals_total", "Starts refused by a worker for want of room, in this term.", func(s *dispatch.Stats) uint64 { return s.RoomRefusals })
 }
 
+func cores(milli int64) float64 { return float64(milli) / 1000 }
+
 // whileLeading returns a function that reads a figure of the leader; it is 0 on
 // a host that does not lead.
 func (d *Dispatcher) whileLeading(read func(*leadership) float64) func() float64 {
