--- /dev/null
+++ b/core/dispatch/burst_of_fillers_test.go
@@ -0,0 +1,272 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"gooseberrypond/core/graph"
+)
+
+// The pattern: a burst of jobs that fill, of images that each disturb some of
+// the serving tasks strongly and others hardly, while the serving tasks' own
+// load goes up and down. The bench of the platform shows it on every day.
+
+const (
+	burstWorkers  = 24
+	burstServing  = 4 // tasks a worker
+	burstJobs     = 100
+	burstTasks    = 6 // tasks a job
+	burstSpacing  = 200 * time.Millisecond
+	burstTick     = 50 * time.Millisecond
+	burstWork     = 2 * time.Second // of each filler at full pace
+	burstCPU      = 1200            // of a filler, of 8,000 a worker
+	burstImages   = 4
+	burstTarget   = 50.0 // ms
+	burstDuration = 45 * time.Second
+)
+
+// burstPressure returns how much fillers of an image disturb a serving image.
+func burstPressure(filler, serving int) float64 {
+	if (filler+serving)%burstImages < 2 {
+		return 8
+	}
+	return 0.2
+}
+
+// burstHeadroom returns the headroom of a serving task at a time, beside fillers
+// that use the given shares of its worker, by image.
+func burstHeadroom(at time.Duration, worker, serving int, use [burstImages]float64) float64 {
+	h := 2.3 + 0.6*math.Sin(2*math.Pi*at.Seconds()/13+float64(worker))
+	for filler, u := range use {
+		h -= burstPressure(filler, serving) * u
+	}
+	return max(h, 0.2)
+}
+
+// burstResult is what the callers of both sides get.
+type burstResult struct {
+	// over is the time that serving tasks were over their target.
+	over time.Duration
+	// done counts jobs, took sums up how long each was at work or waited.
+	done int
+	took time.Duration
+}
+
+func (r burstResult) String() string {
+	return fmt.Sprintf("%d jobs done in %s on average, serving tasks over their target for %s",
+		r.done, (r.took / time.Duration(max(r.done, 1))).Round(10*time.Millisecond), r.over.Round(time.Second))
+}
+
+// burstFiller is a filler at work in a baseline.
+type burstFiller struct {
+	job, image int
+	worked     time.Duration
+}
+
+// baselineBurst plays the burst with a placement that knows processors only.
+func baselineBurst(pick func(fillers [burstWorkers]int) int) burstResult {
+	var res burstResult
+	var on [burstWorkers][]*burstFiller
+	var waiting []*burstFiller
+	left := map[int]int{}
+	submitted := map[int]time.Duration{}
+	for at := time.Duration(0); at < burstDuration; at += burstTick {
+		if job := int(at / burstSpacing); at%burstSpacing == 0 && job < burstJobs {
+			submitted[job], left[job] = at, burstTasks
+			for range burstTasks {
+				waiting = append(waiting, &burstFiller{job: job, image: job % burstImages})
+			}
+		}
+		for len(waiting) > 0 {
+			var n [burstWorkers]int
+			for w := range on {
+				n[w] = len(on[w])
+			}
+			w := pick(n)
+			if w < 0 {
+				break
+			}
+			on[w] = append(on[w], waiting[0])
+			waiting = waiting[1:]
+		}
+		for w := range on {
+			var use [burstImages]float64
+			for _, f := range on[w] {
+				use[f.image] += burstCPU / 8000.0
+			}
+			if burstHeadroom(at, w, w%burstImages, use) < 1 {
+				res.over += burstServing * burstTick
+			}
+			kept := on[w][:0]
+			for _, f := range on[w] {
+				if f.worked += burstTick; f.worked < burstWork {
+					kept = append(kept, f)
+					continue
+				}
+				if left[f.job]--; left[f.job] == 0 {
+					res.done++
+					res.took += at - submitted[f.job]
+				}
+			}
+			on[w] = kept
+		}
+	}
+	return res
+}
+
+// burstRoom is the number of fillers that find idle processors on a worker.
+const burstRoom = 3
+
+func firstFit(n [burstWorkers]int) int {
+	for w := range n {
+		if n[w] < burstRoom {
+			return w
+		}
+	}
+	return -1
+}
+
+func leastLoaded(n [burstWorkers]int) int {
+	best := 0
+	for w := range n {
+		if n[w] < n[best] {
+			best = w
+		}
+	}
+	if n[best] >= burstRoom {
+		return -1
+	}
+	return best
+}
+
+// playBurst plays the burst with the leader's core.
+func playBurst(t *testing.T) burstResult {
+	t.Helper()
+	r := newRig(t)
+	b := &burst{rig: r, pace: map[graph.TaskRef]int{}, worked: map[graph.TaskRef]time.Duration{}, image: map[graph.JobID]int{}}
+	for w := range burstWorkers {
+		b.handles = append(b.handles, r.register(fmt.Sprintf("w%02d", w), 1))
+		r.submit(graph.JobID(fmt.Sprintf("%016x", 0x1000+w)), serving(burstServing, 2000, fmt.Sprint("s", w%burstImages)))
+		r.turn()
+		for range burstServing {
+			r.deliver()
+		}
+	}
+	for at := time.Duration(0); at < burstDuration; at += burstTick {
+		b.step(at)
+	}
+	return b.res
+}
+
+type burst struct {
+	rig     *rig
+	handles []graph.Handle
+	pace    map[graph.TaskRef]int
+	worked  map[graph.TaskRef]time.Duration
+	image   map[graph.JobID]int
+	jobs    []*graph.Job
+	at      []time.Duration
+	ended   map[*graph.Job]bool
+	res     burstResult
+}
+
+// step plays one tick.
+func (b *burst) step(at time.Duration) {
+	r := b.rig
+	if n := int(at / burstSpacing); at%burstSpacing == 0 && n < burstJobs {
+		id := graph.JobID(fmt.Sprintf("%016x", 0x2000+n))
+		s := filler(burstTasks, burstCPU, fmt.Sprint("f", n%burstImages))
+		s.EstimateMS = burstWork.Milliseconds()
+		b.image[id] = n % burstImages
+		b.jobs, b.at = append(b.jobs, r.submit(id, s)), append(b.at, at)
+	}
+	r.turn()
+	for range 3 {
+		for _, o := range r.deliver() {
+			if o.Kind == OrderPace {
+				b.pace[o.Task] = o.Percent
+			} else if o.Kind == OrderStart {
+				b.pace[o.Task] = 100
+			}
+		}
+	}
+	r.pass(burstTick)
+	for w, h := range b.handles {
+		ended := b.work(at, w, h)
+		if ended || at%(500*time.Millisecond) == time.Duration(w%10)*burstTick {
+			r.hold(h)
+		}
+	}
+	if b.ended == nil {
+		b.ended = map[*graph.Job]bool{}
+	}
+	for i, j := range b.jobs {
+		if j.State == graph.JobCompleted && !b.ended[j] {
+			b.ended[j] = true
+			b.res.done++
+			b.res.took += at - b.at[i]
+		}
+	}
+}
+
+// work lets what runs on a worker go on for a tick, and reports whether a run ended.
+func (b *burst) work(at time.Duration, w int, h graph.Handle) (ended bool) {
+	l := b.rig.lists[h]
+	var use [burstImages]float64
+	for ref := range l.running {
+		if image, ok := b.image[ref.Job]; ok {
+			use[image] += burstCPU / 8000.0 * float64(b.pace[ref]) / 100
+		}
+	}
+	headroom := burstHeadroom(at, w, w%burstImages, use)
+	for ref, row := range l.running {
+		if _, ok := b.image[ref.Job]; !ok {
+			row.Percent, row.Measure = 100, burstTarget/headroom
+			l.running[ref] = row
+			if headroom < 1 {
+				b.res.over += burstTick
+			}
+			continue
+		}
+		b.worked[ref] += burstTick * time.Duration(b.pace[ref]) / 100
+		row.Percent = int(100 * b.worked[ref] / burstWork)
+		row.Measure = burstCPU * float64(b.pace[ref]) / 100
+		l.running[ref] = row
+		if b.worked[ref] >= burstWork {
+			b.rig.end(h, ref, graph.EndDone)
+			ended = true
+		}
+	}
+	return ended
+}
+
+// burstOverMost is the share of their time that serving tasks may be over their
+// target: the users count what is not served in nines, and a lasting job is not
+// when a quarter of its tasks is over.
+const burstOverMost = 0.005
+
+// Guards against a placement that is no better for callers than one that knows
+// processors only, and against one that buys the serving tasks' targets with
+// jobs that fill and come late.
+func TestBurstOfFillersAgainstBaselines(t *testing.T) {
+	got := playBurst(t)
+	t.Logf("gooseberrypond: %s", got)
+	for name, pick := range map[string]func([burstWorkers]int) int{"first fit": firstFit, "least loaded": leastLoaded} {
+		base := baselineBurst(pick)
+		t.Logf("%s: %s", name, base)
+		if got.over*4 > base.over {
+			t.Errorf("serving tasks are over their target for %s, with %s for %s", got.over, name, base.over)
+		}
+		if got.took/burstJobs*2 > base.took/burstJobs*3 {
+			t.Errorf("jobs that fill take %s on average, with %s %s", got.took/burstJobs, name, base.took/burstJobs)
+		}
+	}
+	if most := burstDuration * burstWorkers * burstServing / 1000 * (burstOverMost * 1000); got.over > most {
+		t.Errorf("serving tasks are over their target for %s, want %s at the most", got.over, most)
+	}
+	if got.done != burstJobs {
+		t.Errorf("%d of %d jobs that fill are done", got.done, burstJobs)
+	}
+}
