--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -85,188 +85,148 @@
 }
 
 // Submit accepts a job. Its id and queue follow from host and path.
-func (d *Dispatcher) Submit(ctx context.Context, host, path string, spec graph.Spec) (a Answer) {
-	defer func() { d.answered("submit", a) }()
-	d.mu.Lock()
-	l := d.leading()
-	if l == nil {
-		d.mu.Unlock()
-		return answer(NotLeader, "this host does not lead")
-	}
-	f, refusal := d.route(host, path)
-	if refusal != nil {
-		d.mu.Unlock()
-		return *refusal
-	}
-	if !ValidID(f.id) {
-		d.mu.Unlock()
-		return answer(Invalid, "the job id must be 16 hexadecimal digits")
-	}
-	if d.tables.Job(f.id) != nil {
-		d.mu.Unlock()
-		return d.confirm(l, Answer{Code: Done})
-	}
-	spec.ID, spec.Queue = f.id, f.queue.Name
-	l.next.submits = append(l.next.submits, spec)
-	return d.wait(ctx, l)
+func (d *Dispatcher) Submit(ctx context.Context, host, path string, spec graph.Spec) Answer {
+	return d.counted("submit", d.decide(ctx, func(l *leadership) (Answer, bool) {
+		f, refusal := d.route(host, path)
+		switch {
+		case refusal != nil:
+			return *refusal, false
+		case !ValidID(f.id):
+			return answer(Invalid, "the job id must be 16 hexadecimal digits"), false
+		case d.tables.Job(f.id) != nil:
+			return Answer{Code: Done}, false
+		}
+		spec.ID, spec.Queue = f.id, f.queue.Name
+		l.next.submits = append(l.next.submits, spec)
+		return Answer{}, true
+	}))
 }
 
 // Cancel cancels a job.
-func (d *Dispatcher) Cancel(ctx context.Context, host, path string) (a Answer) {
-	defer func() { d.answered("cancel", a) }()
-	d.mu.Lock()
-	l := d.leading()
-	if l == nil {
-		d.mu.Unlock()
-		return answer(NotLeader, "this host does not lead")
-	}
-	f, refusal := d.route(host, path)
-	if refusal != nil {
-		d.mu.Unlock()
-		return *refusal
-	}
-	j := d.tables.Job(f.id)
-	if j == nil || !j.Live() {
-		d.mu.Unlock()
-		if j == nil {
-			return d.confirm(l, answer(NoJob, "there is no such job"))
+func (d *Dispatcher) Cancel(ctx context.Context, host, path string) Answer {
+	return d.counted("cancel", d.decide(ctx, func(l *leadership) (Answer, bool) {
+		f, refusal := d.route(host, path)
+		if refusal != nil {
+			return *refusal, false
 		}
-		return d.confirm(l, Answer{Code: Done})
-	}
-	l.next.cancels = append(l.next.cancels, f.id)
-	return d.wait(ctx, l)
+		j := d.tables.Job(f.id)
+		switch {
+		case j == nil:
+			return answer(NoJob, "there is no such job"), false
+		case !j.Live():
+			return Answer{Code: Done}, false
+		}
+		l.next.cancels = append(l.next.cancels, f.id)
+		return Answer{}, true
+	}))
 }
 
 // Look returns a job's state, or, for a path that is a queue's prefix, the
 // number of its jobs of which no task has started.
-func (d *Dispatcher) Look(host, path string) (a Answer) {
-	defer func() { d.answered("look", a) }()
-	d.mu.Lock()
-	l := d.leading()
-	if l == nil {
-		d.mu.Unlock()
-		return answer(NotLeader, "this host does not lead")
-	}
-	f, refusal := d.route(host, path)
-	if refusal != nil {
-		d.mu.Unlock()
-		return *refusal
-	}
-	a = Answer{Code: Done, Version: d.tables.Config().Version}
-	if f.id == "" {
-		a.Pending = d.tables.Pending(f.queue.Name)
-	} else if j := d.tables.Job(f.id); j != nil {
+func (d *Dispatcher) Look(host, path string) Answer {
+	return d.counted("look", d.decide(context.Background(), func(*leadership) (Answer, bool) {
+		f, refusal := d.route(host, path)
+		if refusal != nil {
+			return *refusal, false
+		}
+		a := Answer{Code: Done, Version: d.tables.Config().Version}
+		if f.id == "" {
+			a.Pending = d.tables.Pending(f.queue.Name)
+			return a, false
+		}
+		j := d.tables.Job(f.id)
+		if j == nil {
+			return answer(NoJob, "there is no such job"), false
+		}
 		a.State = j.State
-	} else {
-		a = answer(NoJob, "there is no such job")
-	}
-	d.mu.Unlock()
-	return d.confirm(l, a)
+		return a, false
+	}))
 }
 
 // PutConfig puts a configuration in force unless its version is not higher
 // than that of the present one; that changes nothing, and is acknowledged.
-func (d *Dispatcher) PutConfig(ctx context.Context, c *graph.Config) (a Answer) {
-	defer func() { d.answered("putconfig", a) }()
+func (d *Dispatcher) PutConfig(ctx context.Context, c *graph.Config) Answer {
 	for {
-		d.mu.Lock()
-		l := d.leading()
-		if l == nil {
-			d.mu.Unlock()
-			return answer(NotLeader, "this host does not lead")
-		}
-		now := d.tables.Config()
-		if now != nil && now.Version >= c.Version {
-			d.mu.Unlock()
-			return d.confirm(l, Answer{Code: Done, Version: now.Version})
-		}
-		if l.next.config == nil || l.next.config.Version < c.Version {
-			l.next.config = c
-		}
+		recorded := false
+		a := d.decide(ctx, func(l *leadership) (Answer, bool) {
+			if now := d.tables.Config(); now != nil && now.Version >= c.Version {
+				recorded = true
+				return Answer{Code: Done, Version: now.Version}, false
+			}
+			if l.next.config == nil || l.next.config.Version < c.Version {
+				l.next.config = c
+			}
+			return Answer{}, true
+		})
 		// With an equal or higher version queued, this one is acknowledged
-		// once that is committed; the loop sees it in the tables then.
-		if a := d.wait(ctx, l); a.Code != Done {
-			return a
+		// once that is committed; the next turn sees it in the tables.
+		if recorded || a.Code != Done {
+			return d.counted("putconfig", a)
 		}
 	}
 }
 
 // GetConfig returns the configuration in force.
-func (d *Dispatcher) GetConfig() (a Answer) {
-	defer func() { d.answered("getconfig", a) }()
-	d.mu.Lock()
-	l := d.leading()
-	if l == nil {
-		d.mu.Unlock()
-		return answer(NotLeader, "this host does not lead")
-	}
-	c := d.tables.Config()
-	d.mu.Unlock()
-	if c == nil {
-		return answer(NoConfig, "no configuration is in force")
-	}
-	return d.confirm(l, Answer{Code: Done, Config: c.Document, Version: c.Version, Limits: c.Limits})
+func (d *Dispatcher) GetConfig() Answer {
+	return d.counted("getconfig", d.decide(context.Background(), func(*leadership) (Answer, bool) {
+		c := d.tables.Config()
+		if c == nil {
+			return answer(NoConfig, "no configuration is in force"), false
+		}
+		return Answer{Code: Done, Config: c.Document, Version: c.Version, Limits: c.Limits}, false
+	}))
 }
 
 // SetDomain takes a failure domain out of service or brings it back.
-func (d *Dispatcher) SetDomain(ctx context.Context, name string, out bool) (a Answer) {
-	defer func() { d.answered("setdomain", a) }()
-	d.mu.Lock()
-	l := d.leading()
-	if l == nil {
-		d.mu.Unlock()
-		return answer(NotLeader, "this host does not lead")
-	}
-	l.next.domains = append(l.next.domains, graph.DomainChange{Name: name, Out: out})
-	return d.wait(ctx, l)
+func (d *Dispatcher) SetDomain(ctx context.Context, name string, out bool) Answer {
+	return d.counted("setdomain", d.decide(ctx, func(l *leadership) (Answer, bool) {
+		l.next.domains = append(l.next.domains, graph.DomainChange{Name: name, Out: out})
+		return Answer{}, true
+	}))
 }
 
 // Beat takes a worker's report of itself.
-func (d *Dispatcher) Beat(ctx context.Context, r graph.WorkerReport) (a Answer) {
-	defer func() { d.answered("beat", a) }()
-	d.mu.Lock()
-	l := d.leading()
-	if l == nil {
-		d.mu.Unlock()
-		return answer(NotLeader, "this host does not lead")
-	}
-	if !l.core.Beat(d.cfg.Now(), r) {
-		d.mu.Unlock()
-		return d.confirm(l, Answer{Code: Done})
-	}
-	return d.wait(ctx, l)
+func (d *Dispatcher) Beat(ctx context.Context, r graph.WorkerReport) Answer {
+	return d.counted("beat", d.decide(ctx, func(l *leadership) (Answer, bool) {
+		return Answer{Code: Done}, l.core.Beat(d.cfg.Now(), r)
+	}))
 }
 
 // Leave takes a worker's word that it is gone.
-func (d *Dispatcher) Leave(ctx context.Context, id string) (a Answer) {
-	defer func() { d.answered("leave", a) }()
+func (d *Dispatcher) Leave(ctx context.Context, id string) Answer {
+	return d.counted("leave", d.decide(ctx, func(l *leadership) (Answer, bool) {
+		return Answer{Code: Done}, l.core.Leave(id)
+	}))
+}
+
+// decide runs a call on the leader with d.mu held. It waits for the commit of
+// what the call has added to l.next, if commit is set; else it returns the
+// call's answer, unless the lease ended meanwhile: another leader may then have
+// changed what the answer rests on.
+func (d *Dispatcher) decide(ctx context.Context, call func(l *leadership) (a Answer, commit bool)) Answer {
 	d.mu.Lock()
 	l := d.leading()
 	if l == nil {
 		d.mu.Unlock()
 		return answer(NotLeader, "this host does not lead")
 	}
-	if !l.core.Leave(id) {
-		d.mu.Unlock()
-		return d.confirm(l, Answer{Code: Done})
+	a, commit := call(l)
+	if commit {
+		return d.wait(ctx, l)
 	}
-	return d.wait(ctx, l)
-}
-
-// answered counts an answer.
-func (d *Dispatcher) answered(call string, a Answer) {
-	d.metrics.answers.WithLabelValues(call, a.Code.String()).Inc()
-}
-
-// confirm returns a if the leader's lease is still held after the tables were
-// read; no other leader can have changed them then.
-func (d *Dispatcher) confirm(l *leadership, a Answer) Answer {
+	d.mu.Unlock()
 	if !l.holdsLease() {
 		return answer(NotLeader, "leadership ended meanwhile")
 	}
 	return a
 }
 
+// counted counts an answer and returns it.
+func (d *Dispatcher) counted(call string, a Answer) Answer {
+	d.metrics.answers.WithLabelValues(call, a.Code.String()).Inc()
+	return a
+}
+
 // wait waits until what was added to l.next is committed. It is called with
 // d.mu held and releases it.
 func (d *Dispatcher) wait(ctx context.Context, l *leadership) Answer {
--- a/host/dispatcher/dispatcher_test.go
+++ b/host/dispatcher/dispatcher_test.go
@@ -166,3 +166,19 @@
 		t.Errorf("without the lease the configuration was read: %s", a.Code)
 	}
 }
+
+// Guards against a refusal that rests on tables which another leader may have
+// changed since, as a 404 for a queue that has been configured meanwhile.
+func TestNoAnswerOutlivesTheLease(t *testing.T) {
+	d, log := startSolo(t)
+	for _, code := range []Code{NoQueue, NoConfig, NoJob, Invalid, Done} {
+		log.set(func() { log.lease = true })
+		a := d.decide(context.Background(), func(*leadership) (Answer, bool) {
+			log.set(func() { log.lease = false })
+			return answer(code, ""), false
+		})
+		if a.Code != NotLeader {
+			t.Errorf("%s was answered although the lease had ended", code)
+		}
+	}
+}
