A replaced founder joins under a new id

Told so, it emptied its folder and opened again as a founder, since its process had been started with the founders' addresses: under the id that may never vote again, once a second, for good (log: "joining again under a new id", always with the id founder-10.1.0.38). The group was left with four voters; when the closing fault took the disks of two, no majority had the log. Two such hosts at once could even have formed a second group. It needs a founder that lives through its own replacement, so any site with cuts could meet it.

After startOver the list of founders is dropped. The test failed before.

--- a/host/group/group.go
+++ b/host/group/group.go
@@ -193,8 +193,10 @@
 }
 
 // startOver empties the data folder of a replica that is no longer a member.
-// The group holds everything it has: the leader said so under its lease.
+// The group holds everything it has: the leader said so under its lease. From
+// now on the group exists: a host that formed it must join like any other.
 func (g *Group) startOver() error {
+	g.cfg.Founders = nil
 	g.cfg.Logger.Warn().Str("replica", g.id).Msg("replica was replaced; joining again under a new id")
 	names, err := os.ReadDir(g.cfg.Dir)
 	if err != nil {
--- /dev/null
+++ b/host/group/group_test.go
@@ -0,0 +1,50 @@
+package group
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/rs/zerolog"
+
+	"gooseberrypond/host/dispatcher"
+)
+
+// Guards against a host that formed the group and was replaced while it was cut
+// off: under its old id it can never vote again, and with two such hosts a
+// second group with an empty log would form.
+func TestReplacedFounderJoinsUnderANewID(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := l.Addr().(*net.TCPAddr).Port
+	l.Close()
+	g := New(Config{
+		Dir: t.TempDir(), IP: "127.0.0.1", ReplicaPort: port,
+		Founders: []string{"127.0.0.1", "127.0.0.2", "127.0.0.3"}, Logger: zerolog.Nop(),
+	}, dispatcher.New(dispatcher.Config{Logger: zerolog.Nop()}), nil)
+	open := func() string {
+		t.Helper()
+		if err := g.open(); err != nil {
+			t.Fatal(err)
+		}
+		if err := g.rep.Load().Close(); err != nil {
+			t.Fatal(err)
+		}
+		return g.id
+	}
+	first := open()
+	if first != founderID("127.0.0.1") {
+		t.Fatalf("at the very first start the id is %s", first)
+	}
+	if again := open(); again != first {
+		t.Fatalf("with its folder the replica has the id %s, want %s", again, first)
+	}
+	if err := g.startOver(); err != nil {
+		t.Fatal(err)
+	}
+	if next := open(); !strings.HasPrefix(next, "joined-") {
+		t.Errorf("after it was replaced the host came back as %s", next)
+	}
+}
