--- a/core/graph/config.go
+++ b/core/graph/config.go
@@ -23,6 +23,8 @@
 	TimeoutMS       int64   `cbor:"9,keyasint"`
 	// Advice is set if only some of the pool's workers may run a step.
 	Advice *AdviceTerms `cbor:"10,keyasint,omitempty"`
+	// Public means that calls need no key.
+	Public bool `cbor:"11,keyasint,omitempty"`
 }
 
 // AdviceTerms describes the cost of a call for advice and how long its answer is
@@ -58,10 +60,15 @@
 	Limits  Limits  `cbor:"4,keyasint"`
 	// Document is the configuration as it was received.
 	Document []byte `cbor:"5,keyasint"`
+	// Organisations are the owners of jobs. Without any, calls need no key and all
+	// callers count as one.
+	Organisations []Organisation `cbor:"6,keyasint,omitempty"`
 
-	byHost map[string][]*Queue
-	byName map[string]*Queue
-	pools  map[string]*Pool
+	byHost        map[string][]*Queue
+	byName        map[string]*Queue
+	pools         map[string]*Pool
+	byKey         map[KeyHash]*Organisation
+	organisations map[string]*Organisation
 }
 
 func (c *Config) index() {
@@ -74,6 +81,14 @@
 	for i := range c.Pools {
 		c.pools[c.Pools[i].Name] = &c.Pools[i]
 	}
+	c.byKey, c.organisations = map[KeyHash]*Organisation{}, map[string]*Organisation{}
+	for i := range c.Organisations {
+		o := &c.Organisations[i]
+		c.organisations[o.Name] = o
+		for _, k := range o.Keys {
+			c.byKey[k] = o
+		}
+	}
 }
 
 // MatchQueue returns the host's queue with the longest prefix that matches the
--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -75,6 +75,9 @@
 	StartAtMS int64 `cbor:"6,keyasint,omitempty"`
 	// IntervalMS is the time between occurrences.
 	IntervalMS int64 `cbor:"7,keyasint,omitempty"`
+	// Organisation is the name of the organisation that submitted the job; empty if
+	// the call needed no key.
+	Organisation string `cbor:"8,keyasint,omitempty"`
 }
 
 // LongRunning reports whether any step of the job runs until it is cancelled.
