digest: one index from secrets to owners

Cause: keys of organisations need the constant-time lookup that host/entry had for bearer tokens; a second copy would have to be kept equal. Change: the lookup moves to core/digest, host/entry uses it.

--- a/host/entry/auth.go
+++ b/host/entry/auth.go
@@ -1,38 +1,21 @@
 package entry
 
 import (
-	"crypto/sha256"
-	"encoding/binary"
 	"encoding/hex"
 	"maps"
 	"slices"
 
+	"gooseberrypond/core/digest"
 	"gooseberrypond/core/structs"
 )
 
 // tokenIndex maps the token digests of one catalogue to their owners.
 type tokenIndex struct {
 	catalogue *structs.Catalogue
-	digests   []tokenDigest
+	digests   digest.Index
 	merged    map[string]string // former owner -> the owner it was merged into
 }
 
-type tokenDigest struct {
-	sum   digestWords
-	owner string
-}
-
-// digestWords is a SHA-256 digest as 64-bit words, which are faster to compare
-// than bytes.
-type digestWords [sha256.Size / 8]uint64
-
-func wordsOf(sum []byte) (w digestWords) {
-	for i := range w {
-		w[i] = binary.BigEndian.Uint64(sum[8*i:])
-	}
-	return w
-}
-
 // forCatalogue returns the index of catalogue c: t itself if it was built from c,
 // otherwise a new one.
 func (t *tokenIndex) forCatalogue(c *structs.Catalogue) *tokenIndex {
@@ -48,10 +31,10 @@
 	for _, name := range slices.Sorted(maps.Keys(c.Owners)) {
 		for _, text := range c.Owners[name].TokenSHA256 {
 			sum, err := hex.DecodeString(text)
-			if err != nil || len(sum) != sha256.Size {
+			if err != nil || len(sum) != len(digest.Sum{}) {
 				continue
 			}
-			next.digests = append(next.digests, tokenDigest{sum: wordsOf(sum), owner: next.resolve(name)})
+			next.digests.Add(digest.Sum(sum), next.resolve(name))
 		}
 	}
 	return next
@@ -71,26 +54,6 @@
 	return name
 }
 
-// owner returns the owner of a token. It compares every digest without branches,
-// so that the time taken reveals nothing about the digests.
-func (t *tokenIndex) owner(token string) (string, bool) {
-	sum := sha256.Sum256([]byte(token))
-	given := wordsOf(sum[:])
-	found := 0 // index of the matching digest plus 1; 0 if none
-	for i := range t.digests {
-		var diff uint64
-		for k, w := range t.digests[i].sum {
-			diff |= w ^ given[k]
-		}
-		same := 1 - int((diff|-diff)>>63)
-		found += (i + 1 - found) * same
-	}
-	if found == 0 {
-		return "", false
-	}
-	return t.digests[found-1].owner, true
-}
-
 // Authenticate returns the owner of a bearer token. For a token of a former
 // owner, that is the owner it was merged into.
 func (h *Host) Authenticate(token string) (string, error) {
@@ -101,7 +64,7 @@
 		return "", structs.Errorf(structs.CodeStaleView, "entry.authenticate", "no catalogue yet").
 			WithOutcome(structs.OutcomeNotRun).WithRetryAfter(structs.ViewMaxAge.Milliseconds())
 	}
-	owner, ok := tokens.owner(token)
+	owner, ok := tokens.digests.Owner(digest.Of(token))
 	if !ok {
 		return "", structs.Errorf(structs.CodeUnauthorized, "entry.authenticate", "unknown token").WithOutcome(structs.OutcomeNotRun)
 	}
