--- a/core/graph/apply.go
+++ b/core/graph/apply.go
@@ -380,7 +380,7 @@
 }
 
 // forget drops the tasks and payloads of jobs that ended before the given time.
-// Their ids and states are kept, so that an id submitted again is never taken
+// Their ids, owners and states are kept, so that an id submitted again is never taken
 // for a new job.
 func (t *Tables) forget(beforeMS int64) {
 	n := 0
@@ -391,7 +391,7 @@
 			continue
 		}
 		j.Occurrences = nil
-		j.Spec = Spec{ID: j.Spec.ID, Queue: j.Spec.Queue}
+		j.Spec = Spec{ID: j.Spec.ID, Queue: j.Spec.Queue, Organisation: j.Spec.Organisation}
 	}
 	clear(t.ended[n:])
 	t.ended = t.ended[:n]
--- a/core/graph/config.go
+++ b/core/graph/config.go
@@ -1,6 +1,10 @@
 package graph
 
-import "strings"
+import (
+	"strings"
+
+	"gooseberrypond/core/digest"
+)
 
 // Queue is the configuration of a queue to which callers submit jobs.
 type Queue struct {
@@ -67,7 +71,7 @@
 	byHost        map[string][]*Queue
 	byName        map[string]*Queue
 	pools         map[string]*Pool
-	byKey         map[KeyHash]*Organisation
+	keys          digest.Index
 	organisations map[string]*Organisation
 }
 
@@ -81,12 +85,12 @@
 	for i := range c.Pools {
 		c.pools[c.Pools[i].Name] = &c.Pools[i]
 	}
-	c.byKey, c.organisations = map[KeyHash]*Organisation{}, map[string]*Organisation{}
+	c.keys, c.organisations = digest.Index{}, map[string]*Organisation{}
 	for i := range c.Organisations {
 		o := &c.Organisations[i]
 		c.organisations[o.Name] = o
 		for _, k := range o.Keys {
-			c.byKey[k] = o
+			c.keys.Add(k, o.Name)
 		}
 	}
 }
