--- /dev/null
+++ b/host/dispatcher/caller.go
@@ -0,0 +1,197 @@
+package dispatcher
+
+import (
+	"context"
+	"strings"
+
+	"gooseberrypond/core/graph"
+)
+
+// Caller sends calls for jobs and queues with one key.
+type Caller struct {
+	d   *Dispatcher
+	key graph.KeyHash
+}
+
+// Caller returns the caller with the hash of a key; the zero hash stands for no key.
+func (d *Dispatcher) Caller(key graph.KeyHash) Caller { return Caller{d, key} }
+
+// Submit accepts a job from a caller without a key.
+func (d *Dispatcher) Submit(ctx context.Context, host, path string, spec graph.Spec) Answer {
+	return d.Caller(graph.KeyHash{}).Submit(ctx, host, path, spec)
+}
+
+// Cancel cancels a job for a caller without a key.
+func (d *Dispatcher) Cancel(ctx context.Context, host, path string) Answer {
+	return d.Caller(graph.KeyHash{}).Cancel(ctx, host, path)
+}
+
+// Look returns what a caller without a key may see.
+func (d *Dispatcher) Look(host, path string) Answer {
+	return d.Caller(graph.KeyHash{}).Look(host, path)
+}
+
+// Rules that refuse a call, as used in logs and metric labels.
+const (
+	ruleNoKey      = "no key"
+	ruleUnknownKey = "unknown key"
+	ruleNotOwner   = "job of another organisation"
+)
+
+// target is the queue and job that a call addresses.
+type target struct {
+	config *graph.Config
+	queue  *graph.Queue
+	id     graph.JobID
+	// organisation is the name of the caller's organisation; empty if it has none.
+	organisation string
+	// refusedBy is the rule that refuses the call; empty if none does.
+	refusedBy string
+}
+
+// resolve returns the queue and job id that host and path address, or the answer
+// that refuses the request. The caller must hold d.mu.
+func (c Caller) resolve(host, path string) (target, *Answer) {
+	cfg := c.d.tables.Config()
+	if cfg == nil {
+		a := answer(NoConfig, "no configuration is in force")
+		return target{}, &a
+	}
+	q := cfg.MatchQueue(host, path)
+	if q == nil {
+		a := answer(NoQueue, "no queue is configured for this host and path")
+		a.Version = cfg.Version
+		return target{}, &a
+	}
+	f := target{config: cfg, queue: q, id: graph.JobID(strings.TrimPrefix(path, q.PathPrefix))}
+	o := cfg.OrganisationByKey(c.key)
+	switch {
+	case o != nil:
+		f.organisation = o.Name
+	case cfg.NeedsKey(q):
+		return f.refuseKey(c.key)
+	}
+	return f, nil
+}
+
+// refuseKey returns the answer to a call whose key is missing or unknown.
+func (f target) refuseKey(key graph.KeyHash) (target, *Answer) {
+	a := answer(NoKey, "the key is not in the configuration in force")
+	f.refusedBy = ruleUnknownKey
+	if key.IsZero() {
+		a.Reason, f.refusedBy = "the call has no key", ruleNoKey
+	}
+	a.Version = f.config.Version
+	return f, &a
+}
+
+// job returns the job that a call addresses, and whether it exists but is hidden from
+// the caller. The caller must hold d.mu.
+func (c Caller) job(f *target) (j *graph.Job, hidden bool) {
+	j = c.d.tables.Job(f.id)
+	if j != nil && !f.config.MaySee(j, f.queue, f.organisation) {
+		f.refusedBy = ruleNotOwner
+		return nil, true
+	}
+	return j, false
+}
+
+// Submit accepts a job. Its id and queue are taken from host and path. Submitting
+// a job that exists succeeds again, if the caller may see it.
+func (c Caller) Submit(ctx context.Context, host, path string, spec graph.Spec) Answer {
+	var f target
+	a := c.d.withLeader(ctx, func(l *leadership) (Answer, bool) {
+		var refusal *Answer
+		if f, refusal = c.resolve(host, path); refusal != nil {
+			return *refusal, false
+		}
+		if !ValidID(f.id) {
+			return answer(Invalid, "the job id must be 16 hexadecimal digits"), false
+		}
+		switch j, hidden := c.job(&f); {
+		case hidden:
+			return idInUse(), false
+		case j != nil:
+			return Answer{Code: Done}, false
+		}
+		spec.ID, spec.Queue, spec.Organisation = f.id, f.queue.Name, f.organisation
+		l.queued.submits = append(l.queued.submits, spec)
+		return Answer{}, true
+	})
+	if a.Code == Done && c.hiddenSince(&f) {
+		a = idInUse()
+	}
+	return c.finish("submit", &f, a)
+}
+
+func idInUse() Answer {
+	return answer(IDInUse, "the id is in use; this job was not accepted and never runs")
+}
+
+// hiddenSince reports whether a job that the caller may not see has got the id of a
+// submission while that waited for its commit.
+func (c Caller) hiddenSince(f *target) bool {
+	if !f.config.HasOrganisations() {
+		return false
+	}
+	c.d.mu.Lock()
+	defer c.d.mu.Unlock()
+	_, hidden := c.job(f)
+	return hidden
+}
+
+// Cancel cancels a job. Cancelling a job that has ended succeeds without a change.
+func (c Caller) Cancel(ctx context.Context, host, path string) Answer {
+	var f target
+	return c.finish("cancel", &f, c.d.withLeader(ctx, func(l *leadership) (Answer, bool) {
+		var refusal *Answer
+		if f, refusal = c.resolve(host, path); refusal != nil {
+			return *refusal, false
+		}
+		switch j, _ := c.job(&f); {
+		case j == nil:
+			return answer(NoJob, "there is no such job"), false
+		case !j.Live():
+			return Answer{Code: Done}, false
+		}
+		l.queued.cancels = append(l.queued.cancels, f.id)
+		return Answer{}, true
+	}))
+}
+
+// Look returns the state of a job. For a path that equals a queue's prefix, it
+// returns the number of jobs in the queue none of whose tasks has begun on a worker.
+func (c Caller) Look(host, path string) Answer {
+	var f target
+	return c.finish("look", &f, c.d.withLeader(context.Background(), func(*leadership) (Answer, bool) {
+		var refusal *Answer
+		if f, refusal = c.resolve(host, path); refusal != nil {
+			return *refusal, false
+		}
+		a := Answer{Code: Done, Version: f.config.Version}
+		if f.id == "" {
+			a.Pending = c.d.tables.Pending(f.queue.Name)
+			return a, false
+		}
+		j, _ := c.job(&f)
+		if j == nil {
+			return answer(NoJob, "there is no such job"), false
+		}
+		a.State = j.State
+		return a, false
+	}))
+}
+
+// finish counts an answer, and logs it if a rule about keys or owners has refused the
+// call.
+func (c Caller) finish(call string, f *target, a Answer) Answer {
+	if f.refusedBy != "" && a.Code != NotLeader {
+		c.d.metrics.refusals.WithLabelValues(f.refusedBy).Inc()
+		e := c.d.cfg.Logger.Info().Str("call", call).Str("queue", f.queue.Name).Str("rule", f.refusedBy).Uint64("version", f.config.Version)
+		if !c.key.IsZero() {
+			e = e.Str("key", c.key.Short())
+		}
+		e.Msg("call refused: its key does not allow it")
+	}
+	return c.d.countAnswer(call, a)
+}
--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -33,11 +33,17 @@
 	NoJob
 	// Invalid means that the request is malformed; repeating it cannot succeed.
 	Invalid
+	// NoKey means that the queue needs a key and the call has none, or one that is not
+	// in the committed configuration; nothing was done.
+	NoKey
+	// IDInUse means that the job's id is that of a job which the caller may not see. The
+	// submitted job was not accepted and never will be.
+	IDInUse
 )
 
 // String returns the name of the code, as used in logs and metric labels.
 func (c Code) String() string {
-	return [...]string{"", "done", "not leader", "not taken", "unknown", "no config", "no queue", "no job", "invalid"}[c]
+	return [...]string{"", "done", "not leader", "not taken", "unknown", "no config", "no queue", "no job", "invalid", "no key", "id in use"}[c]
 }
 
 // Answer is the outcome of a call.
@@ -59,94 +65,11 @@
 
 func answer(code Code, reason string) Answer { return Answer{Code: code, Reason: reason} }
 
-// target is the queue and job that a request addresses.
-type target struct {
-	queue *graph.Queue
-	id    graph.JobID
-}
-
-// resolve returns the queue and job id that host and path address, or the answer
-// that refuses the request. The caller must hold d.mu.
-func (d *Dispatcher) resolve(host, path string) (target, *Answer) {
-	c := d.tables.Config()
-	if c == nil {
-		a := answer(NoConfig, "no configuration is in force")
-		return target{}, &a
-	}
-	q := c.MatchQueue(host, path)
-	if q == nil {
-		a := answer(NoQueue, "no queue is configured for this host and path")
-		a.Version = c.Version
-		return target{}, &a
-	}
-	return target{q, graph.JobID(strings.TrimPrefix(path, q.PathPrefix))}, nil
-}
-
 // ValidID reports whether id is 16 hexadecimal digits.
 func ValidID(id graph.JobID) bool {
 	return len(id) == 16 && strings.Trim(string(id), "0123456789abcdefABCDEF") == ""
 }
 
-// Submit accepts a job. Its id and queue are taken from host and path. Submitting
-// a job that exists succeeds again.
-func (d *Dispatcher) Submit(ctx context.Context, host, path string, spec graph.Spec) Answer {
-	return d.countAnswer("submit", d.withLeader(ctx, func(l *leadership) (Answer, bool) {
-		f, refusal := d.resolve(host, path)
-		switch {
-		case refusal != nil:
-			return *refusal, false
-		case !ValidID(f.id):
-			return answer(Invalid, "the job id must be 16 hexadecimal digits"), false
-		case d.tables.Job(f.id) != nil:
-			return Answer{Code: Done}, false
-		}
-		spec.ID, spec.Queue = f.id, f.queue.Name
-		l.queued.submits = append(l.queued.submits, spec)
-		return Answer{}, true
-	}))
-}
-
-// Cancel cancels a job. Cancelling a job that has ended succeeds without a change.
-func (d *Dispatcher) Cancel(ctx context.Context, host, path string) Answer {
-	return d.countAnswer("cancel", d.withLeader(ctx, func(l *leadership) (Answer, bool) {
-		f, refusal := d.resolve(host, path)
-		if refusal != nil {
-			return *refusal, false
-		}
-		j := d.tables.Job(f.id)
-		switch {
-		case j == nil:
-			return answer(NoJob, "there is no such job"), false
-		case !j.Live():
-			return Answer{Code: Done}, false
-		}
-		l.queued.cancels = append(l.queued.cancels, f.id)
-		return Answer{}, true
-	}))
-}
-
-// Look returns the state of a job. For a path that equals a queue's prefix, it
-// returns the number of jobs in the queue none of whose tasks has begun on a worker.
-func (d *Dispatcher) Look(host, path string) Answer {
-	return d.countAnswer("look", d.withLeader(context.Background(), func(*leadership) (Answer, bool) {
-		f, refusal := d.resolve(host, path)
-		if refusal != nil {
-			return *refusal, false
-		}
-		a := Answer{Code: Done, Version: d.tables.Config().Version}
-		if f.id == "" {
-			a.Pending = d.tables.Pending(f.queue.Name)
-			return a, false
-		}
-		j := d.tables.Job(f.id)
-		if j == nil {
-			return answer(NoJob, "there is no such job"), false
-		}
-		a.State = j.State
-		return a, false
-	}))
-}
-
 // PutConfig commits a configuration. If its version is not higher than that of the
 // committed configuration, the call succeeds without a change.
 func (d *Dispatcher) PutConfig(ctx context.Context, c *graph.Config) Answer {
--- a/host/dispatcher/metrics.go
+++ b/host/dispatcher/metrics.go
@@ -15,13 +15,14 @@
 // metrics are the Prometheus metrics of one control host. Names follow the
 // Prometheus conventions: base units, and the suffix _total for counters.
 type metrics struct {
-	commit  prometheus.Histogram
-	order   prometheus.Histogram
-	ready   prometheus.Histogram
-	orders  *prometheus.CounterVec
-	holds   *prometheus.CounterVec
-	answers *prometheus.CounterVec
-	panics  prometheus.Counter
+	commit   prometheus.Histogram
+	order    prometheus.Histogram
+	ready    prometheus.Histogram
+	orders   *prometheus.CounterVec
+	holds    *prometheus.CounterVec
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	panics   prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -32,12 +33,13 @@
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "gooseberrypond_" + name, Help: help}, labels)
 	}
 	return &metrics{
-		commit:  hist("commit_seconds", "Time from proposal to local apply."),
-		order:   hist("order_seconds", "Time from an order to its answer."),
-		ready:   hist("step_ready_to_placed_seconds", "Time from the run end that made a step ready to the log entry that places its first task."),
-		orders:  count("orders_total", "Orders to workers by kind and outcome.", "kind", "outcome"),
-		holds:   count("holds_total", "Hold calls to workers by result.", "result"),
-		answers: count("answers_total", "Answers of the leader by call and code.", "call", "code"),
+		commit:   hist("commit_seconds", "Time from proposal to local apply."),
+		order:    hist("order_seconds", "Time from an order to its answer."),
+		ready:    hist("step_ready_to_placed_seconds", "Time from the run end that made a step ready to the log entry that places its first task."),
+		orders:   count("orders_total", "Orders to workers by kind and outcome.", "kind", "outcome"),
+		holds:    count("holds_total", "Hold calls to workers by result.", "result"),
+		answers:  count("answers_total", "Answers of the leader by call and code.", "call", "code"),
+		refusals: count("key_refusals_total", "Calls that the leader refused because of their key, by rule.", "rule"),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gooseberrypond_internal_errors_total", Help: "Steps that were abandoned because of a panic.",
 		}),
@@ -60,7 +62,7 @@
 // Register registers the metrics of this host.
 func (d *Dispatcher) Register(reg prometheus.Registerer) {
 	m := d.metrics
-	reg.MustRegister(m.commit, m.order, m.ready, m.orders, m.holds, m.answers, m.panics)
+	reg.MustRegister(m.commit, m.order, m.ready, m.orders, m.holds, m.answers, m.refusals, m.panics)
 	gauge := func(name, help string, read func(*leadership) float64) {
 		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gooseberrypond_" + name, Help: help}, d.leaderValue(read)))
 	}
--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -390,19 +390,19 @@
 	}
 }
 
-// Submit accepts a job.
-func (c *Client) Submit(ctx context.Context, host, path string, spec graph.Spec) (dispatcher.Answer, error) {
-	return c.callLeader(ctx, "Submit", &JobArgs{Host: host, Path: path, Spec: spec})
+// Submit accepts a job. Like Cancel and Look, it carries the hash of the caller's key.
+func (c *Client) Submit(ctx context.Context, key graph.KeyHash, host, path string, spec graph.Spec) (dispatcher.Answer, error) {
+	return c.callLeader(ctx, "Submit", &JobArgs{Key: key, Host: host, Path: path, Spec: spec})
 }
 
 // Cancel cancels a job.
-func (c *Client) Cancel(ctx context.Context, host, path string) (dispatcher.Answer, error) {
-	return c.callLeader(ctx, "Cancel", &JobArgs{Host: host, Path: path})
+func (c *Client) Cancel(ctx context.Context, key graph.KeyHash, host, path string) (dispatcher.Answer, error) {
+	return c.callLeader(ctx, "Cancel", &JobArgs{Key: key, Host: host, Path: path})
 }
 
 // Look returns the state of a job, or the number of pending jobs of a queue.
-func (c *Client) Look(ctx context.Context, host, path string) (dispatcher.Answer, error) {
-	return c.callLeader(ctx, "Look", &JobArgs{Host: host, Path: path})
+func (c *Client) Look(ctx context.Context, key graph.KeyHash, host, path string) (dispatcher.Answer, error) {
+	return c.callLeader(ctx, "Look", &JobArgs{Key: key, Host: host, Path: path})
 }
 
 // PutConfig commits a configuration.
--- a/host/relay/messages.go
+++ b/host/relay/messages.go
@@ -37,6 +37,8 @@
 // JobArgs names a job, or a queue, by the request's host and path.
 type JobArgs struct {
 	Host, Path string
+	// Key is the hash of the caller's key; zero if it sent none.
+	Key graph.KeyHash
 	// Spec is set for a submission.
 	Spec graph.Spec
 }
--- a/host/relay/server.go
+++ b/host/relay/server.go
@@ -168,11 +168,11 @@
 	case *JobArgs:
 		switch method {
 		case "Submit":
-			return s.d.Submit(ctx, a.Host, a.Path, a.Spec), nil
+			return s.d.Caller(a.Key).Submit(ctx, a.Host, a.Path, a.Spec), nil
 		case "Cancel":
-			return s.d.Cancel(ctx, a.Host, a.Path), nil
+			return s.d.Caller(a.Key).Cancel(ctx, a.Host, a.Path), nil
 		case "Look":
-			return s.d.Look(a.Host, a.Path), nil
+			return s.d.Caller(a.Key).Look(a.Host, a.Path), nil
 		}
 	case *ConfigArgs:
 		return s.d.PutConfig(ctx, &a.Config), nil
