dispatch: the end of a run that a delayed order started on the next incarnation counts

Cause: a worker crashes before it has answered a start, and the start reaches its next incarnation late. The run's attempt is on the earlier incarnation, so its end on the later one was not recorded, but it was acknowledged, and the task was run again. Change: such an end is recorded against the attempt, and acknowledged once it is committed. Measured: TestEndOnSuccessorIsRecorded fails without the change (the end acknowledged before it is recorded, the job queued) and passes with it.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -287,6 +287,7 @@
 	c.Stats.CrashLoops += uint64(len(res.CrashLoops))
 	for i := range b.Ends {
 		c.dropEndedRuns(b.Ends[i].Worker)
+		c.dropInheritedEnds(b.Ends[i].Worker)
 	}
 	for i := range b.Releases {
 		c.dropEndedRuns(b.Releases[i].Worker)
@@ -310,11 +311,26 @@
 		}
 		ending = ending || r.ending
 	}
-	if !ending {
+	ws.inheritedEnds = slices.DeleteFunc(ws.inheritedEnds, (*graph.Attempt).Ended)
+	if !ending && len(ws.inheritedEnds) == 0 {
 		ws.ackCursor = max(ws.ackCursor, ws.lastListed)
 	}
 }
 
+// dropInheritedEnds lets the successors of a worker acknowledge the ends of its runs that
+// they have listed.
+func (c *Core) dropInheritedEnds(h graph.Handle) {
+	old := c.workers[h]
+	if old == nil {
+		return
+	}
+	for _, ws := range c.sameHost(old.w.ID, old.address) {
+		if len(ws.inheritedEnds) > 0 {
+			c.dropEndedRuns(ws.w.Handle)
+		}
+	}
+}
+
 func (c *Core) queueRun(r *runState) {
 	if !r.queued {
 		r.queued = true
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -192,12 +192,15 @@
 		row := &reply.Finished[i]
 		last = max(last, row.Seq)
 		a := c.tables.Attempt(row.Task, row.Run)
-		if a == nil || a.Worker != ws.w {
+		if a == nil || a.Worker != ws.w && !supersedes(ws.w, a.Worker) {
 			continue
 		}
 		finished[a] = true
 		queued = true
 		r := ws.runs[a]
+		if a.Worker != ws.w {
+			r = c.executedBySuccessor(ws, a)
+		}
 		if r == nil || r.ending {
 			continue
 		}
@@ -208,7 +211,7 @@
 		if checkpoint == "" {
 			checkpoint = r.checkpoint
 		}
-		c.ends = append(c.ends, graph.End{Task: row.Task, Run: row.Run, Worker: ws.w.Handle, Kind: row.Kind, Checkpoint: checkpoint})
+		c.ends = append(c.ends, graph.End{Task: row.Task, Run: row.Run, Worker: a.Worker.Handle, Kind: row.Kind, Checkpoint: checkpoint})
 	}
 	if last > ws.lastListed {
 		ws.lastListed, ws.lastListedAt = last, now
@@ -219,6 +222,20 @@
 	return finished
 }
 
+// executedBySuccessor returns the run of an attempt on an earlier incarnation that a
+// delayed order has started on ws, where it has ended. Its end counts like any other;
+// the worker discards it only once it is recorded.
+func (c *Core) executedBySuccessor(ws *workerState, a *graph.Attempt) *runState {
+	if !slices.Contains(ws.inheritedEnds, a) {
+		ws.inheritedEnds = append(ws.inheritedEnds, a)
+	}
+	old := c.workers[a.Worker.Handle]
+	if old == nil {
+		return nil
+	}
+	return old.runs[a]
+}
+
 // handleMissing handles the runs that are missing from an answer to a call sent at
 // the given time. Runs that certainly will not start any more are released; runs
 // whose start was accepted are stopped first.
--- /dev/null
+++ b/core/dispatch/successor_test.go
@@ -0,0 +1,49 @@
+package dispatch
+
+import (
+	"testing"
+
+	"gooseberrypond/core/graph"
+)
+
+// Guards against a second run of a task that is done. A worker crashes before it has
+// answered a start, the start reaches its next incarnation late, and the run ends there
+// before it can be stopped: that end must be recorded, since the worker discards it once
+// it is acknowledged.
+func TestEndOnSuccessorIsRecorded(t *testing.T) {
+	for _, listedFirst := range []bool{false, true} {
+		r := newRig(t)
+		a := r.register("a", 1)
+		r.submit(job1, step(1, 1000))
+		r.commitPlan()
+		r.core.Orders(r.now) // sent, and not answered
+		r.core.Beat(r.now, worker("a", 50))
+		r.commitPlan()
+		h := r.tables.WorkerByID("a").Handle
+		ref := graph.TaskRef{Job: job1}
+		l := &fakeLists{running: map[graph.TaskRef]RunningRow{ref: {Task: ref, Run: 1, Percent: 50}}}
+		r.lists[h] = l
+		if listedFirst {
+			r.hold(h)
+			r.commitPlan()
+		}
+		r.endRun(h, ref, graph.EndDone)
+		r.hold(h)
+		if ws := r.core.workers[h]; ws.ackCursor != 0 {
+			t.Errorf("listed first %t: acknowledged %d before the end is recorded", listedFirst, ws.ackCursor)
+		}
+		res := r.commitPlan()
+		if len(res.Started) > 0 {
+			t.Errorf("listed first %t: the task was started again as run %d", listedFirst, res.Started[0].Run)
+		}
+		if j := r.tables.Job(job1); j.State != graph.JobCompleted {
+			t.Errorf("listed first %t: job is %s, want completed", listedFirst, j.State)
+		}
+		if ws := r.core.workers[h]; ws.ackCursor != 1 {
+			t.Errorf("listed first %t: acknowledged %d after the end is recorded, want 1", listedFirst, ws.ackCursor)
+		}
+		if old := r.tables.Worker(a); old != nil && len(old.Attempts) > 0 {
+			t.Errorf("listed first %t: the attempt on the crashed incarnation remains", listedFirst)
+		}
+	}
+}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -21,6 +21,9 @@
 	fenced bool
 	// predecessors are earlier incarnations with runs that are not yet released.
 	predecessors []*workerState
+	// inheritedEnds are attempts on predecessors whose end this worker lists and that is
+	// not recorded yet.
+	inheritedEnds []*graph.Attempt
 	// clockMS is the worker's clock in the answer received at clockAt.
 	clockMS int64
 	clockAt time.Time
