dispatch: no end is acknowledged while the worker's incarnation is not known

Cause: a worker crashes and returns under its id, and a start that was sent to the earlier incarnation runs on the later one. The next hold call to the earlier incarnation carried its cursor; the later one counts its ends from 1 again and discarded the end of that run, which then ran again. Change: a call acknowledges ends only if a list of this incarnation is the last that was heard of the worker; after a call without an answer the cursor is 0. Measured: TestCursorOfAnEarlierIncarnationIsNotSent fails before (cursor 1).

--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -31,7 +31,10 @@
 	if !ws.fenced {
 		wait = 0
 	}
-	h := Hold{Target: ws.target(), AckCursor: ws.ackCursor, WaitMS: wait.Milliseconds()}
+	h := Hold{Target: ws.target(), WaitMS: wait.Milliseconds()}
+	if ws.incarnationKnown {
+		h.AckCursor = ws.ackCursor
+	}
 	if !ws.suspect && !ws.w.Left {
 		// Calls to a worker that may be dead must not extend its lease, or a dead
 		// worker would keep its runs forever.
@@ -76,7 +79,7 @@
 	if ws == nil {
 		return
 	}
-	ws.suspect = true
+	ws.suspect, ws.incarnationKnown = true, false
 	ws.failedCalls++
 	ws.nextHold = now.Add(min(holdRetryMin<<min(ws.failedCalls-1, 8), holdRetryMax))
 }
@@ -100,6 +103,7 @@
 		return
 	}
 	c.recordAnswer(now, ws, reply.ClockMS)
+	ws.incarnationKnown = true
 	ws.nextHold = now
 	if !ws.fenced {
 		ws.fenced = true
--- a/core/dispatch/successor_test.go
+++ b/core/dispatch/successor_test.go
@@ -47,3 +47,34 @@
 		}
 	}
 }
+
+// Guards against an end that is discarded unseen. A worker crashes and returns under its
+// id, a delayed start runs there to its end, and the next call to the earlier incarnation
+// carries its cursor: the later one, which counts from 1 again, would discard the end.
+func TestCursorOfAnEarlierIncarnationIsNotSent(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit(job1, step(1, 1000))
+	r.commitPlan()
+	r.acceptOrders()
+	ref := graph.TaskRef{Job: job1}
+	r.lists[a].running[ref] = RunningRow{Task: ref, Run: 1}
+	r.endRun(a, ref, graph.EndDone)
+	r.hold(a)
+	r.commitPlan()
+	hold, _, _ := r.core.NextHold(r.now, a)
+	if hold.AckCursor != 1 {
+		t.Fatalf("cursor is %d after a list, want 1", hold.AckCursor)
+	}
+	r.core.HoldFailed(r.now, hold)
+	r.submit("0000000000000002", step(1, 1000))
+	r.core.workers[a].suspect = false // an order was answered, by whichever incarnation
+	r.advance(holdRetryMax)
+	if hold, _, _ = r.core.NextHold(r.now, a); hold.AckCursor != 0 {
+		t.Errorf("cursor is %d before the incarnation is known, want 0", hold.AckCursor)
+	}
+	r.answer(hold)
+	if hold, _, _ = r.core.NextHold(r.now, a); hold.AckCursor != 1 {
+		t.Errorf("cursor is %d after a list of the incarnation, want 1", hold.AckCursor)
+	}
+}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -45,6 +45,10 @@
 	lastAnswer   time.Time
 	// suspect is set when a call gets no answer and cleared by the next answer.
 	suspect bool
+	// incarnationKnown is set by a list of this incarnation and cleared when a call gets
+	// no answer. Until the next list a later incarnation may be called in its place, and
+	// it numbers its ends anew, so no end is acknowledged.
+	incarnationKnown bool
 
 	// ackCursor is the sequence number of the last recorded end; lastListed is
 	// that of the last end listed by the worker.
