Usage of organisations in the tables, checked against the limit when starts are applied

Cause: the tables did not know what an organisation holds, so no leader could keep a limit, and a plan made under a higher one was applied as it was. Apply drops starts above the limit, a gang as a whole.

--- a/core/graph/apply.go
+++ b/core/graph/apply.go
@@ -54,9 +54,7 @@
 	for _, o := range b.Occurrences {
 		t.applyOccurrence(o, r)
 	}
-	for i := range b.Starts {
-		t.applyStart(&b.Starts[i], r)
-	}
+	t.applyStarts(b.Starts, r)
 	for _, id := range b.Begun {
 		t.applyBegun(id, r)
 	}
@@ -219,6 +217,7 @@
 	}
 	task.Attempts = append(task.Attempts, a)
 	a.Worker.add(a)
+	t.addUsage(a.Step, 1)
 }
 
 // detach removes an attempt that is no longer running.
@@ -229,6 +228,7 @@
 	t.resetCrashes(a)
 	task.Attempts = slices.DeleteFunc(task.Attempts, func(x *Attempt) bool { return x == a })
 	a.Worker.remove(a)
+	t.addUsage(a.Step, -1)
 	t.removeIfLeft(a.Worker)
 	if len(task.Attempts) == 0 && !task.Done {
 		a.Step.Waiting++
--- a/core/graph/tables.go
+++ b/core/graph/tables.go
@@ -1,5 +1,7 @@
 package graph
 
+import "gooseberrypond/core/structs"
+
 // Tables is the replicated state: workers, configuration and jobs. It is not
 // safe for concurrent use.
 type Tables struct {
@@ -24,6 +26,8 @@
 	// pending counts, for each queue, the live jobs none of whose tasks has begun on a
 	// worker.
 	pending map[string]int
+	// usage is what the attempts of each organisation hold; see Usage.
+	usage map[string]structs.Resources
 	// recurring holds the live jobs that have future occurrences.
 	recurring map[JobID]*Job
 	// pressures are the pressures of filler images on serving images, as last
@@ -37,7 +41,7 @@
 		domains: map[string]bool{},
 		workers: map[Handle]*Worker{}, byID: map[string]*Worker{},
 		jobs: map[JobID]*Job{}, live: map[JobID]*Job{}, recurring: map[JobID]*Job{},
-		pending: map[string]int{},
+		pending: map[string]int{}, usage: map[string]structs.Resources{},
 	}
 }
 
--- a/core/sched/estimate.go
+++ b/core/sched/estimate.go
@@ -164,7 +164,7 @@
 	need := declared
 	need.CPUMilli = (declared.CPUMilli*cpu + ratioScale - 1) / ratioScale
 	need.MemoryMB = (declared.MemoryMB*memory + ratioScale - 1) / ratioScale
-	if !s.fitsAnyWorkerShape(need) || !fitsQuota(need, info.quota) {
+	if !s.fitsAnyWorkerShape(need) || !need.Within(info.quota) {
 		return declared
 	}
 	return need
--- a/core/sched/explain.go
+++ b/core/sched/explain.go
@@ -66,7 +66,7 @@
 	}
 	need := s.reservedSize(info, declaredSize(info, job))
 	lines := []string{fmt.Sprintf("%d tasks wait, each reserves %s%s", waiting, need, s.correctionNote(info))}
-	if use, quota := t.OwnerUsage(info.owner), t.Catalogue().Owners[info.owner].Quota; !fitsQuota(use.Add(need), quota) {
+	if use, quota := t.OwnerUsage(info.owner), t.Catalogue().Owners[info.owner].Quota; !use.Add(need).Within(quota) {
 		lines = append(lines, fmt.Sprintf("owner %s uses %s of its quota %s", info.owner, use, quota))
 	}
 	if len(s.order) == 0 {
--- a/core/sched/rank.go
+++ b/core/sched/rank.go
@@ -43,10 +43,11 @@
 	return cost
 }
 
-// load returns the squared utilization of the fuller dimension. It is squared
+// load returns the squared utilization of the fuller of processors and memory. It is squared
 // because tasks interfere more with each other on a full worker.
 func load(used, capacity structs.Resources) float64 {
-	u := max(fraction(used.CPUMilli, capacity.CPUMilli), fraction(used.MemoryMB, capacity.MemoryMB))
+	used.Accelerators = 0
+	u := used.DominantShare(capacity)
 	return u * u
 }
 
--- a/core/structs/resources.go
+++ b/core/structs/resources.go
@@ -1,6 +1,9 @@
 package structs
 
-import "fmt"
+import (
+	"fmt"
+	"math"
+)
 
 // Resources is an amount of host capacity.
 type Resources struct {
@@ -64,3 +67,30 @@
 func (r Resources) String() string {
 	return fmt.Sprintf("cpu=%dm memory=%dMiB accelerators=%d", r.CPUMilli, r.MemoryMB, r.Accelerators)
 }
+
+// Left returns what may be added to use until it reaches the limit r. A dimension
+// of 0 in r has no limit. A dimension in which use is above the limit is negative.
+func (r Resources) Left(use Resources) Resources {
+	left := func(limit, use int64) int64 {
+		if limit == 0 {
+			return math.MaxInt64
+		}
+		return limit - use
+	}
+	return Resources{left(r.CPUMilli, use.CPUMilli), left(r.MemoryMB, use.MemoryMB), left(r.Accelerators, use.Accelerators)}
+}
+
+// Within reports whether r is at most limit; a dimension of 0 in limit has no limit.
+func (r Resources) Within(limit Resources) bool { return !limit.Left(r).HasNegative() }
+
+// DominantShare returns the largest fraction of total that r has in any dimension.
+func (r Resources) DominantShare(total Resources) float64 {
+	return max(fraction(r.CPUMilli, total.CPUMilli), fraction(r.MemoryMB, total.MemoryMB), fraction(r.Accelerators, total.Accelerators))
+}
+
+func fraction(use, total int64) float64 {
+	if total <= 0 {
+		return 0
+	}
+	return float64(use) / float64(total)
+}
