Limits of organisations in placement

Change: the placer asks a ledger, made for each plan, before each start: single, gang, claimed, quarantined. Work without room is not searched for, is not among the unplaced demands or the overdue tasks, claims no worker and stops no run. Starts that were not sent are withdrawn while their organisation is over its limit, only as many as needed. A step wider than the limit goes in waves; work that could run but lacks room holds it against smaller work of its organisation. The batch reserve counts an organisation's work up to its limit. The dump lists organisations. Result: tests of waves, gangs, a limit lowered under load, a leader lost between commit and start, a late plan, a worker cut off and a change during an election pass.

--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"gooseberrypond/core/graph"
+	"gooseberrypond/core/structs"
 )
 
 // A claim keeps a worker free for a long-running task that has been away for long.
@@ -58,6 +59,7 @@
 func (c *Core) overdueTasks(waiting []*graph.StepState, nowMS int64) map[*graph.Task]bool {
 	byPool := map[string][]overdueTask{}
 	placeable := map[demand]bool{}
+	chosen := map[string]structs.Resources{}
 	for _, s := range waiting {
 		if !s.LongRunning || nowMS-c.longestWaitingSince(s) < overdueAfter.Milliseconds() {
 			continue
@@ -70,7 +72,7 @@
 			continue
 		}
 		for i := range s.Tasks {
-			if t := &s.Tasks[i]; c.isOverdue(s, t, nowMS) {
+			if t := &s.Tasks[i]; c.isOverdue(s, t, nowMS) && c.choose(chosen, s) {
 				pool := s.Occurrence.Job.Queue.Pool
 				byPool[pool] = append(byPool[pool], overdueTask{t, c.waitingSince(s, t)})
 			}
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gooseberrypond/core/graph"
+	"gooseberrypond/core/organisation"
 )
 
 // Core is the leader's in-memory scheduling state. It is not safe for concurrent use.
@@ -34,6 +35,8 @@
 	queuedRuns []*runState
 
 	poolStates map[string]*poolState
+	// ledger has what organisations hold, with the starts of the last plan.
+	ledger *organisation.Ledger
 	// unserved has the long-running tasks whose last start led to no run.
 	unserved map[*graph.Task]unservedTask
 	// claims holds the workers that are kept free for long-running tasks that have been
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"gooseberrypond/core/graph"
+	"gooseberrypond/core/organisation"
 	"gooseberrypond/core/structs"
 )
 
@@ -17,6 +18,7 @@
 	}
 	pools := c.candidates(now)
 	c.measureCapacity(now, nowMS, pools)
+	c.ledger = organisation.New(c.tables, capacityOf(pools))
 	overdue := c.overdueTasks(waiting, nowMS)
 	c.keepClaims(overdue)
 	steps := c.rank(waiting, nowMS, overdue)
@@ -147,6 +149,9 @@
 		if p.pool == nil || !p.pool.canPlace(s, task, p.nowMS-p.c.waitingSince(s, task)) {
 			continue
 		}
+		if !p.mayHold(s, 1) {
+			return
+		}
 		cd := p.pickFor(s, task)
 		switch {
 		case cd != nil:
@@ -182,7 +187,7 @@
 	if s.Waiting < len(s.Tasks) {
 		return // some members of the previous run have not ended
 	}
-	if p.pool == nil {
+	if p.pool == nil || !p.mayHold(s, len(s.Tasks)) {
 		return
 	}
 	run, first := 0, len(p.starts)
@@ -222,6 +227,7 @@
 		cd.addServing(s.Image)
 	}
 	p.takeHeadroom(cd, s, 1)
+	p.c.ledger.Take(owner(s), s.Need, 1)
 }
 
 func (p *placer) deallocate(cd *candidate, s *graph.StepState) {
@@ -230,6 +236,7 @@
 	p.pool.free += s.ReservedResources().CPUMilli
 	cd.spareMilli += expectedUse(s.Step)
 	p.takeHeadroom(cd, s, -1)
+	p.c.ledger.Take(owner(s), s.Need, -1)
 	p.unplaced = p.unplaced[:0]
 }
 
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -50,7 +50,7 @@
 			if stopped >= preemptMax || failed >= preemptFailuresMax {
 				return
 			}
-			if state.batch+freeing[name] >= state.share() {
+			if state.batch+freeing[name] >= state.share() || !c.ledger.Fits(owner(s), s.Need) {
 				break
 			}
 			n := p.makeSpace(s, pool)
@@ -59,6 +59,7 @@
 				break
 			}
 			stopped += n
+			c.ledger.Take(owner(s), s.Need, 1) // its start is to follow
 			freeing[name] += s.Need.CPUMilli
 		}
 	}
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -98,7 +98,7 @@
 // average, in thousandths of a core, from the jobs submitted within demandWindow. The
 // runs themselves do not show it while batch tasks find no worker, or after an outage.
 // The period ends with the newest job, so that an outage shorter than the period does not
-// hide the demand.
+// hide the demand. An organisation's work counts up to its limit.
 func (c *Core) batchDemand(pool string, nowMS int64) float64 {
 	var newest int64
 	c.tables.Jobs(func(j *graph.Job) bool {
@@ -108,7 +108,7 @@
 	if nowMS-newest > demandWindow.Milliseconds() {
 		return 0 // no more work comes
 	}
-	var work float64 // thousandths of a core times milliseconds
+	work := map[string]float64{} // by organisation, thousandths of a core times milliseconds
 	c.tables.Jobs(func(j *graph.Job) bool {
 		if j.Queue.Pool != pool || j.AcceptedMS <= newest-demandWindow.Milliseconds() {
 			return true
@@ -116,12 +116,16 @@
 		for i := range j.Spec.Steps {
 			s := &j.Spec.Steps[i]
 			if !s.LongRunning {
-				work += float64(s.Count) * float64(s.ReservedResources().CPUMilli) * float64(s.EstimateMS)
+				work[j.Spec.Organisation] += float64(s.Count) * float64(s.ReservedResources().CPUMilli) * float64(s.EstimateMS)
 			}
 		}
 		return true
 	})
-	return work / float64(demandWindow.Milliseconds())
+	var sum float64
+	for name, w := range work {
+		sum += min(w/float64(demandWindow.Milliseconds()), c.limitMilli(name))
+	}
+	return sum
 }
 
 // FreeCapacity is the processor time, in thousandths of a core, that no run
--- a/host/dispatcher/metrics.go
+++ b/host/dispatcher/metrics.go
@@ -111,6 +111,8 @@
 	Stats     *dispatch.Stats       `json:"stats,omitempty"`
 	Pressures []graph.Pressure      `json:"pressures,omitempty"`
 	Workers   []dispatch.WorkerDump `json:"workers,omitempty"`
+	// Organisations is set on the leader.
+	Organisations []dispatch.OrganisationDump `json:"organisations,omitempty"`
 }
 
 // Dump returns a snapshot of this host's state.
@@ -124,6 +126,7 @@
 	if l := d.activeLeadership(); l != nil {
 		stats := l.core.Stats
 		out.Leading, out.Term, out.Stats = true, l.term, &stats
+		out.Organisations = l.core.Organisations()
 		out.Pressures, out.Workers = l.core.Pressures(), l.core.Workers(d.cfg.Now())
 	}
 	return out
