Shares of organisations in a full pool

Cause: work of all callers was in one order, so an organisation waited behind another's burst, and standing tasks kept what nobody else wanted at their start. Change: rank merges the organisations' lists within priority and class by weighted dominant share; wide steps are split at the equal share; work that missed its objective goes on while its organisation is below it. Long-running tasks of those above give way to work below its share, on the path of preemption. Jobs marked as excess rank last in their class.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -44,11 +44,14 @@
 	claims map[*graph.Task]*claim
 	// preempted are the runs that were stopped for other work and have not ended.
 	preempted map[*runState]struct{}
-	changes   map[string]graph.WorkerChange
-	ends      []graph.End
-	releases  []graph.Release
-	begun     begunJobs
-	crashes   []graph.Crash
+	// calledBack are those among them that gave way to an organisation below its share.
+	calledBack   map[*runState]string
+	calledBackAt time.Time
+	changes      map[string]graph.WorkerChange
+	ends         []graph.End
+	releases     []graph.Release
+	begun        begunJobs
+	crashes      []graph.Crash
 	// lapsed holds, by worker, the runs that were released because its lease expired
 	// and during which it may have crashed.
 	lapsed map[*graph.Worker]lapsedRuns
@@ -98,7 +101,7 @@
 		tables: tables, term: term, limits: limits,
 		workers: map[graph.Handle]*workerState{}, byID: map[string][]*workerState{}, byAddress: map[string][]*workerState{}, candidatePools: map[string]*candidatePool{}, incarnations: map[string]uint64{}, pressure: map[string]*pressureModel{}, trends: map[*graph.StepState]*loadTrend{},
 		changes: map[string]graph.WorkerChange{}, begun: begunJobs{ids: map[graph.JobID]struct{}{}},
-		poolStates: map[string]*poolState{}, unserved: map[*graph.Task]unservedTask{}, claims: map[*graph.Task]*claim{}, preempted: map[*runState]struct{}{}, lapsed: map[*graph.Worker]lapsedRuns{},
+		poolStates: map[string]*poolState{}, unserved: map[*graph.Task]unservedTask{}, claims: map[*graph.Task]*claim{}, preempted: map[*runState]struct{}{}, calledBack: map[*runState]string{}, lapsed: map[*graph.Worker]lapsedRuns{},
 		searchedAt: map[*graph.StepState]time.Time{}, forgetAt: now.Add(forgetEvery), pressuresSavedAt: now,
 	}
 	c.inheritPressures(now)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -22,7 +22,7 @@
 	overdue := c.overdueTasks(waiting, nowMS)
 	c.keepClaims(overdue)
 	steps := c.rank(waiting, nowMS, overdue)
-	p := &placer{c: c, now: now, nowMS: nowMS, overdue: overdue, perStep: map[graph.Handle]int{}, away: map[*graph.StepState]int{}}
+	p := &placer{c: c, now: now, nowMS: nowMS, overdue: overdue, perStep: map[graph.Handle]int{}, placed: map[*graph.Task]struct{}{}, away: map[*graph.StepState]int{}}
 	for i := range steps {
 		if len(p.starts) >= maxStarts {
 			break
@@ -32,6 +32,7 @@
 		if steps[i].class == overdueLongRunning {
 			p.blockClaimed(q.Priority) // work of a higher priority has been placed
 		}
+		p.most, p.begun = steps[i].most, len(p.starts)
 		p.pool, p.candidates = c.poolStates[q.Pool], pools[q.Pool]
 		if p.candidates != nil {
 			p.placeStep(s, steps[i].class == overdueLongRunning)
@@ -41,6 +42,7 @@
 		}
 	}
 	c.preempt(nowMS, steps, p)
+	c.callBack(nowMS, steps, p)
 	return p.starts
 }
 
@@ -90,6 +92,15 @@
 	// excluded from the searches.
 	claimsBlocked   bool
 	blockedPriority int
+	// placed has the tasks that were placed in this plan.
+	placed map[*graph.Task]struct{}
+	// most is how many tasks of the current entry may be placed, 0 for all, and begun the
+	// number of starts before it.
+	most, begun int
+	// givesWay is the only organisation whose runs may be stopped, if it is set, and
+	// stopped are the runs that were stopped last.
+	givesWay *string
+	stopped  []*runState
 	// unplaced are the demands for which no worker was found in this plan.
 	unplaced []demand
 }
@@ -143,13 +154,13 @@
 	}
 	for i := range s.Tasks {
 		task := &s.Tasks[i]
-		if task.Done || len(task.Attempts) > 0 || p.overdue[task] != overdue {
+		if task.Done || len(task.Attempts) > 0 || p.overdue[task] != overdue || p.isPlaced(task) {
 			continue
 		}
 		if p.pool == nil || !p.pool.canPlace(s, task, p.nowMS-p.c.waitingSince(s, task)) {
 			continue
 		}
-		if !p.mayHold(s, 1) {
+		if p.entryDone() || !p.mayHold(s, 1) {
 			return
 		}
 		cd := p.pickFor(s, task)
@@ -214,6 +225,7 @@
 	p.allocate(cd, s)
 	cd.countRun(&s.Tasks[index], 1)
 	p.perStep[cd.ws.w.Handle]++
+	p.placed[&s.Tasks[index]] = struct{}{}
 	p.starts = append(p.starts, graph.Start{Task: s.Ref(index), Run: run, Worker: cd.ws.w.Handle})
 }
 
--- a/core/dispatch/preempt.go
+++ b/core/dispatch/preempt.go
@@ -35,7 +35,7 @@
 	stopped, failed := 0, 0
 	for i := range order {
 		s := order[i].step
-		if order[i].class != inTime || !mayWaitFor(s, nowMS) {
+		if order[i].class != inTime || order[i].rest || !mayWaitFor(s, nowMS) {
 			continue
 		}
 		name := s.Occurrence.Job.Queue.Pool
@@ -108,11 +108,14 @@
 			}
 		}
 	}
+	p.stopped = best
 	for _, r := range best {
 		r.abandonReason = reasonPreempted
 		p.c.preempted[r] = struct{}{}
 		p.away[r.a.Step]++
-		r.ws.yieldedUntil = p.now.Add(yieldFor)
+		if !s.LongRunning {
+			r.ws.yieldedUntil = p.now.Add(yieldFor)
+		}
 		p.c.queueRun(r)
 	}
 	return len(best)
@@ -144,7 +147,7 @@
 	v := r.a.Step
 	if !v.LongRunning || r.mustStop() || r.ending || r.releasing || !r.reported ||
 		v.Occurrence.Job.Queue.Priority < s.Occurrence.Job.Queue.Priority ||
-		r.a.Run > 1 && p.nowMS-r.a.StartedMS < preemptRest.Milliseconds() {
+		r.a.Run > 1 && p.nowMS-r.a.StartedMS < preemptRest.Milliseconds() || !p.mayGiveWay(s, v) {
 		return false
 	}
 	away, counted := p.away[v]
--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -6,6 +6,7 @@
 	"slices"
 
 	"gooseberrypond/core/graph"
+	"gooseberrypond/core/organisation"
 )
 
 // ranked is a step with waiting tasks and its sort keys.
@@ -13,7 +14,16 @@
 	step     *graph.StepState
 	priority int
 	class    rankClass
-	dueMS    int64
+	// sharesAs is the class among whose work the organisations' shares decide.
+	sharesAs rankClass
+	excess   bool // sent beyond the organisation's weight
+	// most is how many tasks the entry has, 0 for all, and rest is set if an entry before
+	// has some of the step's tasks.
+	most int
+	rest bool
+	// account is that of the step\'s organisation, if work of several waits.
+	account *organisation.Account
+	dueMS   int64
 }
 
 // rankClass orders steps of the same priority.
@@ -84,14 +94,15 @@
 	return since
 }
 
-// rank sorts steps by priority, then by class, then by the time by which their job
+// rank sorts steps by priority, then by class, then what organisations send beyond their
+// weight last, then by the organisations' shares, then by the time by which their job
 // should be complete.
 func (c *Core) rank(steps []*graph.StepState, nowMS int64, overdue map[*graph.Task]bool) []ranked {
 	out := make([]ranked, 0, len(steps))
 	for _, s := range steps {
 		o := s.Occurrence
 		due := o.DueMS + objectiveMS(o.Job)
-		r := ranked{step: s, priority: o.Job.Queue.Priority, class: c.classOf(s, nowMS, due), dueMS: due}
+		r := ranked{step: s, priority: o.Job.Queue.Priority, class: c.classOf(s, nowMS, due), excess: o.Job.Spec.Excess, dueMS: due}
 		out = append(out, r)
 		if hasOverdue(s, overdue) {
 			r.class = overdueLongRunning
@@ -99,9 +110,9 @@
 		}
 	}
 	slices.SortStableFunc(out, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.class, b.class), cmp.Compare(a.dueMS, b.dueMS))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.class, b.class), compareExcess(a, b), cmp.Compare(a.dueMS, b.dueMS))
 	})
-	return out
+	return c.shareOut(out, overdue)
 }
 
 // remainingMS returns the length of the critical path from a step on, by the
--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -78,6 +78,8 @@
 	// Organisation is the name of the organisation that submitted the job; empty if
 	// the call needed no key.
 	Organisation string `cbor:"8,keyasint,omitempty"`
+	// Excess marks a job that the organisation sent beyond its weight in jobs a second.
+	Excess bool `cbor:"9,keyasint,omitempty"`
 }
 
 // LongRunning reports whether any step of the job runs until it is cancelled.
--- a/core/organisation/ledger.go
+++ b/core/organisation/ledger.go
@@ -3,6 +3,8 @@
 package organisation
 
 import (
+	"math"
+
 	"gooseberrypond/core/graph"
 	"gooseberrypond/core/structs"
 )
@@ -12,27 +14,35 @@
 type Ledger struct {
 	tables   *graph.Tables
 	capacity structs.Resources
-	accounts map[string]*account
+	accounts map[string]*Account
 }
 
-type account struct {
+// Account is what a ledger has of one organisation.
+type Account struct {
+	ledger *Ledger
 	weight float64
 	limit  structs.Resources
 	use    structs.Resources
 	// held is room that is kept for work of the organisation that needs more.
 	held structs.Resources
+
+	// ranking is the ranking that the following fields are of.
+	ranking *Ranking
+	ranked  structs.Resources
+	list    *list
 }
 
 // New returns a ledger with the usage in the tables. capacity is that of the usable
 // workers.
 func New(tables *graph.Tables, capacity structs.Resources) *Ledger {
-	return &Ledger{tables: tables, capacity: capacity, accounts: map[string]*account{}}
+	return &Ledger{tables: tables, capacity: capacity, accounts: map[string]*Account{}}
 }
 
-func (l *Ledger) account(name string) *account {
+// Account returns the account of an organisation, which is valid as long as the ledger.
+func (l *Ledger) Account(name string) *Account {
 	a := l.accounts[name]
 	if a == nil {
-		a = &account{weight: 1, use: l.tables.Usage(name)}
+		a = &Account{ledger: l, weight: 1, use: l.tables.Usage(name)}
 		if c := l.tables.Config(); c != nil {
 			if o := c.OrganisationByName(name); o != nil {
 				a.limit = o.Limit
@@ -47,10 +57,10 @@
 }
 
 // Weight returns an organisation's weight; one that the configuration does not name has 1.
-func (l *Ledger) Weight(name string) float64 { return l.account(name).weight }
+func (l *Ledger) Weight(name string) float64 { return l.Account(name).weight }
 
 // Limit returns an organisation's limit; a dimension of 0 has none.
-func (l *Ledger) Limit(name string) structs.Resources { return l.account(name).limit }
+func (l *Ledger) Limit(name string) structs.Resources { return l.Account(name).limit }
 
 // Room returns what an organisation may still reserve. It is negative in the dimensions
 // in which the organisation is over its limit.
@@ -58,7 +68,7 @@
 	if l == nil {
 		return structs.Resources{}.Left(structs.Resources{})
 	}
-	a := l.account(name)
+	a := l.Account(name)
 	return a.limit.Left(a.use.Add(a.held))
 }
 
@@ -70,7 +80,7 @@
 	if l == nil {
 		return
 	}
-	a := l.account(name)
+	a := l.Account(name)
 	a.use = a.use.Add(need.Scale(int64(n)))
 }
 
@@ -81,7 +91,7 @@
 	if l == nil {
 		return
 	}
-	a := l.account(name)
+	a := l.Account(name)
 	if !need.Within(a.limit) {
 		return
 	}
@@ -102,6 +112,30 @@
 	if l == nil {
 		return 0
 	}
-	a := l.account(name)
-	return a.use.Add(extra).DominantShare(l.capacity) / a.weight
+	return l.Account(name).ShareWith(extra)
+}
+
+// ShareWith is Ledger.ShareWith for the organisation of the account.
+func (a *Account) ShareWith(extra structs.Resources) float64 {
+	return a.use.Add(extra).DominantShare(a.ledger.capacity) / a.weight
+}
+
+// Weight returns the organisation's weight.
+func (a *Account) Weight() float64 { return a.weight }
+
+// TasksWithin returns how many tasks of the given need, which is not zero, the
+// organisation may hold besides extra without a share above the given one.
+func (a *Account) TasksWithin(share float64, extra, need structs.Resources) int {
+	use, capacity := a.use.Add(extra), a.ledger.capacity
+	n := math.Inf(1)
+	for _, d := range [...][3]int64{
+		{need.CPUMilli, use.CPUMilli, capacity.CPUMilli},
+		{need.MemoryMB, use.MemoryMB, capacity.MemoryMB},
+		{need.Accelerators, use.Accelerators, capacity.Accelerators},
+	} {
+		if d[0] > 0 && d[2] > 0 {
+			n = min(n, (share*a.weight*float64(d[2])-float64(d[1]))/float64(d[0]))
+		}
+	}
+	return int(max(0, min(n, math.MaxInt32)))
 }
