--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -31,7 +31,10 @@
 	if !ws.fenced {
 		wait = 0
 	}
-	h := Hold{Target: ws.target(), AckCursor: ws.ackCursor, WaitMS: wait.Milliseconds()}
+	h := Hold{Target: ws.target(), WaitMS: wait.Milliseconds()}
+	if ws.incarnationKnown {
+		h.AckCursor = ws.ackCursor
+	}
 	if !ws.suspect && !ws.w.Left {
 		// Calls to a worker that may be dead must not extend its lease, or a dead
 		// worker would keep its runs forever.
@@ -76,7 +79,7 @@
 	if ws == nil {
 		return
 	}
-	ws.suspect = true
+	ws.suspect, ws.incarnationKnown = true, false
 	ws.failedCalls++
 	ws.nextHold = now.Add(min(holdRetryMin<<min(ws.failedCalls-1, 8), holdRetryMax))
 }
@@ -100,6 +103,7 @@
 		return
 	}
 	c.recordAnswer(now, ws, reply.ClockMS)
+	ws.incarnationKnown = true
 	ws.nextHold = now
 	if !ws.fenced {
 		ws.fenced = true
@@ -192,12 +196,15 @@
 		row := &reply.Finished[i]
 		last = max(last, row.Seq)
 		a := c.tables.Attempt(row.Task, row.Run)
-		if a == nil || a.Worker != ws.w {
+		if a == nil || a.Worker != ws.w && !supersedes(ws.w, a.Worker) {
 			continue
 		}
 		finished[a] = true
 		queued = true
 		r := ws.runs[a]
+		if a.Worker != ws.w {
+			r = c.executedBySuccessor(ws, a)
+		}
 		if r == nil || r.ending {
 			continue
 		}
@@ -208,7 +215,7 @@
 		if checkpoint == "" {
 			checkpoint = r.checkpoint
 		}
-		c.ends = append(c.ends, graph.End{Task: row.Task, Run: row.Run, Worker: ws.w.Handle, Kind: row.Kind, Checkpoint: checkpoint})
+		c.ends = append(c.ends, graph.End{Task: row.Task, Run: row.Run, Worker: a.Worker.Handle, Kind: row.Kind, Checkpoint: checkpoint})
 	}
 	if last > ws.lastListed {
 		ws.lastListed, ws.lastListedAt = last, now
@@ -219,6 +226,20 @@
 	return finished
 }
 
+// executedBySuccessor returns the run of an attempt on an earlier incarnation that a
+// delayed order has started on ws, where it has ended. Its end counts like any other;
+// the worker discards it only once it is recorded.
+func (c *Core) executedBySuccessor(ws *workerState, a *graph.Attempt) *runState {
+	if !slices.Contains(ws.inheritedEnds, a) {
+		ws.inheritedEnds = append(ws.inheritedEnds, a)
+	}
+	old := c.workers[a.Worker.Handle]
+	if old == nil {
+		return nil
+	}
+	return old.runs[a]
+}
+
 // handleMissing handles the runs that are missing from an answer to a call sent at
 // the given time. Runs that certainly will not start any more are released; runs
 // whose start was accepted are stopped first.
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -21,6 +21,9 @@
 	fenced bool
 	// predecessors are earlier incarnations with runs that are not yet released.
 	predecessors []*workerState
+	// inheritedEnds are attempts on predecessors whose end this worker lists and that is
+	// not recorded yet.
+	inheritedEnds []*graph.Attempt
 	// clockMS is the worker's clock in the answer received at clockAt.
 	clockMS int64
 	clockAt time.Time
@@ -42,6 +45,10 @@
 	lastAnswer   time.Time
 	// suspect is set when a call gets no answer and cleared by the next answer.
 	suspect bool
+	// incarnationKnown is set by a list of this incarnation and cleared when a call gets
+	// no answer. Until the next list a later incarnation may be called in its place, and
+	// it numbers its ends anew, so no end is acknowledged.
+	incarnationKnown bool
 
 	// ackCursor is the sequence number of the last recorded end; lastListed is
 	// that of the last end listed by the worker.
