Connections to workers are bounded, the most urgent opened first

Cause: after an election a leader opened a connection to each worker at once. At 3,000 workers that took all of its processor share: dials ran into their 300 ms, their workers counted as silent, the leader's own messages to the other control hosts were late, it was deposed, and its successor did the same. Nothing bounded the connections.

The time that a call waits for a connection does not count as the worker's; a call without a turn or a descriptor is ErrNotSent. A deposed leader closes all connections. A pass of the leader begins to call 64 new workers, the most urgent first.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -106,6 +107,7 @@
 			c.track(ws, a).inherited = true
 		}
 	}
+	c.sortNewWorkers()
 	return c
 }
 
@@ -115,14 +117,27 @@
 	return r
 }
 
-// TakeNewWorkers returns the workers added since the last call. The caller
-// must start calling them.
-func (c *Core) TakeNewWorkers() []graph.Handle {
-	out := c.newWorkers
-	c.newWorkers = nil
+// TakeNewWorkers returns at most n of the workers that it has not returned yet, after an
+// election the most urgent first. The caller must start calling them.
+func (c *Core) TakeNewWorkers(n int) []graph.Handle {
+	n = min(n, len(c.newWorkers))
+	out := c.newWorkers[:n:n]
+	c.newWorkers = c.newWorkers[n:]
 	return out
 }
 
+// sortNewWorkers orders the workers that an earlier leader called by the urgency of their
+// first call, those with the most runs first.
+func (c *Core) sortNewWorkers() {
+	urgency := make(map[graph.Handle]Urgency, len(c.newWorkers))
+	for _, h := range c.newWorkers {
+		urgency[h] = c.workers[h].holdUrgency()
+	}
+	slices.SortStableFunc(c.newWorkers, func(a, b graph.Handle) int {
+		return cmp.Or(cmp.Compare(urgency[b], urgency[a]), cmp.Compare(len(c.workers[b].runs), len(c.workers[a].runs)))
+	})
+}
+
 // Beat handles a worker's heartbeat report. It returns whether the report
 // must be recorded before it is acknowledged.
 func (c *Core) Beat(now time.Time, r graph.WorkerReport) (record bool) {
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -32,6 +32,7 @@
 		wait = 0
 	}
 	h := Hold{Target: ws.target(), AckCursor: ws.ackCursor, WaitMS: wait.Milliseconds()}
+	h.Urgency = ws.holdUrgency()
 	if !ws.suspect && !ws.w.Left {
 		// Calls to a worker that may be dead must not extend its lease, or a dead
 		// worker would keep its runs forever.
@@ -40,6 +41,21 @@
 	return h
 }
 
+// holdUrgency returns the urgency of a hold call.
+func (ws *workerState) holdUrgency() Urgency {
+	if ws.suspect {
+		return UrgencyNone
+	}
+	u := UrgencyFree
+	for _, r := range ws.runs {
+		u = max(u, UrgencyRuns)
+		if r.mustStop() {
+			return UrgencyStop
+		}
+	}
+	return u
+}
+
 func (ws *workerState) target() Target {
 	return Target{Worker: ws.w.Handle, ID: ws.w.ID, Address: ws.w.Address, Token: ws.token}
 }
@@ -81,8 +97,8 @@
 	ws.nextHold = now.Add(min(holdRetryMin<<min(ws.failedCalls-1, 8), holdRetryMax))
 }
 
-// HoldNotSent schedules a retry of a hold call that was not sent for lack of file
-// descriptors. It says nothing about the worker.
+// HoldNotSent schedules a retry of a hold call that was not sent for lack of a
+// connection. It says nothing about the worker.
 func (c *Core) HoldNotSent(now time.Time, hold Hold) {
 	if ws := c.workers[hold.Worker]; ws != nil {
 		ws.nextHold = now.Add(holdRetryMin)
--- a/core/dispatch/messages.go
+++ b/core/dispatch/messages.go
@@ -13,8 +13,27 @@
 	Address string
 	// Token is the fencing token of the call.
 	Token uint64
+	// Urgency is the call's place among those that wait for a connection.
+	Urgency Urgency
 }
 
+// Urgency orders the calls that wait for a connection to their workers; the highest comes
+// first.
+type Urgency uint8
+
+const (
+	// UrgencyNone is that of a call to a worker that does not answer.
+	UrgencyNone Urgency = iota
+	// UrgencyFree is that of a call to a worker without runs.
+	UrgencyFree
+	// UrgencyRuns is that of a call to a worker whose runs need their lease.
+	UrgencyRuns
+	// UrgencyStart is that of a start.
+	UrgencyStart
+	// UrgencyStop is that of a stop, and of a call that finds runs to stop.
+	UrgencyStop
+)
+
 // Hold is a long-poll call that renews a worker's lease and asks for its lists of
 // running and finished runs.
 type Hold struct {
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -97,7 +97,7 @@
 			c.release(r) // the start was never sent
 			return o, false
 		}
-		o.Kind, o.Reason = OrderStop, r.abandonReason
+		o.Kind, o.Reason, o.Urgency = OrderStop, r.abandonReason, r.orderUrgency(UrgencyStop)
 		c.Stats.Stops++
 	case r.mustStart():
 		deadline := r.ws.deadlineMS
@@ -108,16 +108,25 @@
 		if deadline == 0 {
 			return o, false
 		}
-		o.Kind, o.DeadlineMS = OrderStart, deadline
+		o.Kind, o.DeadlineMS, o.Urgency = OrderStart, deadline, r.orderUrgency(UrgencyStart)
 		o.Payload, o.Checkpoint = r.a.Step.Occurrence.Job.Spec.Payload, r.a.Resumed
 		r.sends++
 	default:
-		o.Kind, o.Percent = OrderPace, c.targetPace(r)
+		o.Kind, o.Percent, o.Urgency = OrderPace, c.targetPace(r), r.orderUrgency(UrgencyRuns)
 		c.Stats.Paces++
 	}
 	return o, true
 }
 
+// orderUrgency returns the urgency of an order. One to a worker that does not answer must
+// not delay those to others.
+func (r *runState) orderUrgency(u Urgency) Urgency {
+	if r.ws.suspect {
+		return UrgencyNone
+	}
+	return u
+}
+
 // OrderDone handles the answer to an order, or its absence.
 func (c *Core) OrderDone(now time.Time, o Order, reply OrderReply) {
 	r := o.run
--- a/core/dispatch/standing_sim_test.go
+++ b/core/dispatch/standing_sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"math/rand"
 	"slices"
 	"strings"
@@ -424,7 +425,7 @@
 	for _, h := range s.core.DuePolls(s.now) {
 		s.sendHold(h, false)
 	}
-	for _, h := range s.core.TakeNewWorkers() {
+	for _, h := range s.core.TakeNewWorkers(math.MaxInt) {
 		s.calls[h] = false
 	}
 	handles := make([]graph.Handle, 0, len(s.calls))
--- a/host/dispatcher/dispatcher.go
+++ b/host/dispatcher/dispatcher.go
@@ -23,13 +23,11 @@
 	// minRunInterval is the shortest time between two passes of the leader's loop.
 	// Thousands of answers a second share the passes.
 	minRunInterval = 2 * time.Millisecond
+	// maxNewWorkers is the number of workers that a pass begins to call. After an election
+	// all workers are new, and other work must get its turn between them.
+	maxNewWorkers = 64
 	// leaseCheckInterval is the pause before the leader's lease is checked again.
 	leaseCheckInterval = 5 * time.Millisecond
-	// holdGrace is added to a hold call's own wait to get its timeout.
-	holdGrace = 600 * time.Millisecond
-	// orderTimeout bounds an order call. Workers normally answer within
-	// milliseconds.
-	orderTimeout = 400 * time.Millisecond
 	// longWaitsInterval is the time between two log lines about long-running tasks that
 	// wait.
 	longWaitsInterval = time.Second
@@ -37,7 +35,8 @@
 	proposeTimeout = 3 * time.Second
 )
 
-// WorkerClient sends calls to workers.
+// WorkerClient sends calls to workers. Each call ends in bounded time. The time that it
+// waits for a connection does not count as the worker's.
 type WorkerClient interface {
 	// Hold renews a worker's lease and returns its lists of running and
 	// finished runs. An error that is dispatch.ErrNotSent says nothing about the
@@ -47,6 +46,8 @@
 	// after which the worker may still carry out the order, and NotSent only if
 	// nothing was sent for a reason that is not the worker's.
 	Order(ctx context.Context, o dispatch.Order) dispatch.OrderReply
+	// CloseConnections closes all connections to workers and ends the calls that use them.
+	CloseConnections()
 }
 
 // Log is the replicated log.
@@ -125,6 +126,7 @@
 	d.mu.Unlock()
 	if l != nil {
 		l.cancel()
+		d.cfg.Workers.CloseConnections()
 		<-l.ended
 	}
 }
--- a/host/dispatcher/dispatcher_test.go
+++ b/host/dispatcher/dispatcher_test.go
@@ -72,6 +72,9 @@
 	return &dispatch.HoldReply{Born: 1, ClockMS: time.Now().UnixMilli()}, nil
 }
 
+// CloseConnections implements WorkerClient.
+func (fakeWorkers) CloseConnections() {}
+
 func (fakeWorkers) Order(context.Context, dispatch.Order) dispatch.OrderReply {
 	return dispatch.OrderReply{Outcome: dispatch.Accepted, ClockMS: time.Now().UnixMilli()}
 }
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -137,7 +137,8 @@
 	orders := l.core.Orders(now)
 	polls := l.core.DuePolls(now)
 	l.logLongWaits(now)
-	for _, h := range l.core.TakeNewWorkers() {
+	newWorkers := l.core.TakeNewWorkers(maxNewWorkers)
+	for _, h := range newWorkers {
 		wake := make(chan struct{}, 1)
 		l.holdWakes[h] = wake
 		go l.holdLoop(ctx, h, wake)
@@ -153,6 +154,9 @@
 	if batch != nil {
 		go l.propose(ctx, batch, waiters)
 	}
+	if len(newWorkers) == maxNewWorkers {
+		l.wakeRun()
+	}
 }
 
 // nextBatch returns the next batch to propose and the callers that wait for it,
@@ -266,11 +270,8 @@
 		return
 	}
 	d := l.d
-	wait := time.Duration(hold.WaitMS) * time.Millisecond
-	callCtx, cancel := context.WithTimeout(ctx, wait+holdGrace)
 	sent := d.cfg.Now()
-	reply, err := d.cfg.Workers.Hold(callCtx, hold)
-	cancel()
+	reply, err := d.cfg.Workers.Hold(ctx, hold)
 	now := d.cfg.Now()
 	handled := d.guard("hold", hold.ID, func() {
 		switch {
@@ -323,9 +324,7 @@
 	reply := dispatch.OrderReply{Outcome: dispatch.NotSent}
 	start := d.cfg.Now()
 	if l.holdsLease() {
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		reply = d.cfg.Workers.Order(callCtx, o)
-		cancel()
+		reply = d.cfg.Workers.Order(ctx, o)
 	}
 	now := d.cfg.Now()
 	d.metrics.observeOrder(o, reply.Outcome, now.Sub(start))
--- a/host/dispatcher/scale_test.go
+++ b/host/dispatcher/scale_test.go
@@ -96,6 +96,9 @@
 	return len(w.finished) == 0
 }
 
+// CloseConnections implements WorkerClient.
+func (*simulatedFleet) CloseConnections() {}
+
 // Order implements WorkerClient.
 func (f *simulatedFleet) Order(_ context.Context, o dispatch.Order) dispatch.OrderReply {
 	w := f.worker(o.Worker)
