--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -32,6 +32,10 @@
 	proposing bool
 	// longWaitsLoggedAt is when the long waits were last logged.
 	longWaitsLoggedAt time.Time
+	// failedHolds counts the hold calls without an answer since failedHoldsLoggedAt, when
+	// such calls were last logged.
+	failedHolds         int
+	failedHoldsLoggedAt time.Time
 	// holdWakes has the channel that wakes the hold loop of each worker.
 	holdWakes map[graph.Handle]chan struct{}
 }
@@ -291,13 +295,30 @@
 		d.metrics.holds.WithLabelValues("answered").Inc()
 	} else if ctx.Err() == nil {
 		d.metrics.holds.WithLabelValues("unanswered").Inc()
-		d.cfg.Logger.Warn().Err(err).Str("step", "hold").Str("worker", hold.ID).Str("peer", hold.Address).Msg("hold call to worker failed")
+		l.logFailedHold(now, hold, err)
 	}
 	if err == nil && len(reply.Finished)+len(reply.Running) > 0 {
 		l.wakeRun()
 	}
 }
 
+// logFailedHold logs a hold call without an answer, at most once per failedHoldsInterval
+// with the number of those since the last line: a lost failure domain has a thousand
+// workers.
+func (l *leadership) logFailedHold(now time.Time, hold dispatch.Hold, err error) {
+	l.d.mu.Lock()
+	l.failedHolds++
+	if now.Sub(l.failedHoldsLoggedAt) < failedHoldsInterval {
+		l.d.mu.Unlock()
+		return
+	}
+	n := l.failedHolds
+	l.failedHolds, l.failedHoldsLoggedAt = 0, now
+	l.d.mu.Unlock()
+	l.d.cfg.Logger.Warn().Err(err).Str("step", "hold").Str("worker", hold.ID).Str("peer", hold.Address).
+		Int("calls", n).Msg("hold calls to workers failed; this one is the last")
+}
+
 // guard runs f, which handles an answer of a worker, with d.mu held. It reports whether
 // f returned: one answer that the core cannot handle must not end the process.
 func (d *Dispatcher) guard(step, worker string, f func()) (returned bool) {
