A worker without runs has no open call

Cause: each worker had an open call for an end that cannot come if it has no runs, and an order to it then needed a second connection.

Change: a worker without runs is asked for its lists once a second without a wait, and at once after a start. Only the first of several failed calls to a worker is logged; a call that was not sent is counted as such.

--- a/core/dispatch/fleet_test.go
+++ b/core/dispatch/fleet_test.go
@@ -61,3 +61,27 @@
 		t.Errorf("orders after a start that was not sent: %v, worker silent: %v, want the start again", again, r.core.workers[h].suspect)
 	}
 }
+
+// Guards against an open call, and with it a second connection, for each of thousands of
+// workers without runs, and against an end that is learned late because no call was open.
+func TestWorkerWithoutRunsHasNoOpenCall(t *testing.T) {
+	r := newRig(t)
+	h := r.register("w", 1)
+	if _, wait, _ := r.core.NextHold(r.now, h); wait != HoldWait {
+		t.Errorf("the next call to a worker without runs is due in %v, want %v", wait, HoldWait)
+	}
+	r.advance(HoldWait)
+	if hold, wait, _ := r.core.NextHold(r.now, h); wait != 0 || hold.WaitMS != 0 {
+		t.Errorf("the call to a worker without runs is due in %v and waits there for %d ms, want 0 and 0", wait, hold.WaitMS)
+	}
+	r.hold(h)
+	r.submit(rid(1), step(1, 100))
+	r.commitPlan()
+	r.acceptOrders()
+	if !r.core.NeedsCall(r.now, h) {
+		t.Error("no call is due after a start was accepted")
+	}
+	if hold, wait, _ := r.core.NextHold(r.now, h); wait != 0 || hold.WaitMS != HoldWait.Milliseconds() {
+		t.Errorf("the call after a start is due in %v and waits there for %d ms, want 0 and %v", wait, hold.WaitMS, HoldWait)
+	}
+}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -21,7 +21,10 @@
 	if ws.lastListed > ws.ackCursor && now.Sub(ws.lastListedAt) < commitWait {
 		return Hold{}, commitWait - now.Sub(ws.lastListedAt), true
 	}
-	if ws.pacing {
+	switch {
+	case len(ws.runs) == 0:
+		return c.hold(now, ws, 0), 0, true // HoldDone paces these calls
+	case ws.pacing:
 		return c.hold(now, ws, pacingHoldWait), 0, true
 	}
 	return c.hold(now, ws, HoldWait), 0, true
@@ -86,15 +89,18 @@
 }
 
 // HoldFailed handles a hold call without an answer: it marks the worker as
-// suspect and schedules a retry with exponential backoff.
-func (c *Core) HoldFailed(now time.Time, hold Hold) {
+// suspect and schedules a retry with exponential backoff. It reports whether the worker
+// answered before.
+func (c *Core) HoldFailed(now time.Time, hold Hold) (first bool) {
 	ws := c.workers[hold.Worker]
 	if ws == nil {
-		return
+		return false
 	}
+	first = !ws.suspect
 	ws.suspect = true
 	ws.failedCalls++
 	ws.nextHold = now.Add(min(holdRetryMin<<min(ws.failedCalls-1, 8), holdRetryMax))
+	return first
 }
 
 // HoldNotSent schedules a retry of a hold call that was not sent for lack of a
@@ -117,6 +123,11 @@
 	}
 	c.recordAnswer(now, ws, reply.ClockMS)
 	ws.nextHold = now
+	if len(ws.runs) == 0 {
+		// No run can end meanwhile. The connection is free for the next start, so that a
+		// worker without runs needs only one.
+		ws.nextHold = now.Add(HoldWait)
+	}
 	if !ws.fenced {
 		ws.fenced = true
 		c.countLapsed(ws)
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -141,6 +141,9 @@
 		}
 		return
 	}
+	if r.ws.failedCalls == 0 && r.ws.nextHold.After(now) {
+		r.ws.nextHold = now // the calls to a worker without runs are further apart
+	}
 	if reply.Outcome == NoAnswer || reply.Outcome == WrongIncarnation {
 		c.orderUnanswered(now, o)
 		return
--- a/host/dispatcher/dispatcher.go
+++ b/host/dispatcher/dispatcher.go
@@ -31,9 +31,6 @@
 	// longWaitsInterval is the time between two log lines about long-running tasks that
 	// wait.
 	longWaitsInterval = time.Second
-	// failedHoldsInterval is the shortest time between two log lines about hold calls that
-	// got no answer.
-	failedHoldsInterval = 200 * time.Millisecond
 	// proposeTimeout bounds a proposal. After a timeout the outcome is unknown.
 	proposeTimeout = 3 * time.Second
 )
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -32,10 +32,6 @@
 	proposing bool
 	// longWaitsLoggedAt is when the long waits were last logged.
 	longWaitsLoggedAt time.Time
-	// failedHolds counts the hold calls without an answer since failedHoldsLoggedAt, when
-	// such calls were last logged.
-	failedHolds         int
-	failedHoldsLoggedAt time.Time
 	// holdWakes has the channel that wakes the hold loop of each worker.
 	holdWakes map[graph.Handle]chan struct{}
 }
@@ -192,10 +188,7 @@
 		l.core.ProposalFailed(b) // if it is committed after all, Apply tells the core
 	}
 	for i := range b.Ends { // a worker's next hold call waits until its ends are committed
-		h := b.Ends[i].Worker
-		if wake := l.holdWakes[h]; wake != nil && l.core.NeedsCall(now, h) {
-			notify(wake)
-		}
+		l.wakeHold(now, b.Ends[i].Worker)
 	}
 	d.mu.Unlock()
 	for _, w := range waiters {
@@ -225,6 +218,14 @@
 	return nil
 }
 
+// wakeHold ends the pause before the next hold call to a worker if that is due. The caller
+// must hold d.mu.
+func (l *leadership) wakeHold(now time.Time, h graph.Handle) {
+	if wake := l.holdWakes[h]; wake != nil && l.core.NeedsCall(now, h) {
+		notify(wake)
+	}
+}
+
 // notify wakes the receiver of ch without blocking.
 func notify(ch chan struct{}) {
 	select {
@@ -277,12 +278,13 @@
 	sent := d.cfg.Now()
 	reply, err := d.cfg.Workers.Hold(ctx, hold)
 	now := d.cfg.Now()
+	firstFailure := false
 	handled := d.guard("hold", hold.ID, func() {
 		switch {
 		case errors.Is(err, dispatch.ErrNotSent):
 			l.core.HoldNotSent(now, hold)
 		case err != nil:
-			l.core.HoldFailed(now, hold)
+			firstFailure = l.core.HoldFailed(now, hold)
 		default:
 			l.core.HoldDone(now, sent, hold, reply)
 		}
@@ -291,34 +293,22 @@
 		d.guard("hold", hold.ID, func() { l.core.HoldFailed(now, hold) })
 		return
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		d.metrics.holds.WithLabelValues("answered").Inc()
-	} else if ctx.Err() == nil {
+	case errors.Is(err, dispatch.ErrNotSent):
+		d.metrics.holds.WithLabelValues("not sent").Inc()
+	case ctx.Err() == nil:
 		d.metrics.holds.WithLabelValues("unanswered").Inc()
-		l.logFailedHold(now, hold, err)
+	}
+	if firstFailure && ctx.Err() == nil { // a lost failure domain has a thousand workers
+		d.cfg.Logger.Warn().Err(err).Str("step", "hold").Str("worker", hold.ID).Str("peer", hold.Address).Msg("hold call to worker failed")
 	}
 	if err == nil && len(reply.Finished)+len(reply.Running) > 0 {
 		l.wakeRun()
 	}
 }
 
-// logFailedHold logs a hold call without an answer, at most once per failedHoldsInterval
-// with the number of those since the last line: a lost failure domain has a thousand
-// workers.
-func (l *leadership) logFailedHold(now time.Time, hold dispatch.Hold, err error) {
-	l.d.mu.Lock()
-	l.failedHolds++
-	if now.Sub(l.failedHoldsLoggedAt) < failedHoldsInterval {
-		l.d.mu.Unlock()
-		return
-	}
-	n := l.failedHolds
-	l.failedHolds, l.failedHoldsLoggedAt = 0, now
-	l.d.mu.Unlock()
-	l.d.cfg.Logger.Warn().Err(err).Str("step", "hold").Str("worker", hold.ID).Str("peer", hold.Address).
-		Int("calls", n).Msg("hold calls to workers failed; this one is the last")
-}
-
 // guard runs f, which handles an answer of a worker, with d.mu held. It reports whether
 // f returned: one answer that the core cannot handle must not end the process.
 func (d *Dispatcher) guard(step, worker string, f func()) (returned bool) {
@@ -349,7 +339,10 @@
 	}
 	now := d.cfg.Now()
 	d.metrics.observeOrder(o, reply.Outcome, now.Sub(start))
-	d.guard(o.Kind.String(), o.ID, func() { l.core.OrderDone(now, o, reply) })
+	d.guard(o.Kind.String(), o.ID, func() {
+		l.core.OrderDone(now, o, reply)
+		l.wakeHold(now, o.Worker)
+	})
 	if o.Kind == dispatch.OrderStop && o.Reason != "" {
 		d.cfg.Logger.Info().Str("task", o.Task.String()).Int("run", o.Run).Str("worker", o.ID).
 			Str("reason", o.Reason).Str("outcome", reply.Outcome.String()).Msg("tried to stop an abandoned run")
