--- a/host/dispatcher/scale_test.go
+++ b/host/dispatcher/scale_test.go
@@ -23,6 +23,10 @@
 type simulatedFleet struct {
 	start time.Time
 	holds atomic.Int64
+	// open counts the calls in progress, most is its highest value.
+	open, most atomic.Int64
+	// firstStart is when the first start since reset was received.
+	firstStart atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	workers map[graph.Handle]*simulatedWorker
@@ -62,6 +66,8 @@
 // Hold implements WorkerClient.
 func (f *simulatedFleet) Hold(ctx context.Context, h dispatch.Hold) (*dispatch.HoldReply, error) {
 	f.holds.Add(1)
+	f.most.Store(max(f.most.Load(), f.open.Add(1)))
+	defer f.open.Add(-1)
 	w := f.worker(h.Worker)
 	if w.forget(h.AckCursor) && h.WaitMS > 0 {
 		timer := time.NewTimer(time.Duration(h.WaitMS) * time.Millisecond)
@@ -104,6 +110,8 @@
 	w := f.worker(o.Worker)
 	switch o.Kind {
 	case dispatch.OrderStart:
+		now := time.Now()
+		f.firstStart.CompareAndSwap(nil, &now)
 		lasts, err := time.ParseDuration(o.Payload)
 		if err != nil {
 			return dispatch.OrderReply{Outcome: dispatch.RefusedBad}
@@ -151,17 +159,13 @@
 	fleet *simulatedFleet
 	ctx   context.Context
 	jobs  int
+	// stop ends the leader.
+	stop context.CancelFunc
 }
 
 func newLoadedFleet(ctx context.Context, workers int) *loadedFleet {
 	f := &loadedFleet{fleet: newSimulatedFleet(), ctx: ctx}
-	f.d = New(Config{Workers: f.fleet, Logger: zerolog.Nop(), Limits: dispatch.Limits{LeaseMax: 10 * time.Second, StopTimeout: time.Second, Interference: 4 * time.Second}})
-	log := &singleReplicaLog{d: f.d, lease: true, changes: make(chan replica.LeaderChange, 1)}
-	go f.d.Run(ctx, log)
-	log.changes <- replica.LeaderChange{Leading: true, Term: 1}
-	for !f.d.Dump().Leading {
-		time.Sleep(time.Millisecond)
-	}
+	f.lead(nil)
 	var queues []graph.Queue
 	for name, priority := range map[string]int{"urgent": 0, "standing": 0, "filling": 2} {
 		queues = append(queues, graph.Queue{Name: name, Host: "h", PathPrefix: "/" + name + "/", Pool: "p", Attempts: 3, DeadlineFactor: 2, TargetLatencyMS: 1000, TimeoutMS: 3000, Priority: priority})
@@ -179,6 +183,22 @@
 	return f
 }
 
+// lead starts a leader with the tables of a snapshot.
+func (f *loadedFleet) lead(snapshot []byte) {
+	f.d = New(Config{Workers: f.fleet, Logger: zerolog.Nop(), Limits: dispatch.Limits{LeaseMax: 10 * time.Second, StopTimeout: time.Second, Interference: 4 * time.Second}})
+	if err := f.d.Restore(snapshot); err != nil {
+		panic(err)
+	}
+	ctx, cancel := context.WithCancel(f.ctx)
+	f.stop = cancel
+	log := &singleReplicaLog{d: f.d, lease: true, changes: make(chan replica.LeaderChange, 1)}
+	go f.d.Run(ctx, log)
+	log.changes <- replica.LeaderChange{Leading: true, Term: 1}
+	for !f.d.Dump().Leading {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // submit hands in a job of steps that depend on each other.
 func (f *loadedFleet) submit(queue string, lasts time.Duration, step graph.Step, steps int) {
 	f.jobs++
@@ -264,3 +284,72 @@
 		})
 	}
 }
+
+// BenchmarkRestartOfAFleet measures what a new leader does from its snapshot until the
+// first start, and until every worker has answered, without a network.
+func BenchmarkRestartOfAFleet(b *testing.B) {
+	const runsPerWorker = 10
+	for _, workers := range []int{300, 1000, 3000} {
+		b.Run(fmt.Sprint(workers), func(b *testing.B) {
+			for b.Loop() {
+				ctx, cancel := context.WithCancel(context.Background())
+				f := newLoadedFleet(ctx, workers)
+				f.placeSmall(workers * runsPerWorker)
+				measureRestart(b, f, workers)
+				cancel()
+			}
+		})
+	}
+}
+
+// placeSmall hands in long-running tasks of which ten fit on a worker, and waits until
+// they run.
+func (f *loadedFleet) placeSmall(tasks int) {
+	const perJob = 50
+	for i := 0; i < tasks; i += perJob {
+		f.submit("standing", 0, graph.Step{Count: perJob, Need: structs.Resources{CPUMilli: 2000, MemoryMB: 4000}, EstimateMS: 400, LongRunning: true}, 1)
+	}
+	for running := 0; running < tasks; time.Sleep(50 * time.Millisecond) {
+		running = 0
+		f.fleet.mu.Lock()
+		for _, w := range f.fleet.workers {
+			w.mu.Lock()
+			running += len(w.running)
+			w.mu.Unlock()
+		}
+		f.fleet.mu.Unlock()
+	}
+}
+
+func measureRestart(b *testing.B, f *loadedFleet, workers int) {
+	start := time.Now()
+	snapshot, err := f.d.Snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	encoded := time.Since(start)
+	f.stop()
+	for f.fleet.open.Load() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	f.fleet.most.Store(0)
+	f.fleet.firstStart.Store(nil)
+	holds, used, start := f.fleet.holds.Load(), processorTime(b), time.Now()
+	f.lead(snapshot)
+	led := time.Since(start)
+	f.submit("urgent", time.Second, graph.Step{Count: 1, Need: structs.Resources{CPUMilli: 100, MemoryMB: 100}, EstimateMS: 1000}, 1)
+	for f.fleet.firstStart.Load() == nil {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportMetric(float64(f.fleet.holds.Load()-holds), "calls-to-first-start")
+	b.ReportMetric(float64(f.fleet.firstStart.Load().Sub(start).Milliseconds()), "ms-to-first-start")
+	for f.stats().Usable < workers {
+		time.Sleep(time.Millisecond)
+	}
+	b.ReportMetric(float64(time.Since(start).Milliseconds()), "ms-to-last-worker")
+	b.ReportMetric(float64((processorTime(b) - used).Milliseconds()), "cpu-ms-to-last-worker")
+	b.ReportMetric(float64(f.fleet.most.Load()), "open-calls")
+	b.ReportMetric(float64(led.Milliseconds()), "ms-to-lead")
+	b.ReportMetric(float64(encoded.Milliseconds()), "ms-to-encode")
+	b.ReportMetric(float64(len(snapshot))/1e6, "snapshot-MB")
+}
