--- a/core/dispatch/fleet_test.go
+++ b/core/dispatch/fleet_test.go
@@ -47,7 +47,11 @@
 func TestCallsThatWereNotSentSayNothingAboutTheWorker(t *testing.T) {
 	r := newRig(t)
 	h := r.register("w", 1)
+	r.advance(HoldWait)
 	hold, _, _ := r.core.NextHold(r.now, h)
+	if hold.Worker != h {
+		t.Fatalf("the call is to worker %d, want %d", hold.Worker, h)
+	}
 	r.core.HoldNotSent(r.now, hold)
 	r.submit(rid(1), step(1, 100))
 	r.commitPlan()
--- a/host/dispatcher/fleet_test.go
+++ b/host/dispatcher/fleet_test.go
@@ -88,6 +88,7 @@
 		t.Errorf("submit answered %s, want done", a.Code)
 	}
 	waitUntil(t, "the worker that answers has the task", func() bool {
+		d.Beats(ctx, reports) // without them the silent workers would count as having left
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		return len(d.tables.WorkerByID("w7").Attempts) == 1
