--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -21,7 +21,10 @@
 	if ws.lastListed > ws.ackCursor && now.Sub(ws.lastListedAt) < commitWait {
 		return Hold{}, commitWait - now.Sub(ws.lastListedAt), true
 	}
-	if ws.pacing {
+	switch {
+	case len(ws.runs) == 0:
+		return c.hold(now, ws, 0), 0, true // HoldDone paces these calls
+	case ws.pacing:
 		return c.hold(now, ws, pacingHoldWait), 0, true
 	}
 	return c.hold(now, ws, HoldWait), 0, true
@@ -32,6 +35,7 @@
 		wait = 0
 	}
 	h := Hold{Target: ws.target(), WaitMS: wait.Milliseconds()}
+	h.Urgency = ws.holdUrgency()
 	if ws.incarnationKnown {
 		h.AckCursor = ws.ackCursor
 	}
@@ -43,6 +47,21 @@
 	return h
 }
 
+// holdUrgency returns the urgency of a hold call.
+func (ws *workerState) holdUrgency() Urgency {
+	if ws.suspect {
+		return UrgencyNone
+	}
+	u := UrgencyFree
+	for _, r := range ws.runs {
+		u = max(u, UrgencyRuns)
+		if r.mustStop() {
+			return UrgencyStop
+		}
+	}
+	return u
+}
+
 func (ws *workerState) target() Target {
 	return Target{Worker: ws.w.Handle, ID: ws.w.ID, Address: ws.w.Address, Token: ws.token}
 }
@@ -73,19 +92,22 @@
 }
 
 // HoldFailed handles a hold call without an answer: it marks the worker as
-// suspect and schedules a retry with exponential backoff.
-func (c *Core) HoldFailed(now time.Time, hold Hold) {
+// suspect and schedules a retry with exponential backoff. It reports whether the worker
+// answered before.
+func (c *Core) HoldFailed(now time.Time, hold Hold) (first bool) {
 	ws := c.workers[hold.Worker]
 	if ws == nil {
-		return
+		return false
 	}
+	first = !ws.suspect
 	ws.suspect, ws.incarnationKnown = true, false
 	ws.failedCalls++
 	ws.nextHold = now.Add(min(holdRetryMin<<min(ws.failedCalls-1, 8), holdRetryMax))
+	return first
 }
 
-// HoldNotSent schedules a retry of a hold call that was not sent for lack of file
-// descriptors. It says nothing about the worker.
+// HoldNotSent schedules a retry of a hold call that was not sent for lack of a
+// connection. It says nothing about the worker.
 func (c *Core) HoldNotSent(now time.Time, hold Hold) {
 	if ws := c.workers[hold.Worker]; ws != nil {
 		ws.nextHold = now.Add(holdRetryMin)
@@ -103,8 +125,14 @@
 		return
 	}
 	c.recordAnswer(now, ws, reply.ClockMS)
-	ws.incarnationKnown = true
+	// Without an open call a crash is not noticed, so the next call acknowledges nothing.
+	ws.incarnationKnown = len(ws.runs) > 0 || len(reply.Finished) > 0
 	ws.nextHold = now
+	if len(ws.runs) == 0 {
+		// No run can end meanwhile. The connection is free for the next start, so that a
+		// worker without runs needs only one.
+		ws.nextHold = now.Add(HoldWait)
+	}
 	if !ws.fenced {
 		ws.fenced = true
 		c.countLapsed(ws)
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -137,7 +137,8 @@
 	orders := l.core.Orders(now)
 	polls := l.core.DuePolls(now)
 	l.logLongWaits(now)
-	for _, h := range l.core.TakeNewWorkers() {
+	newWorkers := l.core.TakeNewWorkers(maxNewWorkers)
+	for _, h := range newWorkers {
 		wake := make(chan struct{}, 1)
 		l.holdWakes[h] = wake
 		go l.holdLoop(ctx, h, wake)
@@ -153,6 +154,9 @@
 	if batch != nil {
 		go l.propose(ctx, batch, waiters)
 	}
+	if len(newWorkers) == maxNewWorkers {
+		l.wakeRun()
+	}
 }
 
 // nextBatch returns the next batch to propose and the callers that wait for it,
@@ -184,10 +188,7 @@
 		l.core.ProposalFailed(b) // if it is committed after all, Apply tells the core
 	}
 	for i := range b.Ends { // a worker's next hold call waits until its ends are committed
-		h := b.Ends[i].Worker
-		if wake := l.holdWakes[h]; wake != nil && l.core.NeedsCall(now, h) {
-			notify(wake)
-		}
+		l.wakeHold(now, b.Ends[i].Worker)
 	}
 	d.mu.Unlock()
 	for _, w := range waiters {
@@ -217,6 +218,14 @@
 	return nil
 }
 
+// wakeHold ends the pause before the next hold call to a worker if that is due. The caller
+// must hold d.mu.
+func (l *leadership) wakeHold(now time.Time, h graph.Handle) {
+	if wake := l.holdWakes[h]; wake != nil && l.core.NeedsCall(now, h) {
+		notify(wake)
+	}
+}
+
 // notify wakes the receiver of ch without blocking.
 func notify(ch chan struct{}) {
 	select {
@@ -266,18 +275,16 @@
 		return
 	}
 	d := l.d
-	wait := time.Duration(hold.WaitMS) * time.Millisecond
-	callCtx, cancel := context.WithTimeout(ctx, wait+holdGrace)
 	sent := d.cfg.Now()
-	reply, err := d.cfg.Workers.Hold(callCtx, hold)
-	cancel()
+	reply, err := d.cfg.Workers.Hold(ctx, hold)
 	now := d.cfg.Now()
+	firstFailure := false
 	handled := d.guard("hold", hold.ID, func() {
 		switch {
 		case errors.Is(err, dispatch.ErrNotSent):
 			l.core.HoldNotSent(now, hold)
 		case err != nil:
-			l.core.HoldFailed(now, hold)
+			firstFailure = l.core.HoldFailed(now, hold)
 		default:
 			l.core.HoldDone(now, sent, hold, reply)
 		}
@@ -286,10 +293,15 @@
 		d.guard("hold", hold.ID, func() { l.core.HoldFailed(now, hold) })
 		return
 	}
-	if err == nil {
+	switch {
+	case err == nil:
 		d.metrics.holds.WithLabelValues("answered").Inc()
-	} else if ctx.Err() == nil {
+	case errors.Is(err, dispatch.ErrNotSent):
+		d.metrics.holds.WithLabelValues("not sent").Inc()
+	case ctx.Err() == nil:
 		d.metrics.holds.WithLabelValues("unanswered").Inc()
+	}
+	if firstFailure && ctx.Err() == nil { // a lost failure domain has a thousand workers
 		d.cfg.Logger.Warn().Err(err).Str("step", "hold").Str("worker", hold.ID).Str("peer", hold.Address).Msg("hold call to worker failed")
 	}
 	if err == nil && len(reply.Finished)+len(reply.Running) > 0 {
@@ -323,13 +335,14 @@
 	reply := dispatch.OrderReply{Outcome: dispatch.NotSent}
 	start := d.cfg.Now()
 	if l.holdsLease() {
-		callCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-		reply = d.cfg.Workers.Order(callCtx, o)
-		cancel()
+		reply = d.cfg.Workers.Order(ctx, o)
 	}
 	now := d.cfg.Now()
 	d.metrics.observeOrder(o, reply.Outcome, now.Sub(start))
-	d.guard(o.Kind.String(), o.ID, func() { l.core.OrderDone(now, o, reply) })
+	d.guard(o.Kind.String(), o.ID, func() {
+		l.core.OrderDone(now, o, reply)
+		l.wakeHold(now, o.Worker)
+	})
 	if o.Kind == dispatch.OrderStop && o.Reason != "" {
 		d.cfg.Logger.Info().Str("task", o.Task.String()).Int("run", o.Run).Str("worker", o.ID).
 			Str("reason", o.Reason).Str("outcome", reply.Outcome.String()).Msg("tried to stop an abandoned run")
