dispatch: test of the cursor also after a second without an open call

Cause: with workers that have no open call while idle, the check of the merge base did not hold in its last line: an idle worker's next call acknowledges nothing. Change: the check is kept with a run listed, and two more are added: the cursor moves after the last end, and is 0 after a second without an open call.

--- a/core/dispatch/successor_test.go
+++ b/core/dispatch/successor_test.go
@@ -67,9 +67,13 @@
 		t.Fatalf("cursor is %d after a list, want 1", hold.AckCursor)
 	}
 	r.core.HoldFailed(r.now, hold)
-	r.submit("0000000000000002", step(1, 1000))
 	r.core.workers[a].suspect = false // an order was answered, by whichever incarnation
 	r.advance(holdRetryMax)
+	r.submit(job2, step(1, 1000))
+	r.commitPlan()
+	r.acceptOrders()
+	second := graph.TaskRef{Job: job2}
+	r.lists[a].running[second] = RunningRow{Task: second, Run: 1}
 	if hold, _, _ = r.core.NextHold(r.now, a); hold.AckCursor != 0 {
 		t.Errorf("cursor is %d before the incarnation is known, want 0", hold.AckCursor)
 	}
@@ -77,4 +81,14 @@
 	if hold, _, _ = r.core.NextHold(r.now, a); hold.AckCursor != 1 {
 		t.Errorf("cursor is %d after a list of the incarnation, want 1", hold.AckCursor)
 	}
+	r.endRun(a, second, graph.EndDone)
+	r.answer(hold)
+	r.commitPlan()
+	if hold, _, _ = r.core.NextHold(r.now, a); hold.AckCursor != 2 {
+		t.Errorf("cursor is %d after the last run has ended, want 2", hold.AckCursor)
+	}
+	r.answer(hold)
+	if hold, _, _ = r.core.NextHold(r.now.Add(HoldWait), a); hold.AckCursor != 0 {
+		t.Errorf("cursor is %d after a second without an open call, want 0", hold.AckCursor)
+	}
 }
