A split step keeps its tasks per worker

Cause: a step that has two entries in a plan counted its tasks on each worker from the tables alone, so the second entry could put a task beside one of the first. Change: the tasks placed in the same plan count, too. Result: TestSplitStepKeepsMaxPerWorker passes, and fails without the change.

--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -22,7 +22,7 @@
 	overdue := c.overdueTasks(waiting, nowMS)
 	c.keepClaims(overdue)
 	steps := c.rank(waiting, nowMS, overdue)
-	p := &placer{c: c, now: now, nowMS: nowMS, overdue: overdue, perStep: map[graph.Handle]int{}, placed: map[*graph.Task]struct{}{}, away: map[*graph.StepState]int{}}
+	p := &placer{c: c, now: now, nowMS: nowMS, overdue: overdue, perStep: map[graph.Handle]int{}, placed: map[*graph.Task]graph.Handle{}, away: map[*graph.StepState]int{}}
 	for i := range steps {
 		if len(p.starts) >= maxStarts {
 			break
@@ -92,8 +92,8 @@
 	// excluded from the searches.
 	claimsBlocked   bool
 	blockedPriority int
-	// placed has the tasks that were placed in this plan.
-	placed map[*graph.Task]struct{}
+	// placed has the workers of the tasks that were placed in this plan.
+	placed map[*graph.Task]graph.Handle
 	// most is how many tasks of the current entry may be placed, 0 for all, and begun the
 	// number of starts before it.
 	most, begun int
@@ -146,6 +146,9 @@
 			for _, a := range s.Tasks[i].Attempts {
 				p.perStep[a.Worker.Handle]++
 			}
+			if h, ok := p.placed[&s.Tasks[i]]; ok {
+				p.perStep[h]++ // by an earlier entry of the step
+			}
 		}
 	}
 	if s.Gang {
@@ -225,7 +228,7 @@
 	p.allocate(cd, s)
 	cd.countRun(&s.Tasks[index], 1)
 	p.perStep[cd.ws.w.Handle]++
-	p.placed[&s.Tasks[index]] = struct{}{}
+	p.placed[&s.Tasks[index]] = cd.ws.w.Handle
 	p.starts = append(p.starts, graph.Start{Task: s.Ref(index), Run: run, Worker: cd.ws.w.Handle})
 }
 
--- a/core/dispatch/shares_test.go
+++ b/core/dispatch/shares_test.go
@@ -260,6 +260,31 @@
 	}
 }
 
+// Guards against more tasks of a step on one worker than it allows, if the step has two
+// entries in a plan: a step wider than its organisation's share of a pool that has room.
+func TestSplitStepKeepsMaxPerWorker(t *testing.T) {
+	r := newOwnedRig(t, 8, graph.Organisation{Name: "x", Weight: 1}, graph.Organisation{Name: "y", Weight: 20})
+	r.submitOf("y", rid(1), step(2, 1000))
+	r.commitPlan()
+	r.acceptOrders()
+	wide := step(8, 1000)
+	wide.MaxPerWorker = 1
+	r.submitOf("x", rid(2), wide)
+	r.submitOf("y", rid(3), step(1, 1000))
+	r.advance(placeRetry)
+	r.commitPlan()
+	on := map[graph.Handle]int{}
+	for _, a := range r.attempts(rid(2)) {
+		on[a.Worker.Handle]++
+		if on[a.Worker.Handle] > 1 {
+			t.Fatalf("%d tasks on worker %d, the step allows 1", on[a.Worker.Handle], a.Worker.Handle)
+		}
+	}
+	if len(on) != 8 {
+		t.Fatalf("only %d tasks were placed", len(on))
+	}
+}
+
 // Guards against work beyond an organisation's weight that comes before work within it,
 // also after an election.
 func TestExcessRanksLast(t *testing.T) {
