Callers without a leader: held or refused by what recoveries took; callers that leave end no other calls

Cause: without a leader every call was held for 250 ms, then refused with Retry-After 1, whether a leader was due or not; a call that had been sent was held for 1.5 s more; a last try was held until its caller gave up. A search waited 350 ms for each dead host. Change: core/outage learns how long absences took and decides hold, refusal and Retry-After. A host that does not answer holds up no search. A call's own end says nothing about the leader.

--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/rpc"
 	"slices"
@@ -13,6 +14,7 @@
 	"github.com/rs/zerolog"
 
 	"gooseberrypond/core/graph"
+	"gooseberrypond/core/outage"
 	"gooseberrypond/host/dispatcher"
 )
 
@@ -28,19 +30,17 @@
 	dialTimeout = 300 * time.Millisecond
 	// searchRetryInterval is the pause between two searches for the leader.
 	searchRetryInterval = 50 * time.Millisecond
-	// leaderWait is how long a call waits for a leader before it fails. Most
-	// elections after a planned stop of the leader finish within this time.
-	leaderWait = 250 * time.Millisecond
-	// leaderWaitAfterSend replaces leaderWait for a call that was sent and may
-	// have taken effect. Its outcome is unknown until a new leader answers; an
-	// election takes about a second.
-	leaderWaitAfterSend = 1500 * time.Millisecond
+	// defaultPatience is the time that a caller without a deadline is assumed to have.
+	defaultPatience = time.Second
 )
 
 // Errors returned by calls to the leader.
 var (
 	// ErrNoLeader means that no control host is known to lead; nothing was sent.
 	ErrNoLeader = errors.New("no control host is known to lead")
+	// ErrTooLate means that the caller has too little time left for an answer; nothing was
+	// sent.
+	ErrTooLate = errors.New("too little time left for an answer")
 	// ErrNoAnswer means that the call was sent and may or may not take effect.
 	ErrNoAnswer = errors.New("no answer from the leader")
 )
@@ -60,8 +60,10 @@
 	changed chan struct{}
 	// hosts are the relay addresses learned from control hosts.
 	hosts []string
-	// leaderSeenAt is when a leader last answered.
-	leaderSeenAt time.Time
+	// absences has when a leader last answered and how long recoveries took.
+	absences outage.Tracker
+	// asked are the hosts that a search has asked and that have not answered yet.
+	asked map[string]bool
 	// searchNow starts the next check or search without delay.
 	searchNow chan struct{}
 	// beats collects heartbeat reports; nil if there are none.
@@ -73,7 +75,7 @@
 // NewClient returns a client; Run must be running for its calls to succeed.
 func NewClient(seeds func() []string, logger zerolog.Logger) *Client {
 	return &Client{
-		seeds: seeds, logger: logger, conns: map[string]*rpc.Client{},
+		seeds: seeds, logger: logger, conns: map[string]*rpc.Client{}, asked: map[string]bool{},
 		changed: make(chan struct{}), searchNow: make(chan struct{}, 1),
 	}
 }
@@ -111,34 +113,50 @@
 	return c.findLeader(ctx)
 }
 
-// findLeader asks all known control hosts in parallel and passes the first that
-// answers that it leads to setLeader. It reports whether a host answered so.
+// findLeader asks all known control hosts which of them leads, and waits a little for
+// their answers. It reports whether a leader is known. A host that does not answer holds
+// up no other: it is asked again once its call has ended, the others at the next search.
 func (c *Client) findLeader(ctx context.Context) bool {
-	type result struct {
-		address string
-		info    Info
-		err     error
+	_, changed := c.currentLeader()
+	for _, a := range c.unaskedHosts() {
+		go c.askWhetherLeading(ctx, a)
 	}
-	addresses := c.candidates()
-	results := make(chan result, len(addresses))
-	for _, a := range addresses {
-		go func() {
-			info, err := c.info(ctx, a)
-			results <- result{a, info, err}
-		}()
+	timer := time.NewTimer(searchRetryInterval)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
 	}
-	for range addresses {
-		r := <-results
-		if r.err != nil {
-			continue
-		}
-		c.setHosts(r.info.Hosts)
-		if r.info.Leading {
-			c.setLeader(r.address, r.info)
-			return true
-		}
+	leader, _ := c.currentLeader()
+	return leader != ""
+}
+
+// unaskedHosts returns the control hosts that no search is asking, and marks them as
+// asked.
+func (c *Client) unaskedHosts() []string {
+	hosts := c.candidates()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	hosts = slices.DeleteFunc(hosts, func(a string) bool { return c.asked[a] })
+	for _, a := range hosts {
+		c.asked[a] = true
+	}
+	return hosts
+}
+
+func (c *Client) askWhetherLeading(ctx context.Context, address string) {
+	info, err := c.info(ctx, address)
+	c.mu.Lock()
+	delete(c.asked, address)
+	c.mu.Unlock()
+	if err != nil {
+		return
+	}
+	c.setHosts(info.Hosts)
+	if info.Leading {
+		c.setLeader(address, info)
 	}
-	return false
 }
 
 func (c *Client) candidates() []string {
@@ -169,7 +187,7 @@
 func (c *Client) setLeader(address string, info Info) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leaderSeenAt = time.Now()
+	away := c.absences.Contact(time.Now())
 	c.hosts = info.Hosts
 	if c.leader == address && c.term == info.Term {
 		return
@@ -177,7 +195,7 @@
 	if info.Term < c.term && c.leader != "" {
 		return
 	}
-	c.logger.Info().Str("leader", address).Uint64("term", info.Term).Msg("leader found")
+	c.logger.Info().Str("leader", address).Uint64("term", info.Term).Dur("away", away).Msg("leader found")
 	c.leader, c.term = address, info.Term
 	close(c.changed)
 	c.changed = make(chan struct{})
@@ -191,6 +209,7 @@
 	}
 	c.logger.Warn().Str("leader", address).Uint64("term", c.term).Msg("leader lost: searching for a new one")
 	c.leader = ""
+	c.absences.Lost()
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
@@ -212,17 +231,47 @@
 func (c *Client) SinceLeaderContact() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.leaderSeenAt.IsZero() {
+	if c.absences.LastContact().IsZero() {
 		return 1<<63 - 1
 	}
-	return time.Since(c.leaderSeenAt)
+	return time.Since(c.absences.LastContact())
+}
+
+// RetryAfter returns when a caller that was refused for lack of a leader should come
+// back, in seconds. The caller gives up after left.
+func (c *Client) RetryAfter(left time.Duration) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.absences.RetryAfter(time.Now(), left, rand.Float64())
+}
+
+// Recoveries returns how many recoveries this host has seen, of those that count for its
+// estimate, and the length of the last.
+func (c *Client) Recoveries() (n int, last time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.absences.Recoveries()
+}
+
+// leaderWait returns how much longer a call that began at the given time waits for a
+// leader.
+func (c *Client) leaderWait(ctx context.Context, began time.Time, sent bool) time.Duration {
+	now, left := time.Now(), defaultPatience
+	if deadline, ok := ctx.Deadline(); ok {
+		left = deadline.Sub(now)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.absences.Wait(now, outage.Call{Left: left, Waited: now.Sub(began), Sent: sent})
 }
 
 // errLeaderChanged ends a call whose host no longer leads.
 var errLeaderChanged = errors.New("leader changed during the call")
 
 // callHost calls a method on one control host. It returns early with
-// errLeaderChanged when changed is closed; nil never is. The reply is read only
+// errLeaderChanged when changed is closed; nil never is. A call to the leader, which has
+// changed, leaves its connection open when its own time is over: the checks of the leader
+// judge the connection, which other calls share. The reply is read only
 // after the call has completed, since net/rpc may decode a late answer after
 // callHost has returned.
 func callHost[R any](ctx context.Context, c *Client, address, method string, args any, changed <-chan struct{}) (R, error) {
@@ -245,7 +294,7 @@
 	case <-changed:
 		return none, errLeaderChanged
 	case <-ctx.Done():
-		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if changed == nil && errors.Is(ctx.Err(), context.DeadlineExceeded) {
 			c.closeConn(address, conn) // the host may never answer on this connection
 		}
 		return none, ctx.Err()
@@ -295,21 +344,23 @@
 // call on the new leader until ctx ends or no leader is found in time; all
 // methods are idempotent.
 func (c *Client) callLeader(ctx context.Context, method string, args any) (dispatcher.Answer, error) {
-	sent := false
-	start := time.Now()
+	sent, began := false, time.Now()
 	for {
 		leader, changed := c.currentLeader()
 		if leader == "" {
-			wait := leaderWait
-			if sent {
-				wait = leaderWaitAfterSend
-			}
-			if err := c.waitForLeaderChange(ctx, changed, wait-time.Since(start)); err != nil {
+			if err := c.waitForLeaderChange(ctx, changed, c.leaderWait(ctx, began, sent)); err != nil {
 				return dispatcher.Answer{}, callError(sent)
 			}
 			continue
 		}
+		if !sent && tooLate(ctx) {
+			return dispatcher.Answer{}, ErrTooLate
+		}
 		r, err := c.callLeaderOnce(ctx, changed, leader, method, args)
+		if err != nil && ctx.Err() != nil {
+			// The caller's time is over or it has left, which tells nothing about the leader.
+			return dispatcher.Answer{}, callError(sent || !errors.Is(err, errNotSent))
+		}
 		switch {
 		case err == nil && r.Code == dispatcher.NotLeader:
 			c.clearLeader(leader)
@@ -324,14 +375,16 @@
 		default:
 			c.clearLeader(leader)
 		}
-		if ctx.Err() != nil {
-			return dispatcher.Answer{}, callError(sent)
-		}
-		start = time.Now()
 		c.triggerSearch()
 	}
 }
 
+// tooLate reports whether a call that is sent now would not be answered in time.
+func tooLate(ctx context.Context) bool {
+	deadline, ok := ctx.Deadline()
+	return ctx.Err() != nil || ok && time.Until(deadline) < outage.MinLeft
+}
+
 // errNotSent marks the error of a call that was not sent.
 var errNotSent = errors.New("not sent")
 
@@ -371,6 +424,9 @@
 // waitForLeaderChange waits until the leader changes. It fails after the given time.
 func (c *Client) waitForLeaderChange(ctx context.Context, changed <-chan struct{}, wait time.Duration) error {
 	c.triggerSearch()
+	if wait <= 0 {
+		return ErrNoLeader
+	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
--- a/host/relay/client_test.go
+++ b/host/relay/client_test.go
@@ -25,7 +25,10 @@
 	return nil
 }
 
-func serveFake(t *testing.T, f *fakeControl) string {
+func serveFake(t *testing.T, f *fakeControl) string { return serveControl(t, f) }
+
+// serveControl serves the calls of a control host on a local address.
+func serveControl(t *testing.T, f any) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
