A long-running job with nothing at work gets its first task before batch work

Change: core/demand orders the urgent tasks of standing jobs. One task of each job without any at work goes before batch work of its priority, is not held back by the reserve, and claims a worker after 1 s. After 3 s a job that has all its tasks gives one up. The reserve ends for each task after 15 s. Standing steps rank by the share of their tasks at work.

The two entries of a step in the order did not know of each other's starts in the same plan, so that an overdue task and another one of its step could be started on one worker that may have only one (ROUTE).

--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -1,10 +1,10 @@
 package dispatch
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
+	"gooseberrypond/core/demand"
 	"gooseberrypond/core/graph"
 )
 
@@ -16,7 +16,7 @@
 const (
 	// overdueAfter is how long a long-running task that ran before may be away before
 	// it is placed ahead of batch work.
-	overdueAfter = 5 * time.Second
+	overdueAfter = demand.UrgentAfter
 	// overdueShare limits the tasks that are placed ahead of batch work at a time, as a
 	// fraction of the pool's workers. When the long-running tasks and the share of
 	// batch work do not both fit, more would leave nothing to batch work.
@@ -47,67 +47,25 @@
 
 func (cl *claim) lapsed(now time.Time) bool { return now.Sub(cl.at) >= claimMax }
 
-// overdueTask is a long-running task that has been away for overdueAfter.
-type overdueTask struct {
-	task  *graph.Task
-	since int64
-}
-
-// overdueTasks returns the tasks to be placed ahead of batch work: of each pool those
-// that have been away for longest, without those that no worker can take.
-func (c *Core) overdueTasks(waiting []*graph.StepState, nowMS int64) map[*graph.Task]bool {
-	byPool := map[string][]overdueTask{}
-	placeable := map[demand]bool{}
-	for _, s := range waiting {
-		if !s.LongRunning || nowMS-c.longestWaitingSince(s) < overdueAfter.Milliseconds() {
-			continue
-		}
-		d := demandOf(s)
-		if _, known := placeable[d]; !known {
-			placeable[d] = c.couldEmpty(s)
-		}
-		if !placeable[d] {
-			continue
-		}
-		for i := range s.Tasks {
-			if t := &s.Tasks[i]; c.isOverdue(s, t, nowMS) {
-				pool := s.Occurrence.Job.Queue.Pool
-				byPool[pool] = append(byPool[pool], overdueTask{t, c.waitingSince(s, t)})
-			}
-		}
-	}
-	out := map[*graph.Task]bool{}
-	for name, tasks := range byPool {
-		slices.SortStableFunc(tasks, func(a, b overdueTask) int { return cmp.Compare(a.since, b.since) })
-		most := 1
-		if pool := c.candidatePools[name]; pool != nil {
-			most = max(1, int(overdueShare*float64(len(pool.members))))
-		}
-		for _, o := range tasks[:min(most, len(tasks))] {
-			out[o.task] = true
-		}
-	}
-	return out
-}
-
 // couldEmpty reports whether a worker has the processors for a task of the step, free or
-// reserved by batch tasks, and whatever else the task asks for.
-func (c *Core) couldEmpty(s *graph.StepState) bool {
+// reserved by batch tasks, or by anything if all is set, and whatever else the task asks
+// for.
+func (c *Core) couldEmpty(s *graph.StepState, all bool) bool {
 	pool := c.candidatePools[s.Occurrence.Job.Queue.Pool]
 	if pool == nil {
 		return false
 	}
 	fits := func(cd *candidate) bool {
 		w := cd.ws.w
-		return cd.free.CPUMilli+cd.batchMilli >= s.Need.CPUMilli && s.ReservedResources().Fits(w.Capacity) && (s.Label == "" || w.HasLabel(s.Label))
+		return (all || cd.free.CPUMilli+cd.batchMilli >= s.Need.CPUMilli) && s.ReservedResources().Fits(w.Capacity) && (s.Label == "" || w.HasLabel(s.Label))
 	}
 	return slices.ContainsFunc(pool.members, fits) || slices.ContainsFunc(pool.quarantined, fits)
 }
 
 // keepClaims forgets the claims of tasks that are not overdue any more.
-func (c *Core) keepClaims(overdue map[*graph.Task]bool) {
+func (c *Core) keepClaims(overdue map[*graph.Task]int) {
 	for task := range c.claims {
-		if !overdue[task] {
+		if overdue[task] == 0 {
 			delete(c.claims, task)
 		}
 	}
@@ -186,12 +144,12 @@
 	}
 }
 
-// canEmpty reports whether a task of the step fits on a worker once its batch tasks
-// have ended.
+// canEmpty reports whether a task of the step fits on a worker once its batch tasks, and
+// the runs that are being stopped, have ended.
 func (p *placer) canEmpty(s *graph.StepState, cd *candidate) bool {
 	free := cd.free
 	for a := range cd.ws.w.Attempts {
-		if !a.Step.LongRunning {
+		if r := cd.ws.runs[a]; !a.Step.LongRunning || r != nil && r.mustStop() {
 			free = free.Add(a.Step.ReservedResources())
 		}
 	}
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -34,18 +34,21 @@
 	queuedRuns []*runState
 
 	poolStates map[string]*poolState
-	// unserved has the long-running tasks whose last start led to no run.
-	unserved map[*graph.Task]unservedTask
 	// claims holds the workers that are kept free for long-running tasks that have been
 	// away for long.
 	claims map[*graph.Task]*claim
 	// preempted are the runs that were stopped for other work and have not ended.
 	preempted map[*runState]struct{}
+	// givingUp is the run that was last stopped for a job with nothing at work.
+	givingUp *runState
+	// givenUpAt is when a long-running step last gave up a task for another job.
+	givenUpAt map[*graph.StepState]time.Time
 	changes   map[string]graph.WorkerChange
 	ends      []graph.End
 	releases  []graph.Release
 	begun     begunJobs
 	crashes   []graph.Crash
+	waits     []graph.Wait
 	// lapsed holds, by worker, the runs that were released because its lease expired
 	// and during which it may have crashed.
 	lapsed map[*graph.Worker]lapsedRuns
@@ -77,12 +80,14 @@
 //   - Stuck counts the runs that were abandoned for lack of progress.
 //   - Crashes counts the runs during which a worker crashed soon after their start,
 //     CrashLoops the jobs that failed because of them.
+//   - GivenUp counts the long-running runs that were stopped for a job with nothing at work.
 //   - Waiting is the number of ready steps with tasks that have no attempt.
 //   - Usable is the number of workers that may get new work, and Quarantined that of
 //     the workers that get only probes, at the last search.
 type Stats struct {
 	Starts, Stops, Paces, Ends, Releases, LeaseEnds, Unanswered, RoomRefusals, Stuck uint64
 	Crashes, CrashLoops                                                              uint64
+	GivenUp                                                                          uint64
 	// Scans counts searches of a whole pool for a worker.
 	Scans                        uint64
 	Waiting, Usable, Quarantined int
@@ -95,7 +100,7 @@
 		tables: tables, term: term, limits: limits,
 		workers: map[graph.Handle]*workerState{}, byID: map[string][]*workerState{}, byAddress: map[string][]*workerState{}, candidatePools: map[string]*candidatePool{}, incarnations: map[string]uint64{}, pressure: map[string]*pressureModel{}, trends: map[*graph.StepState]*loadTrend{},
 		changes: map[string]graph.WorkerChange{}, begun: begunJobs{ids: map[graph.JobID]struct{}{}},
-		poolStates: map[string]*poolState{}, unserved: map[*graph.Task]unservedTask{}, claims: map[*graph.Task]*claim{}, preempted: map[*runState]struct{}{}, lapsed: map[*graph.Worker]lapsedRuns{},
+		poolStates: map[string]*poolState{}, givenUpAt: map[*graph.StepState]time.Time{}, claims: map[*graph.Task]*claim{}, preempted: map[*runState]struct{}{}, lapsed: map[*graph.Worker]lapsedRuns{},
 		searchedAt: map[*graph.StepState]time.Time{}, forgetAt: now.Add(forgetEvery), pressuresSavedAt: now,
 	}
 	c.inheritPressures(now)
@@ -205,8 +210,8 @@
 // a time.
 func (c *Core) Plan(now time.Time, nowMS int64) *graph.Batch {
 	c.sweep(now)
-	b := &graph.Batch{NowMS: nowMS, Ends: c.ends, Releases: c.releases, Crashes: c.crashes}
-	c.ends, c.releases, c.crashes = nil, nil, nil
+	b := &graph.Batch{NowMS: nowMS, Ends: c.ends, Releases: c.releases, Crashes: c.crashes, Waits: c.waits}
+	c.ends, c.releases, c.crashes, c.waits = nil, nil, nil, nil
 	for _, ch := range c.changes {
 		b.Workers = append(b.Workers, ch)
 	}
@@ -223,7 +228,7 @@
 	if !now.Before(c.forgetAt) {
 		c.forgetAt = now.Add(forgetEvery)
 		c.forgetTrends()
-		c.forgetUnserved()
+		c.forgetGivenUp(now)
 		c.forgetLapsed(now)
 		b.ForgetBeforeMS = nowMS - forgetAfter.Milliseconds()
 	}
@@ -251,6 +256,7 @@
 	c.ends = append(b.Ends, c.ends...)
 	c.releases = append(b.Releases, c.releases...)
 	c.crashes = append(b.Crashes, c.crashes...)
+	c.waits = append(b.Waits, c.waits...)
 	for _, ch := range b.Workers {
 		c.queueChange(ch)
 	}
@@ -304,7 +310,6 @@
 	ending := false
 	for a, r := range ws.runs {
 		if a.Ended() {
-			c.recordWait(r)
 			delete(ws.runs, a)
 			continue
 		}
@@ -398,4 +403,7 @@
 	c.releases = append(c.releases, graph.Release{
 		Task: r.a.Ref(), Run: r.a.Run, Worker: r.ws.w.Handle, Checkpoint: r.checkpoint,
 	})
+	if r.a.Step.LongRunning && !r.reported {
+		c.waits = append(c.waits, graph.Wait{Task: r.a.Ref(), SinceMS: r.waitedSinceMS})
+	}
 }
--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -34,6 +34,8 @@
 //     stopped (preempt.go).
 //   - A task that was away for overdueAfter ranks before batch work of its priority and
 //     may claim a worker for a time (claim.go).
+//   - A job with nothing at work gets one task before batch work of its priority, without
+//     regard to the reserve (standing.go).
 //   - A worker on which runs fail is quarantined for a time, but remains the last resort
 //     of long-running tasks (quarantine.go).
 //   - A wait counts from the end of the last run that a worker listed (waits.go).
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -38,6 +38,7 @@
 			c.searchedAt[s] = now
 		}
 	}
+	p.giveWay(steps)
 	c.preempt(nowMS, steps, p)
 	return p.starts
 }
@@ -82,18 +83,18 @@
 	// away has the tasks that do not serve, for the long-running steps of which a run
 	// may have to be stopped.
 	away map[*graph.StepState]int
-	// overdue are the long-running tasks to be placed ahead of batch work.
-	overdue map[*graph.Task]bool
+	// overdue has the positions of the long-running tasks to be placed ahead of batch work.
+	overdue map[*graph.Task]int
 	// claimsBlocked is set once workers that are claimed for tasks of blockedPriority are
 	// excluded from the searches.
 	claimsBlocked   bool
 	blockedPriority int
 	// unplaced are the demands for which no worker was found in this plan.
-	unplaced []demand
+	unplaced []taskDemand
 }
 
-// demand holds the properties of a task that decide whether a worker can take it.
-type demand struct {
+// taskDemand holds the properties of a task that decide whether a worker can take it.
+type taskDemand struct {
 	pool, label, image string
 	filler             bool
 	// longRunning restricts placement further: not beside a run that was stopped for
@@ -102,8 +103,8 @@
 	need        structs.Resources
 }
 
-func demandOf(s *graph.StepState) demand {
-	d := demand{pool: s.Occurrence.Job.Queue.Pool, label: s.Label, filler: s.Filler, longRunning: s.LongRunning, need: s.Need}
+func demandOf(s *graph.StepState) taskDemand {
+	d := taskDemand{pool: s.Occurrence.Job.Queue.Pool, label: s.Label, filler: s.Filler, longRunning: s.LongRunning, need: s.Need}
 	if s.Filler {
 		d.image = s.Image // the image restricts placement only for fillers
 	}
@@ -112,7 +113,7 @@
 
 // atLeast reports whether d asks for at least as much as other, so that no worker
 // can take d if none can take other.
-func (d demand) atLeast(other demand) bool {
+func (d taskDemand) atLeast(other taskDemand) bool {
 	return d.pool == other.pool && d.filler == other.filler && d.image == other.image &&
 		(d.longRunning || !other.longRunning) && (other.label == "" || d.label == other.label) && other.need.Fits(d.need)
 }
@@ -134,6 +135,11 @@
 				p.perStep[a.Worker.Handle]++
 			}
 		}
+		for i := range p.starts { // of the step's other entry in the order
+			if p.startsTaskOf(i, s) {
+				p.perStep[p.starts[i].Worker]++
+			}
+		}
 	}
 	if s.Gang {
 		p.placeGang(s)
@@ -141,18 +147,19 @@
 	}
 	for i := range s.Tasks {
 		task := &s.Tasks[i]
-		if task.Done || len(task.Attempts) > 0 || p.overdue[task] != overdue {
+		if task.Done || len(task.Attempts) > 0 || p.overdue[task] > 0 != overdue {
 			continue
 		}
-		if p.pool == nil || !p.pool.canPlace(s, task, p.nowMS-p.c.waitingSince(s, task)) {
+		if p.pool == nil || !overdue && !p.pool.canPlace(s, task, p.nowMS-p.c.waitingSince(s, task)) {
 			continue
 		}
 		cd := p.pickFor(s, task)
 		switch {
 		case cd != nil:
 			p.start(s, i, task.LastRun+1, cd)
-		case overdue:
+		case overdue && p.mayClaim(s, task):
 			p.claim(s, task)
+		case overdue:
 		default:
 			return // the step's other tasks have the same demand
 		}
--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -13,7 +13,11 @@
 	step     *graph.StepState
 	priority int
 	class    rankClass
-	dueMS    int64
+	// atWork is the share of a long-running step's tasks that are at work.
+	atWork float64
+	dueMS  int64
+	// overdue is the position of an entry for overdue tasks among those.
+	overdue int
 }
 
 // rankClass orders steps of the same priority.
@@ -46,16 +50,19 @@
 	return inTime
 }
 
-func hasOverdue(s *graph.StepState, overdue map[*graph.Task]bool) bool {
+// firstOverdue returns the position among the overdue tasks of the step's first one, 0
+// if it has none.
+func firstOverdue(s *graph.StepState, overdue map[*graph.Task]int) int {
 	if !s.LongRunning {
-		return false
+		return 0
 	}
+	first := 0
 	for i := range s.Tasks {
-		if overdue[&s.Tasks[i]] {
-			return true
+		if n := overdue[&s.Tasks[i]]; n > 0 && (first == 0 || n < first) {
+			first = n
 		}
 	}
-	return false
+	return first
 }
 
 // batchLacksShare reports whether batch tasks hold less of a pool than their share.
@@ -67,9 +74,6 @@
 // waitingSince returns when a task began to wait for a run, in Unix milliseconds. A
 // start that led to no run does not end the wait.
 func (c *Core) waitingSince(s *graph.StepState, task *graph.Task) int64 {
-	if w, ok := c.unserved[task]; ok {
-		return w.sinceMS
-	}
 	return max(s.Occurrence.DueMS, task.EndedMS)
 }
 
@@ -85,21 +89,25 @@
 }
 
 // rank sorts steps by priority, then by class, then by the time by which their job
-// should be complete.
-func (c *Core) rank(steps []*graph.StepState, nowMS int64, overdue map[*graph.Task]bool) []ranked {
+// should be complete; long-running ones by the share of their tasks at work before that.
+func (c *Core) rank(steps []*graph.StepState, nowMS int64, overdue map[*graph.Task]int) []ranked {
 	out := make([]ranked, 0, len(steps))
 	for _, s := range steps {
 		o := s.Occurrence
 		due := o.DueMS + objectiveMS(o.Job)
 		r := ranked{step: s, priority: o.Job.Queue.Priority, class: c.classOf(s, nowMS, due), dueMS: due}
+		if s.LongRunning {
+			r.atWork = float64(c.atWork(s)) / float64(len(s.Tasks))
+		}
 		out = append(out, r)
-		if hasOverdue(s, overdue) {
-			r.class = overdueLongRunning
+		if n := firstOverdue(s, overdue); n > 0 {
+			r.class, r.overdue = overdueLongRunning, n
 			out = append(out, r)
 		}
 	}
 	slices.SortStableFunc(out, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.class, b.class), cmp.Compare(a.dueMS, b.dueMS))
+		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.class, b.class),
+			cmp.Compare(a.overdue, b.overdue), cmp.Compare(a.atWork, b.atWork), cmp.Compare(a.dueMS, b.dueMS))
 	})
 	return out
 }
--- a/core/dispatch/reserve.go
+++ b/core/dispatch/reserve.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"gooseberrypond/core/demand"
 	"gooseberrypond/core/graph"
 )
 
@@ -85,10 +86,11 @@
 func (r *poolState) reserve() int64 { return max(0, r.share()-r.batch) }
 
 // canPlace reports whether the reserve allows a task that has waited for the given time
-// to be placed. It applies only to long-running tasks that have not run before or have
-// waited for less than restartDelay.
+// to be placed. It applies only to long-running tasks that have waited for less than
+// demand.ReserveMax, or less than restartDelay if they ran before, and not to urgent ones.
 func (r *poolState) canPlace(s *graph.StepState, task *graph.Task, waitedMS int64) bool {
-	if !s.LongRunning || task.LastRun > 0 && waitedMS >= restartDelay.Milliseconds() {
+	if !s.LongRunning || waitedMS >= demand.ReserveMax.Milliseconds() ||
+		task.LastRun > 0 && waitedMS >= restartDelay.Milliseconds() {
 		return true
 	}
 	return r.free-s.Need.CPUMilli >= r.reserve()
--- a/core/dispatch/waits.go
+++ b/core/dispatch/waits.go
@@ -96,32 +96,3 @@
 		w.Idle += ws.w.Free().CPUMilli
 	}
 }
-
-// unservedTask is a task whose last start was refused or unanswered, so that it has
-// waited since its run before.
-type unservedTask struct {
-	step    *graph.StepState
-	sinceMS int64
-}
-
-// recordWait records, when a run is over, whether it ended the wait of its task. A run
-// that its worker never listed did not.
-func (c *Core) recordWait(r *runState) {
-	if !r.a.Step.LongRunning {
-		return
-	}
-	if r.reported {
-		delete(c.unserved, r.a.Task())
-		return
-	}
-	c.unserved[r.a.Task()] = unservedTask{r.a.Step, r.waitedSinceMS}
-}
-
-// forgetUnserved drops the tasks of jobs that have ended.
-func (c *Core) forgetUnserved() {
-	for task, w := range c.unserved {
-		if !w.step.Occurrence.Job.Live() {
-			delete(c.unserved, task)
-		}
-	}
-}
--- a/core/graph/apply.go
+++ b/core/graph/apply.go
@@ -51,6 +51,9 @@
 	for i := range b.Releases {
 		t.applyRelease(&b.Releases[i], r)
 	}
+	for i := range b.Waits {
+		t.applyWait(&b.Waits[i], r)
+	}
 	for _, o := range b.Occurrences {
 		t.applyOccurrence(o, r)
 	}
@@ -258,6 +261,15 @@
 	t.detach(a)
 }
 
+func (t *Tables) applyWait(x *Wait, r *Result) {
+	_, task := t.task(x.Task)
+	if task == nil || task.Done || len(task.Attempts) > 0 || x.SinceMS > task.EndedMS {
+		r.Dropped++
+		return
+	}
+	task.EndedMS = x.SinceMS
+}
+
 func (t *Tables) saveCheckpoint(a *Attempt, checkpoint string) {
 	if checkpoint == "" {
 		return
--- a/core/graph/batch.go
+++ b/core/graph/batch.go
@@ -37,12 +37,14 @@
 	// Crashes are applied after Ends, so that the crash of a done task is not counted, and
 	// before Releases.
 	Crashes []Crash `cbor:"15,keyasint,omitempty"`
+	// Waits are applied after Releases.
+	Waits []Wait `cbor:"16,keyasint,omitempty"`
 }
 
 // Empty reports whether the batch changes nothing.
 func (b *Batch) Empty() bool {
 	return len(b.Workers)+len(b.Domains)+len(b.Submits)+len(b.Cancels)+len(b.Ends)+len(b.Releases)+
-		len(b.Occurrences)+len(b.Starts)+len(b.Begun)+len(b.Crashes) == 0 && b.Config == nil && b.ForgetBeforeMS == 0 && len(b.Pressures) == 0
+		len(b.Occurrences)+len(b.Starts)+len(b.Begun)+len(b.Crashes)+len(b.Waits) == 0 && b.Config == nil && b.ForgetBeforeMS == 0 && len(b.Pressures) == 0
 }
 
 // WorkerChange registers a worker incarnation or updates its record.
@@ -111,6 +113,14 @@
 	Checkpoint string
 }
 
+// Wait records since when a task has waited whose last start led to no run: its wait
+// did not begin with the end of that attempt.
+type Wait struct {
+	_       struct{} `cbor:",toarray"`
+	Task    TaskRef
+	SinceMS int64
+}
+
 // OccurrenceDue creates the tasks of an occurrence that has become due.
 type OccurrenceDue struct {
 	_      struct{} `cbor:",toarray"`
--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -172,8 +172,7 @@
 }
 
 // ReadyMS returns when the last task of the step's dependencies ended, in Unix
-// milliseconds. It is 0 if the step has no dependencies, or if the tasks ended
-// before a snapshot that was restored, since snapshots do not keep that time.
+// milliseconds. It is 0 if the step has no dependencies.
 func (s *StepState) ReadyMS() int64 {
 	var last int64
 	for _, d := range s.DependsOn {
@@ -193,7 +192,8 @@
 	Failures int
 	// Checkpoint is where the next run resumes; empty means from the beginning.
 	Checkpoint string
-	// EndedMS is when the last run ended, in Unix milliseconds.
+	// EndedMS is when the last run ended, in Unix milliseconds. An attempt that led to no
+	// run does not count once its wait is recorded.
 	EndedMS int64
 	// LastWorker is the worker of the last failed run; 0 means none.
 	LastWorker Handle
--- a/core/graph/snapshot.go
+++ b/core/graph/snapshot.go
@@ -22,6 +22,14 @@
 	// Crashes lists the tasks with counted crashes. They are apart from taskImage, whose
 	// array has a fixed length, so that snapshots of earlier versions can be decoded.
 	Crashes []crashImage `cbor:"10,keyasint,omitempty"`
+	// Ended lists when the last runs of tasks ended, for the reason given for Crashes.
+	Ended []endedImage `cbor:"11,keyasint,omitempty"`
+}
+
+type endedImage struct {
+	_       struct{} `cbor:",toarray"`
+	Task    TaskRef
+	EndedMS int64
 }
 
 type crashImage struct {
@@ -96,7 +104,9 @@
 		return 0
 	})
 	for i := range im.Jobs {
-		im.Crashes = t.jobs[im.Jobs[i].Spec.ID].appendCrashes(im.Crashes)
+		j := t.jobs[im.Jobs[i].Spec.ID]
+		im.Crashes = j.appendCrashes(im.Crashes)
+		im.Ended = j.appendEnded(im.Ended)
 	}
 	data, err := cbor.Marshal(im)
 	return data, errors.Wrap(err, "encode snapshot")
@@ -128,6 +138,33 @@
 	return out
 }
 
+// appendEnded appends the tasks of a live job that wait for another run, and of each step
+// that is done the one that ended last.
+func (j *Job) appendEnded(out []endedImage) []endedImage {
+	if !j.Live() {
+		return out
+	}
+	for _, o := range j.Occurrences {
+		for _, s := range o.Steps {
+			last := -1
+			for i := range s.Tasks {
+				t := &s.Tasks[i]
+				switch {
+				case t.EndedMS == 0:
+				case !t.Done:
+					out = append(out, endedImage{Task: s.Ref(i), EndedMS: t.EndedMS})
+				case s.Open == 0 && (last < 0 || t.EndedMS > s.Tasks[last].EndedMS):
+					last = i
+				}
+			}
+			if last >= 0 {
+				out = append(out, endedImage{Task: s.Ref(last), EndedMS: s.Tasks[last].EndedMS})
+			}
+		}
+	}
+	return out
+}
+
 func (s *StepState) image() []taskImage {
 	out := make([]taskImage, len(s.Tasks))
 	for i := range s.Tasks {
@@ -179,6 +216,13 @@
 		}
 		task.Crashes = im.Crashes[i].Crashes
 	}
+	for i := range im.Ended {
+		_, task := t.task(im.Ended[i].Task)
+		if task == nil {
+			return nil, errors.Newf("end of %s, which is not in the snapshot", im.Ended[i].Task)
+		}
+		task.EndedMS = im.Ended[i].EndedMS
+	}
 	slices.SortStableFunc(t.ended, func(a, b *Job) int { return int(a.EndedMS - b.EndedMS) })
 	return t, nil
 }
