Expected work of tasks, learned from the runs that ended done

Change: core/expect learns for each queue, step and size class the duration and its ratio to the estimate, as decaying means and variances of the logarithm, at most 256 kinds. Metrics: expected_work_error and estimate_error. Nothing decides by it yet.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"gooseberrypond/core/expect"
 	"gooseberrypond/core/graph"
 )
 
@@ -26,6 +27,8 @@
 	// fillers take from them.
 	pressure         map[string]*pressureModel
 	pressuresSavedAt time.Time
+	// work is what is known of the work that tasks take.
+	work *expect.Model
 	// trends holds the load trends of serving steps.
 	trends map[*graph.StepState]*loadTrend
 	// newWorkers lists the workers that TakeNewWorkers has not returned yet.
@@ -81,6 +84,9 @@
 //   - Crashes counts the runs during which a worker crashed soon after their start,
 //     CrashLoops the jobs that failed because of them.
 //   - GivenUp counts the long-running runs that were stopped for a job with nothing at work.
+//   - WorkRuns counts the runs by which expected work was judged, and WorkError and
+//     EstimateError sum the error, as the absolute logarithm of the ratio to the time
+//     taken, of the expectation and of the caller's estimate.
 //   - Waiting is the number of ready steps with tasks that have no attempt.
 //   - Usable is the number of workers that may get new work, and Quarantined that of
 //     the workers that get only probes, at the last search.
@@ -88,6 +94,8 @@
 	Starts, Stops, Paces, Ends, Releases, LeaseEnds, Unanswered, RoomRefusals, Stuck uint64
 	Crashes, CrashLoops                                                              uint64
 	GivenUp                                                                          uint64
+	WorkRuns                                                                         uint64
+	WorkError, EstimateError                                                         float64
 	// Scans counts searches of a whole pool for a worker.
 	Scans                        uint64
 	Waiting, Usable, Quarantined int
@@ -104,6 +112,7 @@
 		searchedAt: map[*graph.StepState]time.Time{}, forgetAt: now.Add(forgetEvery), pressuresSavedAt: now,
 	}
 	c.inheritPressures(now)
+	c.work = expect.Restore(tables.Expected())
 	inherited := now.Add(time.Duration(float64(limits.LeaseMax) / (1 - MaxClockSlow)))
 	for _, ws := range c.addWorkers(now) {
 		ws.inheritedEnd = inherited
@@ -224,6 +233,9 @@
 	clear(c.changes)
 	b.Occurrences = c.dueOccurrences(nowMS)
 	b.Starts = c.place(now, nowMS)
+	if now.Sub(c.pressuresSavedAt) >= pressureSaveInterval {
+		b.Expected = c.work.Save()
+	}
 	b.Pressures = c.pressuresToSave(now)
 	if !now.Before(c.forgetAt) {
 		c.forgetAt = now.Add(forgetEvery)
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -204,6 +204,7 @@
 		r.ending, r.reported = true, true
 		c.Stats.Ends++
 		c.recordEnd(now, r, row.Kind)
+		c.recordWork(now, r, row.Kind)
 		checkpoint := row.Checkpoint
 		if checkpoint == "" {
 			checkpoint = r.checkpoint
--- a/core/graph/apply.go
+++ b/core/graph/apply.go
@@ -69,6 +69,9 @@
 	if len(b.Pressures) > 0 {
 		t.pressures = b.Pressures
 	}
+	if len(b.Expected) > 0 {
+		t.expected = b.Expected
+	}
 	return r
 }
 
--- a/core/graph/batch.go
+++ b/core/graph/batch.go
@@ -39,12 +39,14 @@
 	Crashes []Crash `cbor:"15,keyasint,omitempty"`
 	// Waits are applied after Releases.
 	Waits []Wait `cbor:"16,keyasint,omitempty"`
+	// Expected replaces what is recorded of expected work unless it is empty.
+	Expected []Expected `cbor:"17,keyasint,omitempty"`
 }
 
 // Empty reports whether the batch changes nothing.
 func (b *Batch) Empty() bool {
 	return len(b.Workers)+len(b.Domains)+len(b.Submits)+len(b.Cancels)+len(b.Ends)+len(b.Releases)+
-		len(b.Occurrences)+len(b.Starts)+len(b.Begun)+len(b.Crashes)+len(b.Waits) == 0 && b.Config == nil && b.ForgetBeforeMS == 0 && len(b.Pressures) == 0
+		len(b.Occurrences)+len(b.Starts)+len(b.Begun)+len(b.Crashes)+len(b.Waits) == 0 && b.Config == nil && b.ForgetBeforeMS == 0 && len(b.Pressures) == 0 && len(b.Expected) == 0
 }
 
 // WorkerChange registers a worker incarnation or updates its record.
@@ -148,6 +150,18 @@
 	Headroom float32
 }
 
+// Expected is what a leader has learned of a kind of work, so that the next one starts
+// with it (see package expect): means and variances of the logarithms of the duration in
+// milliseconds, and of its ratio to the caller's estimate.
+type Expected struct {
+	_                                                struct{} `cbor:",toarray"`
+	Queue                                            string
+	Step                                             int
+	Size                                             uint8
+	Weight                                           float32
+	TookMean, TookVariance, RatioMean, RatioVariance float32
+}
+
 // Encode sets the format version and returns the encoded log entry.
 func (b *Batch) Encode() ([]byte, error) {
 	b.Version = BatchVersion
--- a/core/graph/snapshot.go
+++ b/core/graph/snapshot.go
@@ -23,7 +23,8 @@
 	// array has a fixed length, so that snapshots of earlier versions can be decoded.
 	Crashes []crashImage `cbor:"10,keyasint,omitempty"`
 	// Ended lists when the last runs of tasks ended, for the reason given for Crashes.
-	Ended []endedImage `cbor:"11,keyasint,omitempty"`
+	Ended    []endedImage `cbor:"11,keyasint,omitempty"`
+	Expected []Expected   `cbor:"12,keyasint,omitempty"`
 }
 
 type endedImage struct {
@@ -85,7 +86,7 @@
 func (t *Tables) Encode() ([]byte, error) {
 	im := image{
 		Version: BatchVersion, Index: t.index, NowMS: t.nowMS,
-		Config: t.config, Domains: t.domains, LastHandle: t.lastHandle, Pressures: t.pressures,
+		Config: t.config, Domains: t.domains, LastHandle: t.lastHandle, Pressures: t.pressures, Expected: t.expected,
 	}
 	for _, w := range t.workers {
 		im.Workers = append(im.Workers, workerImage{Report: w.WorkerReport, Handle: w.Handle, Left: w.Left, Current: t.byID[w.ID] == w})
@@ -203,7 +204,7 @@
 			t.byID[w.ID] = w
 		}
 	}
-	t.pressures = im.Pressures
+	t.pressures, t.expected = im.Pressures, im.Expected
 	for i := range im.Jobs {
 		if err := t.restoreJob(&im.Jobs[i]); err != nil {
 			return nil, err
--- a/core/graph/tables.go
+++ b/core/graph/tables.go
@@ -29,6 +29,8 @@
 	// pressures are the pressures of filler images on serving images, as last
 	// recorded by a leader.
 	pressures []Pressure
+	// expected is what is known of expected work, as last recorded by a leader.
+	expected []Expected
 }
 
 // New returns empty tables.
@@ -48,6 +50,9 @@
 // recorded by a leader.
 func (t *Tables) Pressures() []Pressure { return t.pressures }
 
+// Expected returns what is known of expected work, as last recorded by a leader.
+func (t *Tables) Expected() []Expected { return t.expected }
+
 // Config returns the configuration in force, or nil.
 func (t *Tables) Config() *Config { return t.config }
 
