--- a/core/dispatch/shares.go
+++ b/core/dispatch/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -21,7 +22,7 @@
 }
 
 // shareOut merges the organisations' work within each priority and class by their shares.
-func (c *Core) shareOut(steps []ranked, overdue map[*graph.Task]bool) []ranked {
+func (c *Core) shareOut(steps []ranked, overdue map[*graph.Task]int) []ranked {
 	if len(steps) == 0 || !slices.ContainsFunc(steps, func(r ranked) bool { return owner(r.step) != owner(steps[0].step) }) {
 		return steps
 	}
@@ -48,7 +49,7 @@
 // splitSteps gives each step a second entry with the tasks that bring its organisation
 // above the equal share: a wide step would otherwise take many times the share of a small
 // organisation at once. The first entry has a task at least.
-func splitSteps(steps []ranked, equal float64, overdue map[*graph.Task]bool) []ranked {
+func splitSteps(steps []ranked, equal float64, overdue map[*graph.Task]int) []ranked {
 	out := make([]ranked, 0, 2*len(steps))
 	before := map[*organisation.Account]structs.Resources{}
 	for _, r := range steps {
@@ -106,13 +107,13 @@
 }
 
 // tasks returns how many tasks the entry has.
-func (r *ranked) tasks(overdue map[*graph.Task]bool) int {
+func (r *ranked) tasks(overdue map[*graph.Task]int) int {
 	if !r.step.LongRunning || len(overdue) == 0 {
 		return r.step.Waiting
 	}
 	n := 0
 	for i := range r.step.Tasks {
-		if overdue[&r.step.Tasks[i]] {
+		if overdue[&r.step.Tasks[i]] > 0 {
 			n++
 		}
 	}
@@ -237,6 +238,20 @@
 	return 1 / sum
 }
 
+// shareToYieldAbove returns the share above which an organisation's long-running tasks do
+// not go ahead of batch work: the equal share while work of an organisation below it waits.
+func (c *Core) shareToYieldAbove(waiting []*graph.StepState) float64 {
+	order := make([]ranked, len(waiting))
+	for i, s := range waiting {
+		order[i].step = s
+	}
+	equal := c.equalShare(order)
+	if equal > 0 && slices.ContainsFunc(waiting, func(s *graph.StepState) bool { return c.belowShare(s, equal) }) {
+		return equal
+	}
+	return math.Inf(1)
+}
+
 // overShare returns the organisations that are furthest above the equal share.
 func (c *Core) overShare(equal float64) []string {
 	var out []string
--- a/host/relay/caller_test.go
+++ b/host/relay/caller_test.go
@@ -52,13 +52,13 @@
 			}
 			other := make(chan result, 1)
 			go func() {
-				a, err := c.Submit(t.Context(), "h", "/q/1", graph.Spec{})
+				a, err := c.Submit(t.Context(), graph.KeyHash{}, "h", "/q/1", graph.Spec{})
 				other <- result{a, err}
 			}()
 			<-f.entered
 			ctx, cancel := end()
 			defer cancel()
-			if _, err := c.Submit(ctx, "h", "/q/2", graph.Spec{}); !errors.Is(err, ErrNoAnswer) {
+			if _, err := c.Submit(ctx, graph.KeyHash{}, "h", "/q/2", graph.Spec{}); !errors.Is(err, ErrNoAnswer) {
 				t.Fatalf("a call that was sent and not answered returned %v, want that its outcome is unknown", err)
 			}
 			if c.Leader() == "" {
@@ -78,7 +78,7 @@
 	c, f := clientOfSlowLeader(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	if _, err := c.Submit(ctx, "h", "/q/1", graph.Spec{}); !errors.Is(err, ErrTooLate) {
+	if _, err := c.Submit(ctx, graph.KeyHash{}, "h", "/q/1", graph.Spec{}); !errors.Is(err, ErrTooLate) {
 		t.Fatalf("a call without time left returned %v, want %v", err, ErrTooLate)
 	}
 	if len(f.entered) != 0 {
