dispatch: the limit of a step's tasks on a worker holds for every run that may be there

Two more ways were open: a run that only the worker's list names, as one that a delayed order started on a later incarnation, was not counted; and two plans, the second made while the outcome of the first was unknown, could both place a task there. Change: counts are kept per step for the whole plan and include such runs; a start that was never sent is checked once more before it is.

--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -61,6 +61,8 @@
 	switch {
 	case c.overCapacity(r.ws):
 		return "the worker's capacity has shrunk"
+	case r.isBesideTooMany():
+		return "other tasks of the step are on the worker"
 	case r.a.Step.Gang:
 		return "" // the other members wait for this one
 	case w.Left || w.Draining || c.tables.DomainOut(w.Domain):
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -20,7 +20,7 @@
 	overdue := c.overdueTasks(waiting, nowMS)
 	c.keepClaims(overdue)
 	steps := c.rank(waiting, nowMS, overdue)
-	p := &placer{c: c, now: now, nowMS: nowMS, overdue: overdue, perStep: map[graph.Handle]int{}, away: map[*graph.StepState]int{}}
+	p := &placer{c: c, now: now, nowMS: nowMS, overdue: overdue, perStep: map[*graph.StepState]map[graph.Handle]int{}, away: map[*graph.StepState]int{}}
 	for i := range steps {
 		if len(p.starts) >= maxStarts {
 			break
@@ -77,8 +77,9 @@
 	// pool and candidates are those of the current step.
 	pool       *poolState
 	candidates *candidatePool
-	// perStep counts the current step's tasks on each worker.
-	perStep map[graph.Handle]int
+	// perStep counts the tasks of steps with a limit on each worker. A step that has
+	// overdue tasks is placed twice in a plan.
+	perStep map[*graph.StepState]map[graph.Handle]int
 	// away has the tasks that do not serve, for the long-running steps of which a run
 	// may have to be stopped.
 	away map[*graph.StepState]int
@@ -127,14 +128,6 @@
 
 // placeStep places the waiting tasks of a step, either the overdue ones or the others.
 func (p *placer) placeStep(s *graph.StepState, overdue bool) {
-	clear(p.perStep)
-	if s.MaxPerWorker > 0 {
-		for i := range s.Tasks {
-			for _, a := range s.Tasks[i].Attempts {
-				p.perStep[a.Worker.Handle]++
-			}
-		}
-	}
 	if s.Gang {
 		p.placeGang(s)
 		return
@@ -196,6 +189,7 @@
 			for k, t := range taken {
 				p.deallocate(t, s)
 				t.countRun(&s.Tasks[k], -1)
+				p.count(s, t, -1)
 			}
 			p.starts = p.starts[:first]
 			return
@@ -208,7 +202,7 @@
 func (p *placer) start(s *graph.StepState, index, run int, cd *candidate) {
 	p.allocate(cd, s)
 	cd.countRun(&s.Tasks[index], 1)
-	p.perStep[cd.ws.w.Handle]++
+	p.count(s, cd, 1)
 	p.starts = append(p.starts, graph.Start{Task: s.Ref(index), Run: run, Worker: cd.ws.w.Handle})
 }
 
@@ -351,5 +345,5 @@
 	if s.LongRunning && p.now.Before(cd.ws.yieldedUntil) {
 		return false // a run was stopped there for batch work
 	}
-	return s.MaxPerWorker <= 0 || p.perStep[w.Handle] < s.MaxPerWorker
+	return p.mayAdd(s, cd.ws)
 }
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -71,6 +71,9 @@
 	lastObservation observation
 	candidate       candidate
 	runs            map[*graph.Attempt]*runState
+	// strays counts, by step, the runs in the newest list that have no attempt on this
+	// worker. Only steps with MaxPerWorker are counted.
+	strays map[*graph.StepState]int
 }
 
 // runState is the leader's state for one attempt.
