--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -22,7 +22,7 @@
 	overdue := c.overdueTasks(waiting, nowMS)
 	c.keepClaims(overdue)
 	steps := c.rank(waiting, nowMS, overdue)
-	p := &placer{c: c, now: now, nowMS: nowMS, overdue: overdue, perStep: map[graph.Handle]int{}, placed: map[*graph.Task]graph.Handle{}, away: map[*graph.StepState]int{}}
+	p := &placer{c: c, now: now, nowMS: nowMS, overdue: overdue, perStep: map[*graph.StepState]map[graph.Handle]int{}, placed: map[*graph.Task]struct{}{}, away: map[*graph.StepState]int{}}
 	for i := range steps {
 		if len(p.starts) >= maxStarts {
 			break
@@ -82,8 +82,9 @@
 	// pool and candidates are those of the current step.
 	pool       *poolState
 	candidates *candidatePool
-	// perStep counts the current step's tasks on each worker.
-	perStep map[graph.Handle]int
+	// perStep counts the tasks of steps with a limit on each worker. A step that has
+	// overdue tasks is placed twice in a plan.
+	perStep map[*graph.StepState]map[graph.Handle]int
 	// away has the tasks that do not serve, for the long-running steps of which a run
 	// may have to be stopped.
 	away map[*graph.StepState]int
@@ -93,8 +94,8 @@
 	// excluded from the searches.
 	claimsBlocked   bool
 	blockedPriority int
-	// placed has the workers of the tasks that were placed in this plan.
-	placed map[*graph.Task]graph.Handle
+	// placed has the tasks that were placed in this plan.
+	placed map[*graph.Task]struct{}
 	// most is how many tasks of the current entry may be placed, 0 for all, and begun the
 	// number of starts before it.
 	most, begun int
@@ -141,17 +142,6 @@
 
 // placeStep places the waiting tasks of a step, either the overdue ones or the others.
 func (p *placer) placeStep(s *graph.StepState, overdue bool) {
-	clear(p.perStep)
-	if s.MaxPerWorker > 0 {
-		for i := range s.Tasks {
-			for _, a := range s.Tasks[i].Attempts {
-				p.perStep[a.Worker.Handle]++
-			}
-			if h, ok := p.placed[&s.Tasks[i]]; ok {
-				p.perStep[h]++ // by an earlier entry of the step
-			}
-		}
-	}
 	if s.Gang {
 		p.placeGang(s)
 		return
@@ -217,6 +207,7 @@
 			for k, t := range taken {
 				p.deallocate(t, s)
 				t.countRun(&s.Tasks[k], -1)
+				p.count(s, t, -1)
 			}
 			p.starts = p.starts[:first]
 			return
@@ -229,8 +220,8 @@
 func (p *placer) start(s *graph.StepState, index, run int, cd *candidate) {
 	p.allocate(cd, s)
 	cd.countRun(&s.Tasks[index], 1)
-	p.perStep[cd.ws.w.Handle]++
-	p.placed[&s.Tasks[index]] = cd.ws.w.Handle
+	p.placed[&s.Tasks[index]] = struct{}{}
+	p.count(s, cd, 1)
 	p.starts = append(p.starts, graph.Start{Task: s.Ref(index), Run: run, Worker: cd.ws.w.Handle})
 }
 
@@ -375,5 +366,5 @@
 	if s.LongRunning && p.now.Before(cd.ws.yieldedUntil) {
 		return false // a run was stopped there for batch work
 	}
-	return s.MaxPerWorker <= 0 || p.perStep[w.Handle] < s.MaxPerWorker
+	return p.mayAdd(s, cd.ws)
 }
