Jobs beyond an organisation's weight are marked; metrics by organisation

Cause: no job was marked as excess, and an operator saw nothing of organisations outside the dump. Change: the leader has a token bucket for each organisation, full at its election, and marks what finds it empty at submission. Use, limit, share and waiting tasks by organisation, 50 with a label of their own, the rest as one. The line "job accepted" names organisation and mark.

--- a/core/organisation/ledger.go
+++ b/core/organisation/ledger.go
@@ -45,10 +45,7 @@
 		a = &Account{ledger: l, weight: 1, use: l.tables.Usage(name)}
 		if c := l.tables.Config(); c != nil {
 			if o := c.OrganisationByName(name); o != nil {
-				a.limit = o.Limit
-				if o.Weight > 0 {
-					a.weight = o.Weight
-				}
+				a.weight, a.limit = Weight(o), o.Limit
 			}
 		}
 		l.accounts[name] = a
@@ -56,6 +53,14 @@
 	return a
 }
 
+// Weight returns the weight of an organisation in the configuration; 0 counts as 1.
+func Weight(o *graph.Organisation) float64 {
+	if o.Weight <= 0 {
+		return 1
+	}
+	return o.Weight
+}
+
 // Weight returns an organisation's weight; one that the configuration does not name has 1.
 func (l *Ledger) Weight(name string) float64 { return l.Account(name).weight }
 
--- a/host/dispatcher/caller.go
+++ b/host/dispatcher/caller.go
@@ -115,6 +115,7 @@
 			return Answer{Code: Done}, false
 		}
 		spec.ID, spec.Queue, spec.Organisation = f.id, f.queue.Name, f.organisation
+		spec.Excess = l.isExcess(f.config.OrganisationByName(f.organisation))
 		l.queued.submits = append(l.queued.submits, spec)
 		return Answer{}, true
 	})
--- a/host/dispatcher/dispatcher.go
+++ b/host/dispatcher/dispatcher.go
@@ -13,6 +13,7 @@
 
 	"gooseberrypond/core/dispatch"
 	"gooseberrypond/core/graph"
+	"gooseberrypond/core/organisation"
 	"gooseberrypond/store/replica"
 )
 
@@ -110,7 +111,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	l := &leadership{
 		d: d, term: term, cancel: cancel, ended: make(chan struct{}),
-		wake: make(chan struct{}, 1), holdWakes: map[graph.Handle]chan struct{}{},
+		wake: make(chan struct{}, 1), holdWakes: map[graph.Handle]chan struct{}{}, buckets: organisation.NewBuckets(),
 	}
 	d.mu.Lock()
 	d.lead = l
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -9,6 +9,7 @@
 
 	"gooseberrypond/core/dispatch"
 	"gooseberrypond/core/graph"
+	"gooseberrypond/core/organisation"
 	"gooseberrypond/store/replica"
 )
 
@@ -28,6 +29,8 @@
 	core *dispatch.Core
 	// queued collects the changes for the next proposal.
 	queued queuedChanges
+	// buckets tell which jobs organisations send beyond their weight.
+	buckets *organisation.Buckets
 	// proposing is set while a proposal is in flight; there is at most one.
 	proposing bool
 	// longWaitsLoggedAt is when the long waits were last logged.
@@ -393,7 +396,7 @@
 	log := &l.d.cfg.Logger
 	for i := range b.Submits {
 		j := &b.Submits[i]
-		log.Info().Str("job", string(j.ID)).Str("queue", j.Queue).Int("steps", len(j.Steps)).Int("times", j.Times).Msg("job accepted")
+		log.Info().Str("job", string(j.ID)).Str("queue", j.Queue).Int("steps", len(j.Steps)).Int("times", j.Times).Str("organisation", j.Organisation).Bool("excess", j.Excess).Msg("job accepted")
 	}
 	for _, id := range b.Cancels {
 		log.Info().Str("job", string(id)).Msg("job cancelled")
--- a/host/dispatcher/metrics.go
+++ b/host/dispatcher/metrics.go
@@ -63,6 +63,7 @@
 func (d *Dispatcher) Register(reg prometheus.Registerer) {
 	m := d.metrics
 	reg.MustRegister(m.commit, m.order, m.ready, m.orders, m.holds, m.answers, m.refusals, m.panics)
+	reg.MustRegister(newOrganisationMetrics(d))
 	gauge := func(name, help string, read func(*leadership) float64) {
 		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gooseberrypond_" + name, Help: help}, d.leaderValue(read)))
 	}
