Order of batch work by expected work: in time, late, too late; started jobs before fresh ones

Cause: which work can still be in time was decided by the callers' estimates, and a step counted by one task although it ends with its longest. Work that can be of no use any more came before work that could still earn its late credit.

Change: core/demand has the keys of batch work; Core.rank orders by them. Within a priority work that can be in time goes first, then what can still be there within three times its objective, then the rest; within each by the objective, for a job that has begun as if it were due by half of that earlier.

--- a/core/dispatch/helpers_test.go
+++ b/core/dispatch/helpers_test.go
@@ -242,3 +242,20 @@
 	s.EstimateMS = estimate.Milliseconds()
 	return s
 }
+
+// objectiveMS returns the time within which a job should complete: its critical
+// path by the caller's estimates times the queue's deadline factor, plus the
+// queue's target latency.
+func objectiveMS(j *graph.Job) int64 {
+	ends := make([]int64, len(j.Spec.Steps))
+	var chain int64
+	for i := range j.Spec.Steps {
+		s := &j.Spec.Steps[i]
+		for _, d := range s.DependsOn {
+			ends[i] = max(ends[i], ends[d])
+		}
+		ends[i] += s.EstimateMS
+		chain = max(chain, ends[i])
+	}
+	return int64(j.Queue.DeadlineFactor*float64(chain)) + j.Queue.TargetLatencyMS
+}
--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -5,6 +5,7 @@
 	"math"
 	"slices"
 
+	"gooseberrypond/core/demand"
 	"gooseberrypond/core/graph"
 )
 
@@ -15,7 +16,7 @@
 	class    rankClass
 	// atWork is the share of a long-running step's tasks that are at work.
 	atWork float64
-	dueMS  int64
+	batch  demand.Batch
 	// overdue is the position of an entry for overdue tasks among those.
 	overdue int
 }
@@ -34,20 +35,29 @@
 	// restartDelay rank with inTime unless batch work has less than its share, so that
 	// neither keeps the other waiting.
 	longRunning
-	// missed is batch work that can no longer meet its objective.
-	missed
+	// late is batch work that can no longer meet its objective but still be of use, tooLate
+	// that which cannot.
+	late
+	tooLate
 )
 
-func (c *Core) classOf(s *graph.StepState, nowMS, dueMS int64) rankClass {
+func (c *Core) classOf(s *graph.StepState, nowMS int64, b demand.Batch) rankClass {
 	switch {
 	case s.LongRunning && (nowMS-c.longestWaitingSince(s) < restartDelay.Milliseconds() || c.batchLacksShare(s.Occurrence.Job.Queue.Pool)):
 		return longRunning
 	case s.LongRunning:
 		return inTime
-	case nowMS+remainingMS(s) > dueMS:
-		return missed
 	}
-	return inTime
+	return [...]rankClass{demand.InTime: inTime, demand.Late: late, demand.TooLate: tooLate}[b.UseAt(nowMS)]
+}
+
+// batchOf returns what decides how early a step is placed.
+func (c *Core) batchOf(s *graph.StepState) demand.Batch {
+	o := s.Occurrence
+	return demand.Batch{
+		DueMS: o.DueMS, ObjectiveMS: c.objectiveMS(o), RemainingMS: c.remainingMS(s),
+		Started: s.Number > 0 || s.Open < len(s.Tasks) || s.Waiting < s.Open,
+	}
 }
 
 // firstOverdue returns the position among the overdue tasks of the step's first one, 0
@@ -88,14 +98,14 @@
 	return since
 }
 
-// rank sorts steps by priority, then by class, then by the time by which their job
-// should be complete; long-running ones by the share of their tasks at work before that.
+// rank sorts steps by priority, then by class, then by the time by which their job should
+// be complete; long-running ones by the share of their tasks at work before that.
 func (c *Core) rank(steps []*graph.StepState, nowMS int64, overdue map[*graph.Task]int) []ranked {
 	out := make([]ranked, 0, len(steps))
 	for _, s := range steps {
 		o := s.Occurrence
-		due := o.DueMS + objectiveMS(o.Job)
-		r := ranked{step: s, priority: o.Job.Queue.Priority, class: c.classOf(s, nowMS, due), dueMS: due}
+		r := ranked{step: s, priority: o.Job.Queue.Priority, batch: c.batchOf(s)}
+		r.class = c.classOf(s, nowMS, r.batch)
 		if s.LongRunning {
 			r.atWork = float64(c.atWork(s)) / float64(len(s.Tasks))
 		}
@@ -107,22 +117,24 @@
 	}
 	slices.SortStableFunc(out, func(a, b ranked) int {
 		return cmp.Or(cmp.Compare(a.priority, b.priority), cmp.Compare(a.class, b.class),
-			cmp.Compare(a.overdue, b.overdue), cmp.Compare(a.atWork, b.atWork), cmp.Compare(a.dueMS, b.dueMS))
+			cmp.Compare(a.overdue, b.overdue), cmp.Compare(a.atWork, b.atWork), a.batch.Compare(b.batch))
 	})
 	return out
 }
 
-// remainingMS returns the length of the critical path from a step on, by the
-// caller's estimates.
-func remainingMS(s *graph.StepState) int64 {
+// stepMS returns what a step is expected to take: it ends with its longest task.
+func (c *Core) stepMS(s *graph.StepState) int64 { return c.ExpectedWork(s).LongestOf(len(s.Tasks)) }
+
+// remainingMS returns the expected length of the critical path from a step on.
+func (c *Core) remainingMS(s *graph.StepState) int64 {
 	steps := s.Occurrence.Steps
 	ends := make([]int64, len(steps))
-	ends[s.Number] = s.EstimateMS
-	longest := s.EstimateMS
+	ends[s.Number] = c.stepMS(s)
+	longest := ends[s.Number]
 	for i := s.Number + 1; i < len(steps); i++ {
 		for _, d := range steps[i].DependsOn {
 			if ends[d] > 0 {
-				ends[i] = max(ends[i], ends[d]+steps[i].EstimateMS)
+				ends[i] = max(ends[i], ends[d]+c.stepMS(steps[i]))
 			}
 		}
 		longest = max(longest, ends[i])
@@ -130,19 +142,18 @@
 	return longest
 }
 
-// objectiveMS returns the time within which a job should complete: its critical
-// path by the caller's estimates times the queue's deadline factor, plus the
-// queue's target latency.
-func objectiveMS(j *graph.Job) int64 {
-	ends := make([]int64, len(j.Spec.Steps))
+// objectiveMS returns the time within which an occurrence should complete: the expected
+// length of its critical path times the queue's deadline factor, plus the queue's target
+// latency.
+func (c *Core) objectiveMS(o *graph.Occurrence) int64 {
+	ends := make([]int64, len(o.Steps))
 	var chain int64
-	for i := range j.Spec.Steps {
-		s := &j.Spec.Steps[i]
+	for i, s := range o.Steps {
 		for _, d := range s.DependsOn {
 			ends[i] = max(ends[i], ends[d])
 		}
-		ends[i] += s.EstimateMS
+		ends[i] += c.stepMS(s)
 		chain = max(chain, ends[i])
 	}
-	return int64(j.Queue.DeadlineFactor*float64(chain)) + j.Queue.TargetLatencyMS
+	return int64(o.Job.Queue.DeadlineFactor*float64(chain)) + o.Job.Queue.TargetLatencyMS
 }
--- a/core/expect/model.go
+++ b/core/expect/model.go
@@ -44,6 +44,13 @@
 // average, and what nine of ten tasks do not exceed.
 type Work struct{ MeanMS, HighMS int64 }
 
+// LongestOf returns what the longest of n tasks is expected to take: of ten, about what
+// nine do not exceed.
+func (w Work) LongestOf(n int) int64 {
+	share := min(1, math.Log(float64(max(n, 1)))/math.Ln10)
+	return w.MeanMS + int64(share*float64(w.HighMS-w.MeanMS))
+}
+
 // normal is a decaying mean and variance of the logarithm of a quantity.
 type normal struct{ mean, variance float64 }
 
--- a/core/expect/model_test.go
+++ b/core/expect/model_test.go
@@ -99,3 +99,14 @@
 		t.Errorf("%+v is expected without an estimate", w)
 	}
 }
+
+// Guards against a step that counts as done with its average task, or a single task that
+// counts as the longest of many.
+func TestLongestOf(t *testing.T) {
+	w := Work{MeanMS: 1000, HighMS: 2000}
+	for n, want := range map[int]int64{0: 1000, 1: 1000, 3: 1477, 10: 2000, 100: 2000} {
+		if got := w.LongestOf(n); got != want {
+			t.Errorf("%d ms for the longest of %d tasks, want %d", got, n, want)
+		}
+	}
+}
