--- a/core/dispatch/shares.go
+++ b/core/dispatch/shares.go
@@ -83,7 +83,7 @@
 	for i := range steps {
 		r := &steps[i]
 		r.sharesAs = r.class
-		if r.class == missed && r.account.ShareWith(structs.Resources{}) < equal {
+		if r.class >= late && r.account.ShareWith(structs.Resources{}) < equal {
 			r.sharesAs, raised = inTime, true
 		}
 	}
--- a/core/dispatch/standing.go
+++ b/core/dispatch/standing.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"time"
@@ -188,7 +189,7 @@
 		}
 		missing := s.ReservedResources().Sub(cd.free)
 		for _, r := range cd.ws.runs {
-			if best != nil && r.a.Step.Need.CPUMilli >= best.a.Step.Need.CPUMilli {
+			if best != nil && !isSmaller(r.a, best.a) {
 				continue
 			}
 			if missing.Fits(r.a.Step.ReservedResources()) && p.mayPreempt(s, r) && p.givesUp(r.a.Step, waited) {
@@ -199,6 +200,14 @@
 	return best
 }
 
+// isSmaller orders runs by the processors that they reserve, then by their task, so that
+// the choice does not depend on the order of a map.
+func isSmaller(a, b *graph.Attempt) bool {
+	x, y := a.Ref(), b.Ref()
+	return cmp.Or(cmp.Compare(a.Step.Need.CPUMilli, b.Step.Need.CPUMilli), cmp.Compare(x.Job, y.Job),
+		cmp.Compare(x.Occurrence, y.Occurrence), cmp.Compare(x.Step, y.Step), cmp.Compare(x.Index, y.Index)) < 0
+}
+
 func (p *placer) givesUp(s *graph.StepState, waited time.Duration) bool {
 	h := demand.Holder{Tasks: len(s.Tasks), Away: p.away[s], Rested: demand.GiveUpRest}
 	if at, ok := p.c.givenUpAt[s]; ok {
