Fillers: those that an earlier leader slowed are resumed, resumed ones don't count as stuck

Cause: a new leader took inherited fillers to run at full pace. One that had been paused got no order, made no progress and was stopped after 1.5 s, some at 98% of their work. A filler that had been paused for longer was also stopped by the first list after its order to go on. Change: the pace of an inherited filler is unknown until its use of processors shows full pace or an order is accepted; a resumed one has its time without progress counted from the order.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -165,7 +165,7 @@
 		if !a.Step.Filler {
 			continue
 		}
-		measured := float64(r.pace) / 100 * ws.measuredShare(r)
+		measured := float64(max(0, r.pace)) / 100 * ws.measuredShare(r)
 		if measured < 1 {
 			share := float64(a.Step.Need.CPUMilli) / float64(max(ws.w.Capacity.CPUMilli, 1))
 			unmeasured += c.pressureOf(a.Step.Image, serving) * share * (1 - measured)
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -124,7 +124,11 @@
 	for _, ws := range c.addWorkers(now) {
 		ws.inheritedEnd = inherited
 		for a := range ws.w.Attempts {
-			c.track(ws, a).inherited = true
+			r := c.track(ws, a)
+			r.inherited = true
+			if a.Step.Filler {
+				r.pace = paceUnknown
+			}
 		}
 	}
 	c.sortNewWorkers()
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -160,7 +160,7 @@
 		c.stopAnswered(now, r, reply.Outcome)
 	case OrderPace:
 		// The worker refuses a pace for a run that has ended; it will list the end.
-		r.pace = o.Percent
+		r.paceAccepted(o.Percent, reply.ClockMS)
 	}
 }
 
--- a/core/dispatch/pace.go
+++ b/core/dispatch/pace.go
@@ -24,6 +24,12 @@
 	// minPace is the pace, in percent, below which fillers are paused instead: at
 	// such a pace a filler makes little progress and still causes interference.
 	minPace = 5
+	// paceUnknown stands for the pace of a filler that an earlier leader may have slowed or
+	// paused.
+	paceUnknown = -1
+	// fullUse is the share of its processor request that a filler uses, by its worker's
+	// list, only at full pace.
+	fullUse = 0.9
 	// pacingHoldWait replaces HoldWait for workers that run fillers beside tasks
 	// with a tail target. It limits the age of their measurements.
 	pacingHoldWait = 500 * time.Millisecond
@@ -75,12 +81,30 @@
 		}
 	}
 	for a, r := range ws.runs {
+		r.inferPace()
 		if a.Step.Filler && (r.reported || !r.acceptedAt.IsZero()) && c.targetPace(r) != r.pace {
 			c.queueRun(r)
 		}
 	}
 }
 
+// inferPace sets the pace of an inherited filler that uses the processors it requested, so
+// that only those need an order that an earlier leader has slowed.
+func (r *runState) inferPace() {
+	if r.pace == paceUnknown && r.reported && r.measure >= fullUse*float64(r.a.Step.Need.CPUMilli) {
+		r.pace = 100
+	}
+}
+
+// paceAccepted records the pace that the worker has accepted at a time on its clock. A run
+// that was paused could make no progress before.
+func (r *runState) paceAccepted(percent int, clockMS int64) {
+	if r.pace < minPace && percent >= minPace {
+		r.progressMS = max(r.progressMS, clockMS)
+	}
+	r.pace = percent
+}
+
 // updateServing updates the headroom of the serving tasks from the last list and
 // reports whether the worker runs fillers.
 func (c *Core) updateServing(ws *workerState) (fillers bool) {
@@ -152,7 +176,7 @@
 	if w < minPace {
 		return 0
 	}
-	if diff := w - accepted; w < 100 && diff < paceTolerance && diff > -paceTolerance {
+	if diff := w - accepted; accepted != paceUnknown && w < 100 && diff < paceTolerance && diff > -paceTolerance {
 		return accepted
 	}
 	return w
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -113,7 +113,7 @@
 	percent    int     // progress, as last reported
 	progressMS int64   // when percent last increased, by the worker's clock
 	measure    float64 // see RunningRow.Measure
-	pace       int     // as last accepted by the worker
+	pace       int     // as last accepted by the worker, or paceUnknown
 	ending     bool    // the worker has listed its end, which is to be recorded
 	releasing  bool    // its release is to be recorded
 }
