A worker with runs that delayed orders started gets no new work

Cause: a start that was sent to a worker's former incarnation, or one that was released, may still be carried out.

Change: while its newest list names such runs a worker counts as not reachable.

--- a/core/dispatch/fleet_test.go
+++ b/core/dispatch/fleet_test.go
@@ -89,3 +89,31 @@
 		t.Errorf("the call after a start is due in %v and waits there for %d ms, want 0 and %v", wait, hold.WaitMS, HoldWait)
 	}
 }
+
+// Guards against more tasks of a step on a worker than the step allows: a delayed start
+// that was sent to the worker's former incarnation runs on it, and its attempt is recorded
+// for that one.
+func TestRunOfFormerIncarnationCountsForItsStep(t *testing.T) {
+	r := newRig(t)
+	old := r.register("w", 1)
+	s := step(2, 100)
+	s.MaxPerWorker = 1
+	r.submit(rid(1), s)
+	r.commitPlan()
+	r.dropOrders()
+	r.core.Beat(r.now, worker("w", 2))
+	r.commitPlan()
+	h := r.tables.WorkerByID("w").Handle
+	late := r.attempts(rid(1))[0]
+	r.lists[h] = &fakeLists{running: map[graph.TaskRef]RunningRow{late.Ref(): {Task: late.Ref(), Run: late.Run}}}
+	r.hold(h)
+	for range 3 {
+		r.commitPlan()
+		r.advance(placeRetry)
+	}
+	for _, a := range r.attempts(rid(1)) {
+		if a.Worker.Handle != old {
+			t.Errorf("%s is placed on the worker beside %s, which its former incarnation was to run", a.Ref(), late.Ref())
+		}
+	}
+}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -136,6 +136,9 @@
 	running := make(map[*graph.Attempt]bool, len(reply.Running))
 	newest := reply.ClockMS >= ws.listedMS // a list may overtake an earlier one
 	ws.listedMS = max(ws.listedMS, reply.ClockMS)
+	if newest {
+		ws.strayRuns = 0
+	}
 	for i := range reply.Running {
 		c.handleRunning(ws, &reply.Running[i], running, newest)
 	}
@@ -158,7 +161,9 @@
 func (c *Core) handleRunning(ws *workerState, row *RunningRow, running map[*graph.Attempt]bool, newest bool) {
 	a := c.tables.Attempt(row.Task, row.Run)
 	if a == nil || a.Worker != ws.w {
-		c.stopUnknownRun(ws, row)
+		if c.stopUnknownRun(ws, row) && newest {
+			ws.strayRuns++
+		}
 		return
 	}
 	c.hasBegun(a)
@@ -180,18 +185,20 @@
 	}
 }
 
-// stopUnknownRun stops a run that has no attempt on this worker.
-func (c *Core) stopUnknownRun(ws *workerState, row *RunningRow) {
+// stopUnknownRun stops a run that has no attempt on this worker. It reports whether the
+// run's task is known.
+func (c *Core) stopUnknownRun(ws *workerState, row *RunningRow) bool {
+	step, task := c.findTask(row.Task)
+	if task == nil {
+		return false
+	}
 	for _, r := range c.queuedRuns {
 		if r.ws == ws && r.a.Run == row.Run && r.a.Ref() == row.Task {
-			return
+			return true
 		}
 	}
-	step, task := c.findTask(row.Task)
-	if task == nil {
-		return
-	}
 	c.queueRun(&runState{a: &graph.Attempt{Step: step, Index: row.Task.Index, Run: row.Run, Worker: ws.w}, ws: ws, abandonReason: "started by a delayed order", reported: true})
+	return true
 }
 
 func (c *Core) findTask(ref graph.TaskRef) (*graph.StepState, *graph.Task) {
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -26,6 +26,9 @@
 	clockAt time.Time
 	// listedMS is the worker's clock in the newest list.
 	listedMS int64
+	// strayRuns counts the runs in the newest list that have no attempt on this worker.
+	// Delayed orders started them, and they are being stopped.
+	strayRuns int
 	// deadlineMS is the latest lease deadline sent.
 	deadlineMS int64
 
@@ -231,9 +234,9 @@
 }
 
 // reachable reports whether the worker takes orders and is in service. It may be
-// quarantined.
+// quarantined. Stray runs take room, and places of their steps, that the tables do not show.
 func (c *Core) reachable(now time.Time, ws *workerState) bool {
-	return ws.fenced && !ws.suspect && !ws.w.Left && !ws.w.Draining && !ws.clockAt.IsZero() &&
+	return ws.fenced && !ws.suspect && ws.strayRuns == 0 && !ws.w.Left && !ws.w.Draining && !ws.clockAt.IsZero() &&
 		!now.Before(ws.noNewWorkUntil) && !c.tables.DomainOut(ws.w.Domain)
 }
 
