--- a/core/dispatch/apart.go
+++ b/core/dispatch/apart.go
@@ -8,6 +8,7 @@
 
 // noteStray counts a listed run without an attempt on the worker.
 func (ws *workerState) noteStray(s *graph.StepState) {
+	ws.strayRuns++
 	if s.MaxPerWorker <= 0 {
 		return
 	}
@@ -17,6 +18,12 @@
 	ws.strays[s]++
 }
 
+// forgetStrays begins the count of a new list.
+func (ws *workerState) forgetStrays() {
+	ws.strayRuns = 0
+	clear(ws.strays)
+}
+
 // countByWorker counts the step's runs by the worker of their attempt.
 func countByWorker(s *graph.StepState) map[graph.Handle]int {
 	n := map[graph.Handle]int{}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -142,7 +142,7 @@
 	newest := reply.ClockMS >= ws.listedMS // a list may overtake an earlier one
 	ws.listedMS = max(ws.listedMS, reply.ClockMS)
 	if newest {
-		clear(ws.strays)
+		ws.forgetStrays()
 	}
 	for i := range reply.Running {
 		c.handleRunning(ws, &reply.Running[i], running, newest)
@@ -203,6 +203,7 @@
 		}
 	}
 	c.queueRun(&runState{a: &graph.Attempt{Step: step, Index: row.Task.Index, Run: row.Run, Worker: ws.w}, ws: ws, abandonReason: "started by a delayed order", reported: true})
+	return
 }
 
 func (c *Core) findTask(ref graph.TaskRef) (*graph.StepState, *graph.Task) {
