dispatch: a gang is withdrawn whole and placed once in a plan

(1) A member of a gang that had to give way to another task of its step on the worker was withdrawn alone; the others waited for it and ended alone. (2) A long-running gang with overdue tasks has two entries in the order, and each placed it: six starts of a gang of three, on room that others wait for. Change: the unsent starts of the gang are withdrawn together, as above a limit; a gang that the plan has placed is not placed again, and one that found no room is not counted as placed. Measured: TestGangBesideTooManyIsWithdrawnWhole and TestGangWithOverdueTasksIsPlacedOnce fail before (one member started; 6 starts) and pass now.

--- a/core/dispatch/apart.go
+++ b/core/dispatch/apart.go
@@ -61,6 +61,8 @@
 	return s.MaxPerWorker <= 0 || p.onWorker(s)[ws.w.Handle]+ws.strays[s] < s.MaxPerWorker
 }
 
+const reasonBesideTooMany = "other tasks of the step are on the worker"
+
 // isBesideTooMany reports whether a run that was never sent has to give way to others of
 // its step on the worker. Two plans may have placed them there, if the second was made
 // while the outcome of the first was unknown.
--- a/core/dispatch/apart_test.go
+++ b/core/dispatch/apart_test.go
@@ -132,3 +132,55 @@
 	r.commitPlan()
 	r.expectApart(job1)
 }
+
+// Guards against a gang of which one member alone is withdrawn: the others would wait for
+// it and end alone.
+func TestGangBesideTooManyIsWithdrawnWhole(t *testing.T) {
+	r := newRig(t)
+	a, b := r.register("a", 1), r.register("b", 1)
+	gang := apart(2)
+	gang.Gang = true
+	r.submit(job1, gang)
+	r.apply(&graph.Batch{Starts: []graph.Start{
+		{Task: graph.TaskRef{Job: job1, Index: 0}, Run: 1, Worker: a},
+		{Task: graph.TaskRef{Job: job1, Index: 1}, Run: 1, Worker: b},
+	}})
+	r.core.workers[a].noteStray(r.attempts(job1)[0].Step)
+	for _, o := range r.acceptOrders() {
+		if o.Kind == OrderStart {
+			t.Errorf("member %d of the gang was started", o.Task.Index)
+		}
+	}
+	r.core.workers[a].forgetStrays()
+	for range 4 {
+		r.advance(placeRetry)
+		r.commitPlan()
+		r.acceptOrders()
+	}
+	if n := len(r.attempts(job1)); n != 2 {
+		t.Errorf("%d members run after the withdrawal, want 2", n)
+	}
+}
+
+// Guards against a long-running gang that is placed twice in one plan: a step with overdue
+// tasks has two entries in the order.
+func TestGangWithOverdueTasksIsPlacedOnce(t *testing.T) {
+	r := newRig(t)
+	r.register("a", 1)
+	r.register("b", 1)
+	gang := step(3, 1000)
+	gang.Gang, gang.LongRunning = true, true
+	r.submit(job1, gang)
+	r.commitPlan()
+	for _, a := range r.attempts(job1) {
+		r.apply(&graph.Batch{Releases: []graph.Release{{Task: a.Ref(), Run: 1, Worker: a.Worker.Handle}}})
+	}
+	r.advance(2 * overdueAfter)
+	for _, ws := range r.core.workers {
+		ws.lastAnswer, ws.lastHeartbeat = r.now, r.now
+	}
+	b := r.core.Plan(r.now, r.now.UnixMilli())
+	if len(b.Starts) != 3 {
+		t.Errorf("%d starts of a gang of 3", len(b.Starts))
+	}
+}
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -63,8 +63,8 @@
 		return "the worker's capacity has shrunk"
 	case c.aboveLimit(r):
 		return reasonAboveLimit
-	case r.isBesideTooMany():
-		return "other tasks of the step are on the worker"
+	case r.isBesideTooMany() && (!r.a.Step.Gang || c.withdrawGang(r.a.Step, reasonBesideTooMany)):
+		return reasonBesideTooMany
 	case r.a.Step.Gang:
 		return "" // the other members wait for this one
 	case w.Left || w.Draining || c.tables.DomainOut(w.Domain):
--- a/core/dispatch/owners.go
+++ b/core/dispatch/owners.go
@@ -68,7 +68,7 @@
 		return false
 	}
 	if s.Gang {
-		return c.withdrawGang(s)
+		return c.withdrawGang(s, reasonAboveLimit)
 	}
 	return true
 }
@@ -88,7 +88,7 @@
 }
 
 // withdrawGang abandons all runs of a gang unless the start of one may have been sent.
-func (c *Core) withdrawGang(s *graph.StepState) bool {
+func (c *Core) withdrawGang(s *graph.StepState, reason string) bool {
 	var members []*runState
 	for i := range s.Tasks {
 		for _, a := range s.Tasks[i].Attempts {
@@ -100,7 +100,7 @@
 		}
 	}
 	for _, r := range members {
-		r.abandonReason = reasonAboveLimit
+		r.abandonReason = reason
 	}
 	return true
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -193,7 +193,7 @@
 	if s.Waiting < len(s.Tasks) {
 		return // some members of the previous run have not ended
 	}
-	if p.pool == nil || !p.mayHold(s, len(s.Tasks)) {
+	if p.pool == nil || p.isPlaced(&s.Tasks[0]) || !p.mayHold(s, len(s.Tasks)) {
 		return
 	}
 	run, first := 0, len(p.starts)
@@ -208,6 +208,7 @@
 				p.deallocate(t, s)
 				t.countRun(&s.Tasks[k], -1)
 				p.count(s, t, -1)
+				delete(p.placed, &s.Tasks[k])
 			}
 			p.starts = p.starts[:first]
 			return
