--- a/soak/host.go
+++ b/soak/host.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"fmt"
 	"os"
 	"os/exec"
@@ -11,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"gooseberrypond/platform/standin"
 )
 
 // Ports of every host; the hosts have addresses of their own.
@@ -40,16 +41,10 @@
 func (h *host) address(port int) string { return fmt.Sprintf("%s:%d", h.ip, port) }
 
 func (h *host) writeSettings(bootstrap bool) (path string, err error) {
-	data, err := json.Marshal(map[string]any{
-		"node_name": h.name, "ip": h.ip, "zone": "d1", "port_range": []int{innerPort, innerPort + 1},
-		"listen": map[string]string{"frontend": h.address(frontendPort), "readiness": h.address(readinessPort), "control": h.address(controlPort)},
-		"seeds":  h.seeds, "bootstrap": bootstrap, "data_dir": h.dataDir(),
-		"limits": map[string]int{"memory_mb": 400, "max_fds": 4096},
-		"bounds": map[string]any{"max_hold_ms": leaseMS, "stop_timeout_ms": 500, "interference_ms": 4000, "grace_s": 6, "ack_ms": 4000},
-	})
-	if err != nil {
-		return "", errors.Wrap(err, "encode settings")
-	}
+	data := standin.Settings{
+		Name: h.name, IP: h.ip, Seeds: h.seeds, FirstStart: bootstrap, DataDir: h.dataDir(), FirstInnerPort: innerPort, LeaseMS: leaseMS,
+		Frontend: h.address(frontendPort), Readiness: h.address(readinessPort), Control: h.address(controlPort),
+	}.Encode()
 	path = filepath.Join(h.dir, "settings.json")
 	return path, errors.Wrap(os.WriteFile(path, data, 0o600), "write settings")
 }
