--- a/core/dispatch/rank.go
+++ b/core/dispatch/rank.go
@@ -22,7 +22,7 @@
 	// has some of the step's tasks.
 	most int
 	rest bool
-	// account is that of the step\'s organisation, if work of several waits.
+	// account is that of the step's organisation, if work of several waits.
 	account *organisation.Account
 	// atWork is the share of a long-running step's tasks that are at work.
 	atWork float64
--- a/core/dispatch/shares.go
+++ b/core/dispatch/shares.go
@@ -123,12 +123,12 @@
 	return r.step.Waiting - n
 }
 
-// callBackAfter is how long batch work of an organisation below its share waits before
-// long-running tasks of others give way: until batch work, which ends by itself, would have
-// made room. Long-running tasks wait for restartDelay, until they rank with the others.
-const callBackAfter = time.Second
-
 const (
+	// callBackAfter is how long batch work of an organisation below its share waits before
+	// long-running tasks of others give way: until batch work, which ends by itself, would
+	// have made room. Long-running tasks wait for restartDelay, until they rank with the
+	// others.
+	callBackAfter = time.Second
 	// callBackEvery is the time between two searches for tasks that give way.
 	callBackEvery = 250 * time.Millisecond
 	// callBackOwners is how many organisations, the furthest above their share first, are
--- a/core/outage/outage.go
+++ b/core/outage/outage.go
@@ -98,9 +98,9 @@
 }
 
 // RetryAfter returns when a refused caller should come back, in whole seconds and at
-// least one, which is also the answer while a leader is known. left is the time until the caller gives up: it is not told to come back later
-// than that. spread is uniform in [0, 1) and independent between callers, so that they
-// don't return together.
+// least one, which is also the answer while a leader is known. left is the time until the
+// caller gives up: it is not told to come back later than that. spread is uniform in
+// [0, 1) and independent between callers, so that they don't return together.
 func (t *Tracker) RetryAfter(now time.Time, left time.Duration, spread float64) int {
 	if !t.lost {
 		return 1
