dispatch: the constructors of the core and of a plan read field by field

Cause: both had grown into lines of several hundred characters. Change: one field a line; no logic changes.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -112,11 +112,27 @@
 // tables must contain every entry of earlier terms.
 func New(now time.Time, tables *graph.Tables, term uint64, limits Limits) *Core {
 	c := &Core{
-		tables: tables, term: term, limits: limits,
-		workers: map[graph.Handle]*workerState{}, byID: map[string][]*workerState{}, byAddress: map[string][]*workerState{}, candidatePools: map[string]*candidatePool{}, incarnations: map[string]uint64{}, pressure: map[string]*pressureModel{}, trends: map[*graph.StepState]*loadTrend{},
-		changes: map[string]graph.WorkerChange{}, begun: begunJobs{ids: map[graph.JobID]struct{}{}},
-		poolStates: map[string]*poolState{}, givenUpAt: map[*graph.StepState]time.Time{}, claims: map[*graph.Task]*claim{}, preempted: map[*runState]struct{}{}, calledBack: map[*runState]string{}, lapsed: map[*graph.Worker]lapsedRuns{},
-		searchedAt: map[*graph.StepState]time.Time{}, forgetAt: now.Add(forgetEvery), pressuresSavedAt: now,
+		tables:           tables,
+		term:             term,
+		limits:           limits,
+		workers:          map[graph.Handle]*workerState{},
+		byID:             map[string][]*workerState{},
+		byAddress:        map[string][]*workerState{},
+		candidatePools:   map[string]*candidatePool{},
+		incarnations:     map[string]uint64{},
+		pressure:         map[string]*pressureModel{},
+		trends:           map[*graph.StepState]*loadTrend{},
+		changes:          map[string]graph.WorkerChange{},
+		begun:            begunJobs{ids: map[graph.JobID]struct{}{}},
+		poolStates:       map[string]*poolState{},
+		givenUpAt:        map[*graph.StepState]time.Time{},
+		claims:           map[*graph.Task]*claim{},
+		preempted:        map[*runState]struct{}{},
+		calledBack:       map[*runState]string{},
+		lapsed:           map[*graph.Worker]lapsedRuns{},
+		searchedAt:       map[*graph.StepState]time.Time{},
+		forgetAt:         now.Add(forgetEvery),
+		pressuresSavedAt: now,
 	}
 	c.inheritPressures(now)
 	c.work = expect.Restore(tables.Expected())
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -22,7 +22,7 @@
 	overdue := c.overdueTasks(waiting, nowMS)
 	c.keepClaims(overdue)
 	steps := c.rank(waiting, nowMS, overdue)
-	p := &placer{c: c, now: now, nowMS: nowMS, overdue: overdue, perStep: map[*graph.StepState]map[graph.Handle]int{}, placed: map[*graph.Task]struct{}{}, away: map[*graph.StepState]int{}}
+	p := c.newPlacer(now, nowMS, overdue)
 	for i := range steps {
 		if len(p.starts) >= maxStarts {
 			break
@@ -107,6 +107,15 @@
 	unplaced []taskDemand
 }
 
+func (c *Core) newPlacer(now time.Time, nowMS int64, overdue map[*graph.Task]int) *placer {
+	return &placer{
+		c: c, now: now, nowMS: nowMS, overdue: overdue,
+		perStep: map[*graph.StepState]map[graph.Handle]int{},
+		placed:  map[*graph.Task]struct{}{},
+		away:    map[*graph.StepState]int{},
+	}
+}
+
 // taskDemand holds the properties of a task that decide whether a worker can take it.
 type taskDemand struct {
 	pool, label, image string
