--- a/soak/callers.go
+++ b/soak/callers.go
@@ -124,9 +124,8 @@
 	}
 	entry, queue, key := s.entry[r.IntN(len(s.entry))].address(frontendPort), queueOf(id), s.key(ownerOf(id))
 	if queue == queues[2] || r.IntN(4) == 0 {
-		if status := c.Cancel(entry, queue, id, key).Status; status == 200 {
-			s.ledger.with(func() { s.ledger.cancelled[id] = true })
-		}
+		s.ledger.with(func() { s.ledger.cancelled[id] = true }) // also if no answer comes
+		c.Cancel(entry, queue, id, key)
 		return
 	}
 	if reply := c.Look(entry, queue, id, key); reply.Status == 410 || reply.Status == 404 {
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -32,8 +32,8 @@
 	accepted, refused map[string]bool
 	// uncertain has the jobs whose submissions got no clear answer.
 	uncertain map[string]bool
-	cancelled map[string]bool
-	version   int // the newest acknowledged configuration
+	cancelled map[string]bool // asked for, whatever the answer
+	version   int             // the newest acknowledged configuration
 	counts    map[string]int
 }
 
