dispatch: what each step waited for, by cause, in logs, metrics and an explanation

Change: the core accounts for the waits of each ready step by cause; they are in the line "job ended", in gooseberrypond_step_wait_seconds_total and, for one job, at /explain/JOB of the leader. New too: plan_seconds, workers_examined_total.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -67,6 +67,9 @@
 	// searchedAt is the time of the last unsuccessful worker search for a step with
 	// waiting tasks.
 	searchedAt map[*graph.StepState]time.Time
+	// delays is what the steps of live jobs have waited for since electedAt.
+	delays    map[*graph.StepState]*stepDelays
+	electedAt time.Time
 	// polls are the workers to be polled for their run lists.
 	polls []*workerState
 
@@ -104,8 +107,10 @@
 	GivenUp                                                                          uint64
 	WorkRuns                                                                         uint64
 	WorkError, EstimateError                                                         float64
-	// Scans counts searches of a whole pool for a worker.
-	Scans                        uint64
+	// Scans counts searches of a pool for a worker, Examined the workers that they compared.
+	Scans, Examined uint64
+	// Delays sums what steps have waited for.
+	Delays                       Delays
 	Waiting, Usable, Quarantined int
 }
 
@@ -132,6 +137,8 @@
 		calledBack:       map[*runState]string{},
 		lapsed:           map[*graph.Worker]lapsedRuns{},
 		searchedAt:       map[*graph.StepState]time.Time{},
+		delays:           map[*graph.StepState]*stepDelays{},
+		electedAt:        now,
 		forgetAt:         now.Add(forgetEvery),
 		pressuresSavedAt: now,
 	}
@@ -282,6 +289,7 @@
 	if !now.Before(c.forgetAt) {
 		c.forgetAt = now.Add(forgetEvery)
 		c.forgetTrends()
+		c.forgetDelays()
 		c.forgetGivenUp(now)
 		c.forgetLapsed(now)
 		b.ForgetBeforeMS = nowMS - forgetAfter.Milliseconds()
@@ -335,7 +343,10 @@
 			continue // the tables were replaced by a snapshot: another replica leads
 		}
 		c.workerChanged(a.Worker)
-		c.queueRun(c.track(ws, a))
+		r := c.track(ws, a)
+		r.trackedAt = now
+		c.queueRun(r)
+		c.stepPlaced(now, a.Step)
 		c.Stats.Starts++
 	}
 	for _, a := range res.ToStop {
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -181,6 +181,7 @@
 	switch outcome {
 	case Accepted:
 		r.acceptedAt = now
+		c.startCalled(now, r)
 		c.hasBegun(r.a)
 	case RefusedOld:
 		r.stoppedAt = now // it has ended or was stopped; the worker's lists will confirm it
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -42,6 +42,7 @@
 			c.searchedAt[s] = now
 		}
 	}
+	p.recordCauses(waiting)
 	p.giveWay(steps)
 	c.preempt(nowMS, steps, p)
 	c.callBack(nowMS, steps, p)
@@ -107,7 +108,9 @@
 	givesWay *string
 	stopped  []*runState
 	// unplaced are the demands for which no worker was found in this plan.
-	unplaced []taskDemand
+	unplaced []unplacedDemand
+	// causes has why the search for a step ended before all of its tasks were placed.
+	causes map[*graph.StepState]Cause
 }
 
 func (c *Core) newPlacer(now time.Time, nowMS int64, overdue map[*graph.Task]int) *placer {
@@ -116,9 +119,16 @@
 		perStep: map[*graph.StepState]map[graph.Handle]int{},
 		placed:  map[*graph.Task]struct{}{},
 		away:    map[*graph.StepState]int{},
+		causes:  map[*graph.StepState]Cause{},
 	}
 }
 
+// unplacedDemand is a demand for which no worker was found, and what it lacked.
+type unplacedDemand struct {
+	taskDemand
+	cause Cause
+}
+
 // taskDemand holds the properties of a task that decide whether a worker can take it.
 type taskDemand struct {
 	pool, label, image string
@@ -152,7 +162,11 @@
 // plan is made, so another search would fail too.
 func (p *placer) knownInfeasible(s *graph.StepState) bool {
 	d := demandOf(s, p.care)
-	return slices.ContainsFunc(p.unplaced, d.atLeast)
+	i := slices.IndexFunc(p.unplaced, func(u unplacedDemand) bool { return d.atLeast(u.taskDemand) })
+	if i >= 0 {
+		p.causes[s] = p.unplaced[i].cause
+	}
+	return i >= 0
 }
 
 // placeStep places the waiting tasks of a step, either the overdue ones or the others.
@@ -167,9 +181,15 @@
 			continue
 		}
 		if p.pool == nil || !overdue && !p.pool.canPlace(s, task, p.nowMS-p.c.waitingSince(s, task)) {
+			p.causes[s] = CauseReserve
 			continue
 		}
-		if p.entryDone() || !p.mayHold(s, 1) {
+		if p.entryDone() {
+			p.causes[s] = CauseTurn
+			return
+		}
+		if !p.mayHold(s, 1) {
+			p.causes[s] = CauseLimit
 			return
 		}
 		cd := p.pickFor(s, task)
@@ -293,12 +313,24 @@
 		order = search{from: p.candidates.next, stride: fillerStride, limit: fillerSample}
 	}
 	best := p.bestOf(s, task, order)
-	if best == nil && s.MaxPerWorker <= 0 {
-		p.unplaced = append(p.unplaced, demandOf(s, p.care))
+	if best == nil {
+		p.noteUnplaced(s)
 	}
 	return best
 }
 
+// noteUnplaced records that no worker was found for a task of the step.
+func (p *placer) noteUnplaced(s *graph.StepState) {
+	cause := CauseRoom
+	if s.Filler {
+		cause = CauseHeadroom // a filler reserves no processors
+	}
+	p.causes[s] = cause
+	if s.MaxPerWorker <= 0 {
+		p.unplaced = append(p.unplaced, unplacedDemand{demandOf(s, p.care), cause})
+	}
+}
+
 const (
 	// fillerSample is how many workers that can take a filler are compared. The best
 	// of so many is among the best few percent of a large pool.
@@ -333,6 +365,7 @@
 			continue
 		}
 		cd := pool.members[at]
+		p.c.Stats.Examined++
 		if !need.Fits(cd.free) || !p.feasible(s, cd) {
 			continue
 		}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -105,8 +105,10 @@
 	startUnanswered bool
 	// waitedSinceMS is when the task had begun to wait when the run was placed.
 	waitedSinceMS int64
-	acceptedAt    time.Time
-	reported      bool
+	// trackedAt is when its start was committed under this leader.
+	trackedAt  time.Time
+	acceptedAt time.Time
+	reported   bool
 	// abandonReason is why the run is abandoned although its task is still wanted; empty
 	// if it is not abandoned.
 	abandonReason string
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -166,6 +166,7 @@
 // or nil if there is nothing to propose. The caller must hold d.mu.
 func (l *leadership) nextBatch(now time.Time) (*graph.Batch, []*waiter) {
 	b := l.core.Plan(now, now.UnixMilli())
+	l.d.metrics.plan.Observe(l.d.cfg.Now().Sub(now).Seconds())
 	r := l.queued
 	l.queued = queuedChanges{}
 	b.Submits, b.Cancels, b.Config, b.Domains = r.submits, r.cancels, r.config, r.domains
@@ -430,8 +431,9 @@
 	l.logCrashes(b)
 	l.logCrashLoops(res)
 	for _, j := range res.Finished {
+		delays := l.core.Delays(l.d.cfg.Now(), j)
 		log.Info().Str("job", string(j.Spec.ID)).Str("state", string(j.State)).
-			Int64("took_ms", j.EndedMS-j.AcceptedMS).Str("queue", j.Spec.Queue).Msg("job ended")
+			Int64("took_ms", j.EndedMS-j.AcceptedMS).Str("queue", j.Spec.Queue).Interface("waited_ms", delays.Milliseconds()).Msg("job ended")
 	}
 	for i := range b.Workers {
 		w := &b.Workers[i]
--- a/host/dispatcher/metrics.go
+++ b/host/dispatcher/metrics.go
@@ -15,6 +15,7 @@
 // metrics are the Prometheus metrics of one control host. Names follow the
 // Prometheus conventions: base units, and the suffix _total for counters.
 type metrics struct {
+	plan     prometheus.Histogram
 	commit   prometheus.Histogram
 	order    prometheus.Histogram
 	ready    prometheus.Histogram
@@ -33,6 +34,7 @@
 		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: "gooseberrypond_" + name, Help: help}, labels)
 	}
 	return &metrics{
+		plan:     hist("plan_seconds", "Time that the leader takes for a plan; nothing else is decided meanwhile."),
 		commit:   hist("commit_seconds", "Time from proposal to local apply."),
 		order:    hist("order_seconds", "Time from an order to its answer."),
 		ready:    hist("step_ready_to_placed_seconds", "Time from the run end that made a step ready to the log entry that places its first task."),
@@ -62,7 +64,7 @@
 // Register registers the metrics of this host.
 func (d *Dispatcher) Register(reg prometheus.Registerer) {
 	m := d.metrics
-	reg.MustRegister(m.commit, m.order, m.ready, m.orders, m.holds, m.answers, m.refusals, m.panics)
+	reg.MustRegister(m.plan, m.commit, m.order, m.ready, m.orders, m.holds, m.answers, m.refusals, m.panics)
 	reg.MustRegister(newOrganisationMetrics(d))
 	gauge := func(name, help string, read func(*leadership) float64) {
 		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gooseberrypond_" + name, Help: help}, d.leaderValue(read)))
@@ -79,6 +81,8 @@
 	gauge("largest_free_piece_cores", "Unreserved processors of the worker with the most free capacity, for the pool where this is lowest.", func(l *leadership) float64 { return cores(l.core.FreeCapacity().Largest) })
 	gauge("live_jobs", "Jobs that have not reached a final state.", func(l *leadership) float64 { return float64(l.d.tables.LiveJobs()) })
 	counter("worker_searches_total", "Searches of a pool for a worker, in this term.", func(s *dispatch.Stats) uint64 { return s.Scans })
+	counter("workers_examined_total", "Workers compared by these searches, in this term.", func(s *dispatch.Stats) uint64 { return s.Examined })
+	d.registerDelays(reg)
 	counter("run_starts_total", "Run starts committed in this term.", func(s *dispatch.Stats) uint64 { return s.Starts })
 	counter("run_ends_total", "Run ends reported by workers in this term.", func(s *dispatch.Stats) uint64 { return s.Ends })
 	counter("run_releases_total", "Runs released because they are certainly no longer executing, in this term.", func(s *dispatch.Stats) uint64 { return s.Releases })
@@ -92,6 +96,42 @@
 	counter("room_refusals_total", "Starts refused by a worker for lack of free capacity, in this term.", func(s *dispatch.Stats) uint64 { return s.RoomRefusals })
 }
 
+// registerDelays registers what steps have waited for, by cause.
+func (d *Dispatcher) registerDelays(reg prometheus.Registerer) {
+	for _, cause := range dispatch.Causes() {
+		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "gooseberrypond_step_wait_seconds_total", ConstLabels: prometheus.Labels{"cause": cause.String()},
+			Help: "Time for which ready steps had tasks without a run, by what they waited for, in this term.",
+		}, d.leaderValue(func(l *leadership) float64 { return l.core.Stats.Delays[cause].Seconds() })))
+	}
+}
+
+// JobExplanation says how far a job is and what its steps have waited for.
+type JobExplanation struct {
+	ID    graph.JobID    `json:"id"`
+	Queue string         `json:"queue"`
+	State graph.JobState `json:"state"`
+	// AcceptedMS and EndedMS are Unix milliseconds; EndedMS is 0 while the job is live.
+	AcceptedMS int64                 `json:"accepted_ms"`
+	EndedMS    int64                 `json:"ended_ms,omitempty"`
+	Steps      []dispatch.StepDelays `json:"steps"`
+}
+
+// Explain returns what a job has waited for under this leader. It returns false if this host
+// does not lead, or the job is not known.
+func (d *Dispatcher) Explain(id graph.JobID) (JobExplanation, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, j := d.activeLeadership(), d.tables.Job(id)
+	if l == nil || j == nil {
+		return JobExplanation{}, false
+	}
+	return JobExplanation{
+		ID: id, Queue: j.Spec.Queue, State: j.State, AcceptedMS: j.AcceptedMS, EndedMS: j.EndedMS,
+		Steps: l.core.StepDelays(d.cfg.Now(), j),
+	}, true
+}
+
 func meanOf(sum float64, n uint64) float64 { return sum / float64(max(n, 1)) }
 
 func cores(milli int64) float64 { return float64(milli) / 1000 }
