dispatch: the tasks of a step share one search for workers

Cause: a plan searched the pool anew for each task. As room becomes scarce each search looks at more workers, so the cost of a start grows just when most are needed. Class of fault: work that costs tasks times workers, against decision 0007.

Change: one pass ranks the workers for all tasks of a step; after a start only its worker is ranked anew. Pressures are looked up once for each pair and step. For fillers the sample grows with the tasks, so it is not worse than a sample for each.

TestTasksOfAStepShareASearch fails before (51,280 and 15,360 workers looked at for 4 steps in a pool of 400, 1,600 allowed). TestRankingEqualsASearchForEachTask: the same workers are chosen.

--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -87,6 +87,7 @@
 
 func (p *placer) block(cd *candidate) {
 	cd.claimed = true
+	p.dropRanking()
 	if pool := p.c.candidatePools[cd.ws.w.Pool]; pool != nil {
 		pool.setFree(cd)
 	}
@@ -119,6 +120,7 @@
 	}
 	delete(p.c.claims, task)
 	cl.ws.candidate.claimed = false
+	p.dropRanking()
 	if pool := p.c.candidatePools[cl.ws.w.Pool]; pool != nil {
 		pool.setFree(&cl.ws.candidate)
 	}
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -70,6 +70,8 @@
 	// delays is what the steps of live jobs have waited for since electedAt.
 	delays    map[*graph.StepState]*stepDelays
 	electedAt time.Time
+	// ranking is that of the plan being made. It is kept for its memory.
+	ranking workerRanking
 	// polls are the workers to be polled for their run lists.
 	polls []*workerState
 
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -23,6 +23,7 @@
 	c.keepClaims(overdue)
 	steps := c.rank(waiting, nowMS, overdue)
 	p := c.newPlacer(now, nowMS, overdue)
+	defer p.dropRanking()
 	for i := range steps {
 		if len(p.starts) >= maxStarts {
 			break
@@ -35,6 +36,7 @@
 		p.most, p.begun = steps[i].most, len(p.starts)
 		p.pool, p.candidates = c.poolStates[q.Pool], pools[q.Pool]
 		p.care = careOf(s, steps[i].batch, nowMS)
+		p.dropRanking()
 		if p.candidates != nil {
 			p.placeStep(s, steps[i].class == overdueLongRunning)
 		}
@@ -109,13 +111,18 @@
 	stopped  []*runState
 	// unplaced are the demands for which no worker was found in this plan.
 	unplaced []unplacedDemand
+	// ranking has the workers for the tasks of the last step that was searched for.
+	ranking *workerRanking
+	// pressures has the pressures of the fillers of image pressureOf, by serving image.
+	pressureOf string
+	pressures  map[string]float64
 	// causes has why the search for a step ended before all of its tasks were placed.
 	causes map[*graph.StepState]Cause
 }
 
 func (c *Core) newPlacer(now time.Time, nowMS int64, overdue map[*graph.Task]int) *placer {
 	return &placer{
-		c: c, now: now, nowMS: nowMS, overdue: overdue,
+		c: c, ranking: &c.ranking, now: now, nowMS: nowMS, overdue: overdue,
 		perStep: map[*graph.StepState]map[graph.Handle]int{},
 		placed:  map[*graph.Task]struct{}{},
 		away:    map[*graph.StepState]int{},
@@ -258,6 +265,7 @@
 	cd.countRun(&s.Tasks[index], 1)
 	p.placed[&s.Tasks[index]] = struct{}{}
 	p.count(s, cd, 1)
+	p.rankAgain(s, &s.Tasks[index], cd)
 	p.starts = append(p.starts, graph.Start{Task: s.Ref(index), Run: run, Worker: cd.ws.w.Handle})
 }
 
@@ -282,6 +290,7 @@
 	p.takeHeadroom(cd, s, -1)
 	p.c.ledger.Take(owner(s), s.Need, -1)
 	p.unplaced = p.unplaced[:0]
+	p.dropRanking()
 }
 
 // takeHeadroom subtracts the headroom that n fillers of the step take from the serving
@@ -298,25 +307,20 @@
 // headroomTaken returns the headroom that one filler of the step takes from tasks
 // of a serving image.
 func (p *placer) headroomTaken(cd *candidate, s *graph.StepState, serving string) float64 {
-	return p.c.pressureOf(s.Image, serving) * float64(s.Need.CPUMilli) / float64(max(cd.ws.w.Capacity.CPUMilli, 1))
+	return p.pressureOn(s, serving) * float64(s.Need.CPUMilli) / float64(max(cd.ws.w.Capacity.CPUMilli, 1))
 }
 
-// pick returns the best worker for a task, or nil. For a filler, which fits on most
-// workers, it is the best of a sample.
-func (p *placer) pick(s *graph.StepState, task *graph.Task) *candidate {
-	if p.knownInfeasible(s) {
-		return nil
-	}
-	p.c.Stats.Scans++
-	order := search{from: 0, stride: 1, limit: len(p.candidates.members)}
-	if s.Filler {
-		order = search{from: p.candidates.next, stride: fillerStride, limit: fillerSample}
+// pressureOn returns pressureOf the step's fillers. The estimates do not change during a plan.
+func (p *placer) pressureOn(s *graph.StepState, serving string) float64 {
+	if p.pressureOf != s.Image || p.pressures == nil {
+		p.pressureOf, p.pressures = s.Image, map[string]float64{}
 	}
-	best := p.bestOf(s, task, order)
-	if best == nil {
-		p.noteUnplaced(s)
+	pressure, known := p.pressures[serving]
+	if !known {
+		pressure = p.c.pressureOf(s.Image, serving)
+		p.pressures[serving] = pressure
 	}
-	return best
+	return pressure
 }
 
 // noteUnplaced records that no worker was found for a task of the step.
@@ -331,59 +335,6 @@
 	}
 }
 
-const (
-	// fillerSample is how many workers that can take a filler are compared. The best
-	// of so many is among the best few percent of a large pool.
-	fillerSample = 96
-	// fillerStride is the distance between workers that are compared one after the
-	// other. Neighbours often run tasks of the same kind, so a sample of them would be
-	// one-sided. As a prime, it reaches each worker of any pool whose size is not a
-	// multiple of it.
-	fillerStride = 7919
-)
-
-// search is the order in which workers are compared.
-type search struct {
-	// from and stride are positions in the pool.
-	from, stride int
-	// limit is how many workers that can take the task are compared.
-	limit int
-}
-
-// bestOf returns the best of the workers in the given order; nil if none can take
-// the task.
-func (p *placer) bestOf(s *graph.StepState, task *graph.Task, order search) *candidate {
-	var best *candidate
-	var bestScore float64
-	need := s.ReservedResources()
-	pool := p.candidates
-	n := len(pool.members)
-	limit := order.limit
-	for i := 0; i < n && limit > 0; i++ {
-		at := (order.from + i*order.stride) % n
-		if pool.freeMilli[at] < need.CPUMilli {
-			continue
-		}
-		cd := pool.members[at]
-		p.c.Stats.Examined++
-		if !need.Fits(cd.free) || !p.feasible(s, cd) {
-			continue
-		}
-		score, ok := p.score(s, task, cd)
-		if !ok {
-			continue
-		}
-		limit--
-		if s.Filler {
-			pool.next = at
-		}
-		if best == nil || score > bestScore {
-			best, bestScore = cd, score
-		}
-	}
-	return best
-}
-
 // pickQuarantined returns a quarantined worker for a long-running task that has waited
 // for restartDelay and found no other: the one probed least recently, nil if there is
 // none. Its failure would cost the task little more than waiting.
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -81,8 +81,8 @@
 	avoidSuspectWeight = 5.0
 )
 
-// score rates a worker for a task; higher is better. It returns false if the task
-// must not start there now.
+// score rates a worker for a task, without failedHereWeight; higher is better. It returns
+// false if the task must not start there now.
 func (p *placer) score(s *graph.StepState, task *graph.Task, cd *candidate) (float64, bool) {
 	w := cd.ws.w
 	capacityMilli := float64(max(w.Capacity.CPUMilli, 1))
@@ -105,9 +105,6 @@
 	case len(cd.serving) > 0:
 		v += packWeight // fillers gain little from idle processors there
 	}
-	if task.LastWorker == w.Handle && task.Failures > 0 {
-		v -= failedHereWeight
-	}
 	if s.DataRack != "" && w.HasLabel(s.DataRack) {
 		v += dataRackWeight
 	}
@@ -131,13 +128,15 @@
 	if float64(cd.spareMilli) < fillerIdleShare*float64(s.Need.CPUMilli) {
 		return 0, false
 	}
+	share := float64(s.Need.CPUMilli) / float64(max(cd.ws.w.Capacity.CPUMilli, 1))
 	for _, h := range cd.serving {
 		if h.headroom < 1-headroomAdmit {
 			return 0, false // a task already exceeds its target
 		}
 		image, headroom := h.image, h.headroom-p.care
-		d := p.headroomTaken(cd, s, image)
-		if p.c.pressureOf(s.Image, image) < lightPressure {
+		pressure := p.pressureOn(s, image)
+		d := pressure * share
+		if pressure < lightPressure {
 			headroom += headroomAdmit - headroomAdmitLight
 		}
 		if d > headroom {
