dispatch: a failed search looks again only at workers that changed

Each plan repeated every failed search, and any step that became ready made a plan of all. Since care differs from job to job, one failed search spared few others.

Change: a failed search is remembered for its demand for half a second; later plans look only at workers that have changed, or joined the pool, since. Care has five levels.

TestFailedSearchesLookAtChangedWorkersOnly fails without (80,000 workers looked at, 200 allowed). TestFailedSearchesMissNoRoom compares 30 random courses with searches of all workers; it fails if workers that return do not count as changed.

--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -27,6 +27,9 @@
 	claimed bool
 	// position is the candidate's index in its pool; -1 for a quarantined worker.
 	position int
+	// changedIn is the number of the plan in which more may have become possible on the worker,
+	// memberIn that of the last plan in which it was a member of its pool.
+	changedIn, memberIn uint64
 }
 
 // candidatePool holds the usable workers of a pool, ordered by handle.
@@ -35,6 +38,8 @@
 	// freeMilli has the unreserved processors of each member. A search skips the
 	// members without enough of them without touching the members themselves.
 	freeMilli []int64
+	// changedIn has that of each member.
+	changedIn []uint64
 	// quarantined holds the workers on which only a long-running task that finds no
 	// other may be placed.
 	quarantined []*candidate
@@ -62,6 +67,7 @@
 	cd.position = len(p.members)
 	p.members = append(p.members, cd)
 	p.freeMilli = append(p.freeMilli, cd.free.CPUMilli)
+	p.changedIn = append(p.changedIn, cd.changedIn)
 }
 
 // imageHeadroom is the headroom that new fillers may take from the serving tasks of
@@ -90,8 +96,9 @@
 // candidates returns the usable workers by pool. The result is valid until the next
 // call.
 func (c *Core) candidates(now time.Time) map[string]*candidatePool {
+	c.plans++
 	for _, p := range c.candidatePools {
-		p.members, p.freeMilli, p.quarantined = p.members[:0], p.freeMilli[:0], p.quarantined[:0]
+		p.members, p.freeMilli, p.changedIn, p.quarantined = p.members[:0], p.freeMilli[:0], p.changedIn[:0], p.quarantined[:0]
 	}
 	c.Stats.Usable, c.Stats.Quarantined = 0, 0
 	for _, ws := range c.byHandle {
@@ -114,15 +121,25 @@
 			continue
 		}
 		c.Stats.Usable++
+		ws.candidate.joins(c.plans)
 		p.add(&ws.candidate)
 	}
 	return c.candidatePools
 }
 
+// joins records that the candidate is a member of its pool in a plan. After an absence it
+// counts as changed.
+func (cd *candidate) joins(plan uint64) {
+	if cd.memberIn+1 != plan {
+		cd.changedIn = plan
+	}
+	cd.memberIn = plan
+}
+
 // updateCandidate computes a worker's candidate from its attempts and last list.
 func (c *Core) updateCandidate(now time.Time, ws *workerState) {
 	cd := &ws.candidate
-	*cd = candidate{ws: ws, current: true, free: ws.queuedReport.Capacity.Sub(ws.w.Used), spareMilli: ws.queuedReport.Capacity.CPUMilli, serving: cd.serving[:0]}
+	*cd = candidate{ws: ws, current: true, changedIn: c.plans, memberIn: cd.memberIn, free: ws.queuedReport.Capacity.Sub(ws.w.Used), spareMilli: ws.queuedReport.Capacity.CPUMilli, serving: cd.serving[:0]}
 	for image, s := range ws.serving {
 		cd.serving = append(cd.serving, imageHeadroom{image, s.later - headroomAdmit - c.unmeasuredHeadroom(ws, image)})
 	}
--- a/core/dispatch/claim.go
+++ b/core/dispatch/claim.go
@@ -87,6 +87,7 @@
 
 func (p *placer) block(cd *candidate) {
 	cd.claimed = true
+	cd.changedIn = p.c.plans + 1 // the next plan may find it unclaimed
 	p.dropRanking()
 	if pool := p.c.candidatePools[cd.ws.w.Pool]; pool != nil {
 		pool.setFree(cd)
--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -70,6 +70,10 @@
 	// delays is what the steps of live jobs have waited for since electedAt.
 	delays    map[*graph.StepState]*stepDelays
 	electedAt time.Time
+	// plans counts the plans that searched for workers.
+	plans uint64
+	// failed are the latest unsuccessful searches, of earlier plans too.
+	failed failedSearches
 	// ranking is that of the plan being made. It is kept for its memory.
 	ranking workerRanking
 	// polls are the workers to be polled for their run lists.
@@ -291,6 +295,7 @@
 	if !now.Before(c.forgetAt) {
 		c.forgetAt = now.Add(forgetEvery)
 		c.forgetTrends()
+		c.failed.forget(now)
 		c.forgetDelays()
 		c.forgetGivenUp(now)
 		c.forgetLapsed(now)
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -330,8 +330,13 @@
 		cause = CauseHeadroom // a filler reserves no processors
 	}
 	p.causes[s] = cause
-	if s.MaxPerWorker <= 0 {
-		p.unplaced = append(p.unplaced, unplacedDemand{demandOf(s, p.care), cause})
+	if s.MaxPerWorker > 0 {
+		return
+	}
+	d := demandOf(s, p.care)
+	p.unplaced = append(p.unplaced, unplacedDemand{d, cause})
+	if !s.Gang && !s.LongRunning { // these searches depend on more than the workers' state
+		p.c.failed.add(p.now, p.c.plans, d)
 	}
 }
 
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"gooseberrypond/core/demand"
@@ -26,6 +27,9 @@
 	// top. With time left it can wait for a worker where it disturbs nobody; as its slack
 	// shrinks it takes more risk.
 	careMax = 0.5
+	// careLevels is the number of levels of care above none. Fillers of one level share their
+	// unsuccessful searches.
+	careLevels = 5
 	// careWait is how long a filler waits at most for more headroom than any must leave, so
 	// that a long objective keeps none from the room there is.
 	careWait = 15 * time.Second
@@ -36,7 +40,7 @@
 	if !s.Filler || nowMS-max(s.Occurrence.DueMS, s.ReadyMS()) >= careWait.Milliseconds() {
 		return 0
 	}
-	return careMax * b.SlackShare(nowMS)
+	return careMax / careLevels * math.Round(careLevels*b.SlackShare(nowMS))
 }
 
 // headroomUnmeasured is the headroom assumed for serving tasks without a
--- a/core/dispatch/search.go
+++ b/core/dispatch/search.go
@@ -126,10 +126,11 @@
 	r.step, r.workers = s, r.workers[:0]
 	need := s.ReservedResources()
 	pool := p.candidates
+	since := p.c.failed.since(p.now, demandOf(s, p.care))
 	n := len(pool.members)
 	for i := 0; i < n && len(r.workers) < order.limit; i++ {
 		at := (order.from + i*order.stride) % n
-		if pool.freeMilli[at] < need.CPUMilli {
+		if pool.changedIn[at] <= since || pool.freeMilli[at] < need.CPUMilli {
 			continue
 		}
 		cd := pool.members[at]
--- a/core/dispatch/search_test.go
+++ b/core/dispatch/search_test.go
@@ -1,8 +1,11 @@
 package dispatch
 
 import (
+	"cmp"
 	"fmt"
+	"maps"
 	"math/rand"
+	"slices"
 	"testing"
 
 	"gooseberrypond/core/graph"
@@ -103,3 +106,90 @@
 	}
 	return out
 }
+
+// Guards against plans that search the whole pool again for work that found no room in the
+// plan before (incident SHORT: a thousand failed searches a second, of 1,800 workers each).
+func TestFailedSearchesLookAtChangedWorkersOnly(t *testing.T) {
+	const workers, images, plans = 400, 20, 10
+	r := newServingRig(t, workers)
+	for i := range images {
+		r.submit(rid(0xf0000+i), filler(40, 20000, fmt.Sprint("f", i)))
+	}
+	r.core.Plan(r.now, r.now.UnixMilli())
+	before := r.core.Stats.Examined
+	for range plans {
+		r.advance(placeRetry)
+		r.hold(1) // one worker changes
+		r.core.Plan(r.now, r.now.UnixMilli())
+	}
+	if got := r.core.Stats.Examined - before; got > plans*images {
+		t.Errorf("%d plans looked at %d workers for %d demands that found no room, one worker changed before each", plans, got, images)
+	}
+}
+
+// Guards against work that waits beside room, because a worker on which it did not fit is
+// not looked at again although more became possible there.
+func TestFailedSearchesMissNoRoom(t *testing.T) {
+	for seed := range int64(30) {
+		var rigs [2]*rig
+		for i := range rigs {
+			rigs[i] = newRig(t)
+		}
+		rng := rand.New(rand.NewSource(seed))
+		jobs, placed := 0, 0
+		for at := range 150 {
+			op, cpu, pick := rng.Intn(6), int64(1000+500*rng.Intn(12)), rng.Intn(1000)
+			var starts [2]string
+			for i, r := range rigs {
+				changeAtRandom(r, op, cpu, pick, jobs)
+				r.advance(placeRetry)
+				if i == 1 {
+					r.core.failed = nil
+				}
+				b := r.core.Plan(r.now, r.now.UnixMilli())
+				starts[i] = fmt.Sprint(b.Starts)
+				placed += len(b.Starts)
+				r.apply(b)
+				r.acceptOrders()
+			}
+			jobs++
+			if starts[0] != starts[1] {
+				t.Fatalf("seed %d, plan %d: placed %s, a search of all workers places %s", seed, at, starts[0], starts[1])
+			}
+		}
+		if placed == 0 {
+			t.Fatalf("seed %d: nothing was placed", seed)
+		}
+	}
+}
+
+// changeAtRandom adds a worker or a job, ends a run, or takes the domain out or in.
+func changeAtRandom(r *rig, op int, cpu int64, pick, job int) {
+	switch op {
+	case 0:
+		if len(r.lists) < 12 {
+			r.register(fmt.Sprint("w", job), 1)
+		}
+	case 1:
+		r.apply(&graph.Batch{Domains: []graph.DomainChange{{Name: "d1", Out: pick%2 == 0}}})
+	case 2, 3:
+		s := step(1+pick%4, cpu)
+		s.Filler = op == 3
+		r.submit(rid(0x1000+job), s)
+	default:
+		var handles []graph.Handle
+		for h, l := range r.lists {
+			if len(l.running) > 0 {
+				handles = append(handles, h)
+			}
+		}
+		slices.Sort(handles)
+		if len(handles) == 0 {
+			return
+		}
+		h := handles[pick%len(handles)]
+		refs := slices.SortedFunc(maps.Keys(r.lists[h].running), func(a, b graph.TaskRef) int { return cmp.Compare(a.String(), b.String()) })
+		r.endRun(h, refs[pick%len(refs)], graph.EndDone)
+		r.hold(h)
+	}
+}
