A report that no worker can have sent is refused, and a later one does not displace a worker that answers

What operators of similar systems saw: one odd entry of another writer (deeply nested, a number too large, a port out of range), and the machines that read the list ended or stopped following it.

Here no process ended: deep nesting and numbers beyond int64 were refused. Accepted were ports 99999, 0, -1 and none, capacities, start times and sequence numbers up to 2^63-1, and 1e400 in a worker's list, which made its pressures no numbers for all workers. A report with a later start time at a worker's id took the worker and its runs out of use although it answered; at its address it kept the worker's next restart out.

A report of a later incarnation waits until the current one fails a call or answers with another start time; a poll asks at once. An id that never answered does not hold an address.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -98,6 +98,8 @@
 //   - Unanswered counts the orders without an answer from the worker's incarnation.
 //   - RoomRefusals counts the starts that a worker refused for lack of free capacity.
 //   - Stuck counts the runs that were abandoned for lack of progress.
+//   - RefutedReports counts the reports of later incarnations of workers that answered
+//     as themselves afterwards.
 //   - Crashes counts the runs during which a worker crashed soon after their start,
 //     CrashLoops the jobs that failed because of them.
 //   - GivenUp counts the long-running runs that were stopped for a job with nothing at work.
@@ -110,7 +112,7 @@
 type Stats struct {
 	Starts, Stops, Paces, Ends, Releases, LeaseEnds, Unanswered, RoomRefusals, Stuck uint64
 	Crashes, CrashLoops                                                              uint64
-	GivenUp                                                                          uint64
+	GivenUp, RefutedReports                                                          uint64
 	WorkRuns                                                                         uint64
 	WorkError, EstimateError                                                         float64
 	// Scans counts searches of a pool for a worker, Examined the workers that they compared.
@@ -200,6 +202,10 @@
 		if c.addressTaken(&r) {
 			return false
 		}
+		if ws := c.currentState(w); ws != nil && ws.answersAsItself() {
+			c.doubt(now, ws, r)
+			return false
+		}
 		c.queueChange(graph.WorkerChange{Report: r})
 		return true
 	}
@@ -220,11 +226,20 @@
 	return true
 }
 
+// currentState returns the state of a recorded worker; nil if there is none.
+func (c *Core) currentState(w *graph.Worker) *workerState {
+	if w == nil {
+		return nil
+	}
+	return c.workers[w.Handle]
+}
+
 // addressTaken reports whether a more recently started worker with another ID uses
 // the report's address. The report was then delayed, and its sender has been replaced.
+// A worker that has never answered there does not count: anyone can name an address.
 func (c *Core) addressTaken(r *graph.WorkerReport) bool {
 	for _, ws := range c.byAddress[r.Address] {
-		if ws.w.ID != r.ID && ws.w.Born > r.Born && !ws.w.Left {
+		if ws.w.ID != r.ID && ws.w.Born > r.Born && ws.fenced && !ws.w.Left {
 			return true
 		}
 	}
@@ -442,7 +457,7 @@
 			c.clear(now, ws)
 		}
 		silent := now.Sub(ws.lastHeartbeat) > heartbeatTimeout && now.Sub(ws.lastAnswer) > heartbeatTimeout
-		if silent && len(ws.runs) == 0 && !ws.w.Left {
+		if (silent || ws.invalid) && len(ws.runs) == 0 && !ws.w.Left {
 			c.queueChange(graph.WorkerChange{Report: ws.w.WorkerReport, Left: true})
 		}
 	}
--- a/core/dispatch/helpers_test.go
+++ b/core/dispatch/helpers_test.go
@@ -97,6 +97,15 @@
 	return w.Handle
 }
 
+// restart sends the report of a later incarnation. The open call to the one before broke
+// when that ended.
+func (r *rig) restart(rep graph.WorkerReport) {
+	if w := r.tables.WorkerByID(rep.ID); w != nil && r.core.workers[w.Handle] != nil {
+		r.core.HoldFailed(r.now, Hold{Target: Target{Worker: w.Handle}})
+	}
+	r.core.Beat(r.now, rep)
+}
+
 // hold answers the next hold call to a worker with its lists.
 func (r *rig) hold(h graph.Handle) {
 	r.t.Helper()
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -100,7 +100,7 @@
 		return false
 	}
 	first = !ws.suspect
-	ws.callFailed(now)
+	c.callFailed(now, ws)
 	ws.failedCalls++
 	ws.nextHold = now.Add(min(holdRetryMin<<min(ws.failedCalls-1, 8), holdRetryMax))
 	return first
@@ -125,6 +125,10 @@
 		return
 	}
 	c.recordAnswer(now, ws, reply.ClockMS)
+	if reply.Born > 0 {
+		ws.bornConfirmed = true
+		c.refuteRival(ws, sent)
+	}
 	if sent.After(ws.callFailedAt) {
 		// Without an open call a crash is not noticed, so the next call acknowledges nothing.
 		ws.incarnationKnown = len(ws.runs) > 0 || len(reply.Finished) > 0
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -167,7 +167,7 @@
 func (c *Core) orderUnanswered(now time.Time, o Order) {
 	r := o.run
 	c.Stats.Unanswered++
-	r.ws.callFailed(now)
+	c.callFailed(now, r.ws)
 	r.nextAt = now.Add(orderRetryDelay)
 	if o.Kind == OrderStart {
 		r.startUnanswered = true
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -83,7 +83,16 @@
 	pacing          bool
 	lastObservation observation
 	candidate       candidate
-	runs            map[*graph.Attempt]*runState
+	// invalid is set if no worker can have sent the recorded report, which a former version
+	// accepted.
+	invalid bool
+	// bornConfirmed is set once a list named the incarnation's start time.
+	bornConfirmed bool
+	// rival is a report of a later incarnation that has not displaced this one, because this
+	// one answers; rivalAt is when it came.
+	rival   *graph.WorkerReport
+	rivalAt time.Time
+	runs    map[*graph.Attempt]*runState
 	// strays counts, by step, the runs in the newest list that have no attempt on this
 	// worker. Only steps with MaxPerWorker are counted.
 	strays map[*graph.StepState]int
@@ -147,6 +156,7 @@
 	ws := &workerState{
 		w: w, token: c.tokenFor(w.ID), address: w.Address, queuedReport: w.WorkerReport, lastHeartbeat: now, lastAnswer: now,
 		serving: map[string]*servingState{}, runs: map[*graph.Attempt]*runState{},
+		invalid: w.Check(time.Time{}) != nil,
 	}
 	for _, old := range c.sameHost(w.ID, w.Address) {
 		if supersedes(w, old.w) {
@@ -251,13 +261,46 @@
 // reachable reports whether the worker takes orders and is in service. It may be
 // quarantined. Stray runs take room, and places of their steps, that the tables do not show.
 func (c *Core) reachable(now time.Time, ws *workerState) bool {
-	return ws.fenced && !ws.suspect && ws.strayRuns == 0 && !ws.w.Left && !ws.w.Draining && !ws.clockAt.IsZero() &&
+	return ws.fenced && !ws.invalid && !ws.suspect && ws.strayRuns == 0 && !ws.w.Left && !ws.w.Draining && !ws.clockAt.IsZero() &&
 		!now.Before(ws.noNewWorkUntil) && !c.tables.DomainOut(ws.w.Domain)
 }
 
-// callFailed records that a call to the worker got no answer.
-func (ws *workerState) callFailed(now time.Time) {
+// callFailed records that a call to the worker got no answer. A report of a later incarnation
+// then holds.
+func (c *Core) callFailed(now time.Time, ws *workerState) {
 	ws.suspect, ws.incarnationKnown, ws.callFailedAt = true, false, now
+	if ws.rival != nil {
+		c.queueChange(graph.WorkerChange{Report: *ws.rival})
+		ws.rival = nil
+	}
+}
+
+// answersAsItself reports whether the worker's last call was answered by the incarnation
+// itself.
+func (ws *workerState) answersAsItself() bool {
+	return ws.fenced && ws.bornConfirmed && !ws.suspect && !ws.w.Left
+}
+
+// doubt keeps the report of a later incarnation until the next call to this one: it may be
+// another writer's.
+func (c *Core) doubt(now time.Time, ws *workerState, r graph.WorkerReport) {
+	if ws.rival != nil && (ws.rival.Born > r.Born || ws.rival.Born == r.Born && ws.rival.Seq >= r.Seq) {
+		return
+	}
+	if ws.rival == nil || ws.rival.Born != r.Born {
+		ws.rivalAt = now
+	}
+	ws.rival = &r
+	c.queuePoll(now, ws)
+}
+
+// refuteRival drops the report of a later incarnation if this one has answered a call that was
+// sent after it.
+func (c *Core) refuteRival(ws *workerState, sent time.Time) {
+	if ws.rival != nil && sent.After(ws.rivalAt) {
+		ws.rival = nil
+		c.Stats.RefutedReports++
+	}
 }
 
 // recordAnswer records that the worker has answered a call.
--- a/core/interference/pressure.go
+++ b/core/interference/pressure.go
@@ -56,8 +56,12 @@
 // UpdatedAt returns the time of the last Decay.
 func (p *Pressures) UpdatedAt() time.Time { return p.at }
 
-// Inherit sets the estimate for a filler image to that of an earlier leader.
+// Inherit sets the estimate for a filler image to that of an earlier leader. One that is not a
+// possible pressure is ignored.
 func (p *Pressures) Inherit(filler string, pressure float64) {
+	if !(pressure >= 0 && pressure <= pressureMax) {
+		return // an earlier version could learn from a measurement that is no number
+	}
 	i := p.index(filler)
 	p.priors[i] = prior{pressure, InheritedWeight}
 	p.estimate[i] = pressure
--- a/core/interference/pressure_test.go
+++ b/core/interference/pressure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -133,3 +134,14 @@
 		t.Errorf("pressure is %.2f, want about 0.8", got)
 	}
 }
+
+// Guards against an estimate that is no number, which spreads to all pressures of its image.
+func TestImpossibleEstimateIsNotInherited(t *testing.T) {
+	for _, x := range []float64{math.NaN(), math.Inf(1), -1, pressureMax + 1} {
+		p := NewPressures(time.Unix(0, 0))
+		p.Inherit("f", x)
+		if got := p.Estimate("f"); got != PressurePrior {
+			t.Errorf("%g was inherited as %g", x, got)
+		}
+	}
+}
--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -119,11 +119,15 @@
 }
 
 // Beats handles the heartbeat reports of several workers. The answer holds for all of
-// them; reports may be repeated.
+// them; reports may be repeated. One that no worker can have sent is ignored.
 func (d *Dispatcher) Beats(ctx context.Context, reports []graph.WorkerReport) Answer {
 	return d.countAnswer("beat", d.withLeader(ctx, func(l *leadership) (Answer, bool) {
 		now, record := d.cfg.Now(), false
 		for i := range reports {
+			if err := reports[i].Check(now); err != nil { // the others hold
+				d.cfg.Logger.Warn().Err(err).Str("step", "heartbeat").Str("worker", reports[i].ID).Msg("report ignored: no worker can have sent it")
+				continue
+			}
 			record = l.core.Beat(now, reports[i]) || record
 		}
 		return Answer{Code: Done}, record
