--- a/core/dispatch/delays.go
+++ b/core/dispatch/delays.go
@@ -86,7 +86,8 @@
 func (c *Core) delaysOf(now time.Time, nowMS int64, s *graph.StepState) *stepDelays {
 	d := c.delays[s]
 	if d == nil {
-		d = &stepDelays{cause: CausePlan, since: now.Add(-time.Duration(nowMS-max(s.Occurrence.DueMS, s.ReadyMS())) * time.Millisecond)}
+		waitedMS := nowMS - max(c.longestWaitingSince(s), s.ReadyMS())
+		d = &stepDelays{cause: CausePlan, since: now.Add(-time.Duration(waitedMS) * time.Millisecond)}
 		if d.since.Before(c.electedAt) {
 			d.add(CauseLeader, c.electedAt.Sub(d.since))
 			d.since = c.electedAt
--- a/core/dispatch/delays_test.go
+++ b/core/dispatch/delays_test.go
@@ -58,3 +58,26 @@
 		t.Errorf("waited %s for the leader and %s for its first plan, want 2 s and 1 s", got[CauseLeader], got[CausePlan])
 	}
 }
+
+// Guards against the time for which all tasks of a step ran that counts as a wait, when one
+// of them is lost under a later leader.
+func TestDelaysBeginWithTheLoss(t *testing.T) {
+	r := newRig(t)
+	h := r.register("a", 1)
+	j := r.submit(job1, step(1, 1000))
+	r.commitPlan()
+	r.acceptOrders()
+	r.elect(2)
+	r.hold(h)
+	r.advance(8 * time.Second)
+	for ref := range r.lists[h].running {
+		r.endRun(h, ref, graph.EndStopped)
+	}
+	r.hold(h)
+	r.commitPlan()
+	r.advance(placeRetry)
+	r.core.Plan(r.now, r.now.UnixMilli())
+	if got := r.core.Delays(r.now, j); got[CausePlan] != placeRetry || got[CauseLeader] != 0 {
+		t.Errorf("waited %s for a plan and %s for the leader, want %s and none", got[CausePlan], got[CauseLeader], placeRetry)
+	}
+}
