transport: what a leader that gave up had queued is not sent

Trace of: two replicas had slow links to the leader from about 18 s on and lost contact for a moment twice a second. At 32.2 s the leader gave up, as a third replica lost its disk. The two never noticed: neither logs another change of leader, and one restarts with a log 338 entries behind. To them the leader's queue still flowed, up to 1,024 messages ahead of any request for votes, and each counted as contact.

Class of fault: a message that outlives the permission under which it was queued.

Change: a replica that sends what only a follower sends has no leader's messages queued any more. TestMessagesOfALeaderThatGaveUpAreNotSent fails before (602 messages queued).

--- a/store/transport/peer.go
+++ b/store/transport/peer.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"net"
 	"net/rpc"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,6 +36,9 @@
 func (p *peer) enqueue(address string, ms []consensus.Message) {
 	p.mu.Lock()
 	p.address = address
+	if slices.ContainsFunc(ms, isOfFollower) {
+		p.queue = slices.DeleteFunc(p.queue, isOfLeader)
+	}
 	p.queue = append(p.queue, ms...)
 	if n := len(p.queue) - queueLimit; n > 0 {
 		// Drop the oldest messages, which are of least use. The consensus core sends
@@ -48,6 +52,25 @@
 	}
 }
 
+// isOfFollower reports whether only a replica that does not lead sends the message.
+func isOfFollower(m consensus.Message) bool {
+	switch m.Kind {
+	case consensus.MsgPreVote, consensus.MsgVote, consensus.MsgAppendReply, consensus.MsgSnapshotReply:
+		return true
+	}
+	return false
+}
+
+// isOfLeader reports whether only a leader sends the message. One that arrives after its
+// sender has given up leadership counts as contact with a leader, and delays an election.
+func isOfLeader(m consensus.Message) bool {
+	switch m.Kind {
+	case consensus.MsgAppend, consensus.MsgSnapshot, consensus.MsgTimeoutNow:
+		return true
+	}
+	return false
+}
+
 // nextBatch removes the next batch of messages from the queue.
 func (p *peer) nextBatch() (string, []consensus.Message) {
 	p.mu.Lock()
--- a/store/transport/rpc_test.go
+++ b/store/transport/rpc_test.go
@@ -207,3 +207,26 @@
 		t.Fatal("a plaintext connection was served")
 	}
 }
+
+// Guards against a group that elects nobody for seconds: a leader gave up, but its messages to
+// replicas behind slow links were still queued, ahead of its request for votes, and each that
+// arrived counted as contact with a leader.
+func TestMessagesOfALeaderThatGaveUpAreNotSent(t *testing.T) {
+	p := &peer{wake: make(chan struct{}, 1)}
+	for range 300 {
+		p.enqueue("a", []consensus.Message{{Kind: consensus.MsgAppend, Term: 3}, {Kind: consensus.MsgSnapshot, Term: 3}})
+	}
+	p.enqueue("a", []consensus.Message{{Kind: consensus.MsgVoteReply, Term: 3}}) // leaders refuse votes too
+	if n := len(p.queue); n != 601 {
+		t.Fatalf("%d messages of the leader are queued, want 601", n)
+	}
+	p.enqueue("a", []consensus.Message{{Kind: consensus.MsgPreVote, Term: 4}})
+	_, ms := p.nextBatch()
+	if len(ms) != 2 || ms[0].Kind != consensus.MsgVoteReply || ms[1].Kind != consensus.MsgPreVote {
+		t.Errorf("the next call carries %d messages, want the refused vote and the request for votes", len(ms))
+	}
+	p.enqueue("a", []consensus.Message{{Kind: consensus.MsgAppend, Term: 5}}) // it leads again
+	if _, ms = p.nextBatch(); len(ms) != 1 {
+		t.Errorf("%d messages of the new term are sent, want 1", len(ms))
+	}
+}
