dispatch: a worker whose next incarnation has reported gets no cursor and no start

Change: a report of a later incarnation ends the trust in who answers, as a failed call does: no cursor, no start, no new work until the next answer. TestDoubtedWorkerGetsNoCursorAndNoStart fails before.

--- a/core/dispatch/odd_report_test.go
+++ b/core/dispatch/odd_report_test.go
@@ -111,3 +111,38 @@
 		t.Error("the impossible records are kept")
 	}
 }
+
+// Guards against an end that a later incarnation discards unseen: between its first report and
+// the answer that shows who is there, a call carried the cursor of the incarnation before.
+func TestDoubtedWorkerGetsNoCursorAndNoStart(t *testing.T) {
+	r := newRig(t)
+	h := r.register("a", 1)
+	r.submit(job1, step(1, 1000))
+	r.commitPlan()
+	ref := r.acceptOrders()[0].Task
+	r.endRun(h, ref, graph.EndDone)
+	r.hold(h)
+	r.commitPlan()
+	r.submit(job2, step(1, 1000))
+	r.advance(placeRetry)
+	r.commitPlan()
+	if ws := r.core.workers[h]; ws.ackCursor == 0 || !ws.incarnationKnown || len(ws.runs) != 1 {
+		t.Fatalf("cursor %d, %d runs: the test needs an end to acknowledge and a start to send", ws.ackCursor, len(ws.runs))
+	}
+	r.core.Beat(r.now, worker("a", 50))
+	if orders := r.core.Orders(r.now); len(orders) != 0 {
+		t.Errorf("sent %+v to whoever is at the worker's address", orders)
+	}
+	r.advance(pollDelay)
+	polls := r.core.DuePolls(r.now)
+	if len(polls) != 1 || polls[0].AckCursor != 0 {
+		t.Fatalf("polled %+v, want one call without a cursor", polls)
+	}
+	r.answer(polls[0])
+	if next := r.core.hold(r.now, r.core.workers[h], 0); next.AckCursor == 0 {
+		t.Error("the worker answered as itself, and its ends are not acknowledged")
+	}
+	if orders := r.core.Orders(r.now); len(orders) != 1 {
+		t.Errorf("%d orders are sent after the worker answered as itself, want the start", len(orders))
+	}
+}
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -14,7 +14,7 @@
 			continue
 		}
 		kept = append(kept, r)
-		if r.inFlight || now.Before(r.nextAt) || r.ws.inFlight >= maxOrders {
+		if r.inFlight || now.Before(r.nextAt) || r.ws.inFlight >= maxOrders || r.ws.rival != nil && r.mustStart() {
 			continue
 		}
 		if o, ok := c.nextOrder(now, r); ok {
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -52,7 +52,7 @@
 	// no answer. Until the next list a later incarnation may be called in its place, and
 	// it numbers its ends anew, so no end is acknowledged.
 	incarnationKnown bool
-	// callFailedAt is when a call last got no answer. Answers to calls that were sent before
+	// callFailedAt is when a call last got no answer, or a rival came. Answers to calls that were sent before
 	// tell nothing about the incarnation that is called next.
 	callFailedAt time.Time
 
@@ -261,7 +261,7 @@
 // reachable reports whether the worker takes orders and is in service. It may be
 // quarantined. Stray runs take room, and places of their steps, that the tables do not show.
 func (c *Core) reachable(now time.Time, ws *workerState) bool {
-	return ws.fenced && !ws.invalid && !ws.suspect && ws.strayRuns == 0 && !ws.w.Left && !ws.w.Draining && !ws.clockAt.IsZero() &&
+	return ws.fenced && !ws.invalid && !ws.suspect && ws.rival == nil && ws.strayRuns == 0 && !ws.w.Left && !ws.w.Draining && !ws.clockAt.IsZero() &&
 		!now.Before(ws.noNewWorkUntil) && !c.tables.DomainOut(ws.w.Domain)
 }
 
@@ -291,6 +291,8 @@
 		ws.rivalAt = now
 	}
 	ws.rival = &r
+	// Until it is known who answers, no end is acknowledged.
+	ws.incarnationKnown, ws.callFailedAt = false, now
 	c.queuePoll(now, ws)
 }
 
