--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -115,9 +115,9 @@
 	GivenUp, RefutedReports                                                          uint64
 	WorkRuns                                                                         uint64
 	WorkError, EstimateError                                                         float64
-	// Scans counts searches of a pool for a worker, Examined the workers that they compared.
+	// Scans counts searches of a pool for workers, Examined the workers that they compared.
 	Scans, Examined uint64
-	// Delays sums what steps have waited for.
+	// Delays sums what ready steps have waited for, by cause.
 	Delays                       Delays
 	Waiting, Usable, Quarantined int
 }
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -113,9 +113,9 @@
 	unplaced []unplacedDemand
 	// ranking has the workers for the tasks of the last step that was searched for.
 	ranking *workerRanking
-	// pressures has the pressures of the fillers of image pressureOf, by serving image.
-	pressureOf string
-	pressures  map[string]float64
+	// pressures has the pressures of the fillers of image pressuresOf, by serving image.
+	pressuresOf string
+	pressures   map[string]float64
 	// causes has why the search for a step ended before all of its tasks were placed.
 	causes map[*graph.StepState]Cause
 }
@@ -312,8 +312,8 @@
 
 // pressureOn returns pressureOf the step's fillers. The estimates do not change during a plan.
 func (p *placer) pressureOn(s *graph.StepState, serving string) float64 {
-	if p.pressureOf != s.Image || p.pressures == nil {
-		p.pressureOf, p.pressures = s.Image, map[string]float64{}
+	if p.pressuresOf != s.Image || p.pressures == nil {
+		p.pressuresOf, p.pressures = s.Image, map[string]float64{}
 	}
 	pressure, known := p.pressures[serving]
 	if !known {
--- a/host/dispatcher/dispatcher_test.go
+++ b/host/dispatcher/dispatcher_test.go
@@ -265,3 +265,20 @@
 		t.Error("recorded workers are not just the possible one")
 	}
 }
+
+// Guards against an explanation of another job, or by a host that does not know.
+func TestExplainNamesWhatAJobWaitsFor(t *testing.T) {
+	d, _ := startSingleReplica(t)
+	submitPending(t, d)
+	if _, ok := d.Explain("ffffffffffffffff"); ok {
+		t.Error("an unknown job is explained")
+	}
+	x, ok := d.Explain("0000000000000003")
+	if !ok || x.ID != "0000000000000003" || x.Queue != "q" || len(x.Steps) != 1 || x.Steps[0].Tasks != 1 {
+		t.Errorf("explained as %+v, %t", x, ok)
+	}
+	d.stopLeading()
+	if _, ok := d.Explain("0000000000000003"); ok {
+		t.Error("a host that does not lead explains a job")
+	}
+}
