--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -52,8 +52,8 @@
 	// no answer. Until the next list a later incarnation may be called in its place, and
 	// it numbers its ends anew, so no end is acknowledged.
 	incarnationKnown bool
-	// callFailedAt is when a call last got no answer, or a rival came. Answers to calls that were sent before
-	// tell nothing about the incarnation that is called next.
+	// callFailedAt is when a call last got no answer, or a rival came. Answers to calls that
+	// were sent before tell nothing about the incarnation that is called next.
 	callFailedAt time.Time
 
 	// ackCursor is the sequence number of the last recorded end; lastListed is
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,4 +34,5 @@
 //   - 10: the next incarnation of a worker discarded an end by a cursor that was not for it.
 //   - 21: has not failed.
 //   - 5007: as 10; an answer sent before a call failed confirmed the next incarnation.
-var fixedSeeds = []uint64{6, 10, 21, 5007}
+//   - 7043: as 10, in about one of four plays; not traced.
+var fixedSeeds = []uint64{6, 10, 21, 5007, 7043}
