--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -21,6 +21,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,7 +30,6 @@
 
 const (
 	exitHeld, exitBroken, exitNotRun = 0, 1, 2
-	controlHosts, entryHosts         = 3, 2
 	// leaseMS is the longest lease that a minion grants; the value is that of srt-pond.
 	leaseMS       = 10000
 	beatInterval  = 1100 * time.Millisecond
@@ -41,10 +41,15 @@
 	pool          = "pool"
 )
 
-// scenario is one script. It returns whether the rule was broken.
-type scenario func(s *system, trouble bool) (broken bool)
+// scenario is one script.
+type scenario struct {
+	// control and entry are the numbers of hosts.
+	control, entry int
+	// play returns whether the rule was broken.
+	play func(s *system, trouble bool) (broken bool)
+}
 
-var scenarios = map[string]scenario{}
+var scenarios = map[string]*scenario{}
 
 func main() {
 	if len(os.Args) != 3 || scenarios[os.Args[1]] == nil {
@@ -54,14 +59,14 @@
 	os.Exit(play(scenarios[os.Args[1]], os.Args[2], os.Getenv("TROUBLE") != "0"))
 }
 
-func play(run scenario, recordPath string, trouble bool) (code int) {
+func play(run *scenario, recordPath string, trouble bool) (code int) {
 	f, err := os.Create(recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
 	defer f.Close()
-	s := &system{record: f, began: time.Now(), running: map[string]map[place]bool{}, begun: map[string]int{}, failed: map[string]int{}}
+	s := &system{control: run.control, entry: run.entry, record: f, began: time.Now(), running: map[string]map[place]bool{}, begun: map[string]int{}, failed: map[string]int{}}
 	s.note("trouble: %v", trouble)
 	defer s.end()
 	defer func() {
@@ -74,7 +79,7 @@
 		}
 	}()
 	s.start()
-	broken := run(s, trouble)
+	broken := run.play(s, trouble)
 	s.note("rule broken: %v", broken)
 	if broken {
 		return exitBroken
@@ -89,12 +94,15 @@
 
 // system is the deployment with its stand-ins.
 type system struct {
-	record  io.Writer
-	began   time.Time
-	dir     string
-	hosts   []*host
-	client  *standin.Client
-	clients http.Client
+	control, entry int // numbers of hosts
+	record         io.Writer
+	began          time.Time
+	dir            string
+	hosts          []*host
+	client         *standin.Client
+	clients        http.Client
+	// ending is set once the script ends its processes.
+	ending atomic.Bool
 
 	mu      sync.Mutex
 	minions []*minion
@@ -167,6 +175,7 @@
 // host is one process of the system.
 type host struct {
 	name, role, ip string
+	seeds          []string
 	ports          []int // two for calls between hosts, then control, frontend and readiness
 	cmd            *exec.Cmd
 }
@@ -182,12 +191,12 @@
 	}
 	s.client = standin.NewClient(clientTimeout)
 	s.clients.Timeout = clientTimeout
-	network, ports := freeNetwork()
+	network, ports := freeNetwork(s.control + s.entry)
 	var seeds []string
-	for i := range controlHosts + entryHosts {
+	for i := range s.control + s.entry {
 		h := &host{name: fmt.Sprintf("control-%d", i), role: "control", ip: fmt.Sprintf("%s.%d", network, 10+i), ports: ports}
-		if i >= controlHosts {
-			h.name, h.role = fmt.Sprintf("entry-%d", i-controlHosts), "entry"
+		if i >= s.control {
+			h.name, h.role = fmt.Sprintf("entry-%d", i-s.control), "entry"
 		} else {
 			seeds = append(seeds, h.control())
 		}
@@ -201,12 +210,12 @@
 
 // freeNetwork returns the first three bytes of loopback addresses on which the ports are
 // free, and the ports.
-func freeNetwork() (string, []int) {
+func freeNetwork(hosts int) (string, []int) {
 	for try := range 200 {
 		network := fmt.Sprintf("127.%d.%d", 1+(os.Getpid()+try*7)%250, (os.Getpid()/250+try)%250)
 		ports := []int{21500, 21501, 21502, 21503, 21504, metricsPort}
 		free := true
-		for i := range controlHosts + entryHosts {
+		for i := range hosts {
 			for _, p := range ports {
 				ln, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", network, 10+i, p))
 				if err != nil {
@@ -230,34 +239,53 @@
 	if err := os.MkdirAll(data, 0o700); err != nil {
 		giveUp("%v", err)
 	}
+	log, err := os.Create(filepath.Join(dir, "log"))
+	if err != nil {
+		giveUp("%v", err)
+	}
+	log.Close()
+	h.seeds = seeds
+	s.run(h, true)
+}
+
+// run starts a host's process with the command of the deploy file.
+func (s *system) run(h *host, firstStart bool) {
+	dir := filepath.Join(s.dir, h.name)
 	path := filepath.Join(dir, "settings.json")
 	settings := standin.Settings{
-		Name: h.name, IP: h.ip, Seeds: seeds, FirstStart: true, DataDir: data, FirstInnerPort: h.ports[0], LeaseMS: leaseMS,
+		Name: h.name, IP: h.ip, Seeds: h.seeds, FirstStart: firstStart, DataDir: filepath.Join(dir, "data"), FirstInnerPort: h.ports[0], LeaseMS: leaseMS,
 		Frontend: h.frontend(), Readiness: fmt.Sprintf("%s:%d", h.ip, h.ports[4]), Control: h.control(),
 	}.Encode()
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		giveUp("%v", err)
 	}
-	log, err := os.Create(filepath.Join(dir, "log"))
+	log, err := os.OpenFile(filepath.Join(dir, "log"), os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		giveUp("%v", err)
 	}
-	h.cmd = exec.Command("target/gooseberrypond", h.role) // as the deploy file says
-	h.cmd.Env = append(os.Environ(), "GOOSEBERRYPOND_NODE_FILE="+path)
-	h.cmd.Stdout, h.cmd.Stderr = log, log
-	if err := h.cmd.Start(); err != nil {
+	defer log.Close()
+	cmd := exec.Command("target/gooseberrypond", h.role)
+	cmd.Env = append(os.Environ(), "GOOSEBERRYPOND_NODE_FILE="+path)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
 		giveUp("start %s: %v", h.name, err)
 	}
+	s.mu.Lock()
+	h.cmd = cmd
+	s.mu.Unlock()
 }
 
 // end ends all processes and keeps their logs if KEEP names a folder.
 func (s *system) end() {
+	s.ending.Store(true)
+	s.mu.Lock()
 	for _, h := range s.hosts {
 		if h.cmd != nil && h.cmd.Process != nil {
 			_ = h.cmd.Process.Kill() // it may have ended
-			_ = h.cmd.Wait()
+			_, _ = h.cmd.Process.Wait()
 		}
 	}
+	s.mu.Unlock()
 	if keep := os.Getenv("KEEP"); keep != "" {
 		for _, h := range s.hosts {
 			if b, err := os.ReadFile(filepath.Join(s.dir, h.name, "log")); err == nil {
@@ -273,7 +301,7 @@
 // untilDone repeats a call on the control hosts in turn until it is acknowledged.
 func (s *system) untilDone(what string, limit time.Duration, call func(h *host) int) {
 	for i, end := 0, time.Now().Add(limit); ; i++ {
-		h := s.hosts[i%controlHosts]
+		h := s.hosts[i%s.control]
 		if status := call(h); status == http.StatusOK {
 			s.note("%s: acknowledged by %s", what, h.name)
 			return
@@ -295,7 +323,7 @@
 // submit hands a job in at the entry hosts in turn until it is accepted.
 func (s *system) submit(id, body string) {
 	for i, end := 0, time.Now().Add(20*time.Second); time.Now().Before(end); i++ {
-		h := s.hosts[controlHosts+i%entryHosts]
+		h := s.hosts[s.control+i%s.entry]
 		status, _ := s.ask(http.MethodPost, h, id, body)
 		s.note("client: POST job %s at %s: %d", id, h.name, status)
 		if status == http.StatusOK {
@@ -308,7 +336,7 @@
 
 // look returns the answer to a GET for a job: its state, or the status.
 func (s *system) look(id string) string {
-	h := s.hosts[controlHosts+int(time.Now().UnixMilli())%entryHosts]
+	h := s.hosts[s.control+int(time.Now().UnixMilli())%s.entry]
 	status, body := s.ask(http.MethodGet, h, id, "")
 	if status != http.StatusOK {
 		return fmt.Sprint(status)
@@ -318,13 +346,17 @@
 
 // ask sends a client's request for a job; status 0 means that there was no answer.
 func (s *system) ask(method string, h *host, id, body string) (status int, answer string) {
+	return s.askWith(&s.clients, method, h, id, body)
+}
+
+func (s *system) askWith(c *http.Client, method string, h *host, id, body string) (status int, answer string) {
 	req, err := http.NewRequest(method, "http://"+h.frontend()+queue+id, strings.NewReader(body))
 	if err != nil {
 		giveUp("%v", err)
 	}
 	req.Host = standin.QueueHost
 	req.Header.Set("Content-Type", "application/json")
-	resp, err := s.clients.Do(req)
+	resp, err := c.Do(req)
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -765,7 +797,7 @@
 func (s *system) startMinions(n int) {
 	for i := range n {
 		m := &minion{s: s, number: i, in: newLink(""), now: make(chan struct{}, 1)}
-		for _, h := range s.hosts[:controlHosts] {
+		for _, h := range s.hosts[:s.control] {
 			m.out = append(m.out, newLink(h.control()))
 		}
 		m.http = &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}
@@ -911,7 +943,7 @@
 	return string(body)
 }
 
-func init() { scenarios["flap"] = flap }
+func init() { scenarios["flap"] = &scenario{3, 2, flap} }
 
 const (
 	flapMinions = 8
@@ -966,7 +998,7 @@
 	return broken && len(s.failed) == 0
 }
 
-func init() { scenarios["leave"] = leave }
+func init() { scenarios["leave"] = &scenario{3, 2, leave} }
 
 const (
 	leaveMinions = 8
@@ -1020,7 +1052,7 @@
 	return s.twice != ""
 }
 
-func init() { scenarios["unreadable"] = unreadable }
+func init() { scenarios["unreadable"] = &scenario{3, 2, unreadable} }
 
 const (
 	unreadableMinions = 6
@@ -1049,7 +1081,7 @@
 		s.note("another writer: PUT /instances/%%FF at control-0: %d", status)
 	}
 	for range 5 { // the client's retries
-		status, _ := s.ask(http.MethodPost, s.hosts[controlHosts], second, steps(6, work{CPU: 1000, MS: 1000}, 1))
+		status, _ := s.ask(http.MethodPost, s.hosts[s.control], second, steps(6, work{CPU: 1000, MS: 1000}, 1))
 		s.note("client: POST job %s at entry-0: %d", second, status)
 		if status == http.StatusOK {
 			break
@@ -1084,3 +1116,187 @@
 	}
 	return string(body)
 }
+
+func init() { scenarios["many"] = &scenario{3, 2, many} }
+
+const (
+	// manyJobs is how many jobs are handed in and cancelled at once; the traffic of srt-pond,
+	// 14.2 jobs a second, has as many in less than three hours. keptJobs are not cancelled;
+	// their specs are longer, so that the log takes its next snapshot.
+	manyJobs    = 132_000
+	keptJobs    = 4_800
+	keptSpec    = 3_900 // bytes
+	manyClients = 128
+	// manyLimit is how long handing them in may take.
+	manyLimit = 85 * time.Second
+	// backWithin is within what time killed processes are back, recovery what they then have
+	// (recovery_s of srt-pond).
+	backWithin = 500 * time.Millisecond
+	recovery   = 12 * time.Second
+)
+
+// laterJob is a job for later: nothing runs yet.
+func laterJob(specBytes int) string {
+	body, err := json.Marshal(map[string]any{
+		"spec": strings.Repeat("x", specBytes), "times": 1, "start_at_ms": time.Now().Add(time.Hour).UnixMilli(), "interval_ms": 1000,
+		"phases": []any{map[string]any{"count": 1, "cpu": 1000, "mem_mb": 10}},
+	})
+	if err != nil {
+		giveUp("%v", err)
+	}
+	return string(body)
+}
+
+// many: all processes of the core are killed at the same moment, after many jobs were accepted.
+func many(s *system, trouble bool) (broken bool) {
+	s.clients.Transport = &http.Transport{MaxIdleConnsPerHost: manyClients}
+	short, long := laterJob(1), laterJob(keptSpec)
+	var next, accepted, cancelled atomic.Int64
+	var wg sync.WaitGroup
+	end := time.Now().Add(manyLimit)
+	until := func(method string, n int64, body string) bool {
+		for time.Now().Before(end) {
+			if status, _ := s.ask(method, s.hosts[s.control+int(n)%s.entry], fmt.Sprintf("%016x", n), body); status == http.StatusOK {
+				return true
+			}
+		}
+		return false
+	}
+	for range manyClients {
+		wg.Go(func() {
+			for n := next.Add(1); n <= manyJobs+keptJobs; n = next.Add(1) {
+				body := short
+				if n > manyJobs {
+					body = long
+				}
+				if !until(http.MethodPost, n, body) {
+					return
+				}
+				accepted.Add(1)
+				if n <= manyJobs && until(http.MethodDelete, n, "") {
+					cancelled.Add(1)
+				}
+			}
+		})
+	}
+	for time.Now().Before(end) && accepted.Load() < manyJobs+keptJobs {
+		time.Sleep(2 * time.Second)
+		s.note("clients: %d jobs accepted, %d of them cancelled", accepted.Load(), cancelled.Load())
+	}
+	wg.Wait()
+	if accepted.Load() < manyJobs+keptJobs {
+		giveUp("only %d jobs were accepted in %s", accepted.Load(), manyLimit)
+	}
+	time.Sleep(3 * time.Second)
+	if trouble {
+		for _, h := range s.hosts[:s.control] {
+			h.signal(syscall.SIGKILL)
+			_ = h.cmd.Wait() // it was killed
+			s.note("%s is killed", h.name)
+		}
+		time.Sleep(backWithin)
+		for _, h := range s.hosts[:s.control] {
+			s.restart(h)
+		}
+	}
+	time.Sleep(recovery)
+	answered := 0
+	for n := int64(manyJobs + 1); n <= manyJobs+keptJobs; n += keptJobs / 12 {
+		id := fmt.Sprintf("%016x", n)
+		state := s.look(id)
+		s.note("client: GET job %s, accepted and not cancelled: %s", id, state)
+		if state == "queued" {
+			answered++
+		}
+	}
+	if v, ok := s.client.ConfigVersion(s.hosts[0].control()); !ok || v != 1 {
+		s.note("operator: GET /config at control-0: no version")
+	}
+	return answered == 0
+}
+
+// restart starts a host's process again as the platform does, until the script ends.
+func (s *system) restart(h *host) {
+	s.note("%s starts again", h.name)
+	go func() {
+		for !s.ending.Load() {
+			s.run(h, false)
+			err := h.cmd.Wait()
+			if s.ending.Load() {
+				return
+			}
+			s.note("%s ends by itself: %v", h.name, err)
+			time.Sleep(time.Second)
+		}
+	}()
+}
+
+func init() { scenarios["cancelled"] = &scenario{5, 6, cancelled} }
+
+const (
+	cancelledMinions = 6
+	cancelledJobs    = 8
+	// freeze is how long a machine stands still (node_freeze of srt-pond), deadline how long the
+	// client waits for an answer, and cancelTime is cancel_ms.
+	freeze     = 5 * time.Second
+	deadline   = time.Second
+	cancelTime = 3 * time.Second
+)
+
+// cancelled: one entry host stands still while eight clients hand a job in there. They get no
+// answer, cancel their jobs at another host, and are told that there are no such jobs.
+func cancelled(s *system, trouble bool) (broken bool) {
+	s.startMinions(cancelledMinions)
+	frozen, other := s.hosts[s.control], s.hosts[s.control+1]
+	if trouble {
+		frozen.signal(syscall.SIGSTOP)
+		s.note("%s stands still", frozen.name)
+	}
+	began := time.Now()
+	var wg sync.WaitGroup
+	var refused atomic.Bool
+	for n := range cancelledJobs {
+		wg.Go(func() {
+			id := fmt.Sprintf("00000000000000d%d", n)
+			status, _ := s.askWith(&http.Client{Timeout: deadline}, http.MethodPost, frozen, id, job(3, work{CPU: 1000, MS: 10000}, 10000))
+			s.note("client: POST job %s at %s: %d", id, frozen.name, status)
+			time.Sleep(time.Until(began.Add(deadline)))
+			status, _ = s.ask(http.MethodDelete, other, id, "")
+			s.note("client: DELETE job %s at %s: %d", id, other.name, status)
+			if status != http.StatusOK && status != http.StatusGone {
+				refused.Store(true)
+			}
+		})
+	}
+	wg.Wait()
+	acknowledged := time.Now()
+	if refused.Load() {
+		giveUp("a cancel was not acknowledged")
+	}
+	time.Sleep(time.Until(began.Add(freeze)))
+	if time.Since(acknowledged) < cancelTime {
+		giveUp("cancel_ms is not over")
+	}
+	before := s.begunRuns()
+	s.note("more than cancel_ms after the acknowledgements")
+	if trouble {
+		frozen.signal(syscall.SIGCONT)
+		s.note("%s wakes", frozen.name)
+	}
+	time.Sleep(15 * time.Second)
+	for n := range cancelledJobs {
+		id := fmt.Sprintf("00000000000000d%d", n)
+		s.note("client: GET job %s: %s", id, s.look(id))
+	}
+	return s.begunRuns() > before
+}
+
+// begunRuns returns how many runs have begun.
+func (s *system) begunRuns() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.begun {
+		n += k
+	}
+	return n
+}
