--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -66,7 +66,7 @@
 		return exitNotRun
 	}
 	defer f.Close()
-	s := &system{control: run.control, entry: run.entry, record: f, began: time.Now(), running: map[string]map[place]bool{}, begun: map[string]int{}, failed: map[string]int{}}
+	s := &system{control: run.control, entry: run.entry, record: f, began: time.Now(), running: map[string]map[place]bool{}, begun: map[string]int{}, placesBegun: map[string]bool{}, failed: map[string]int{}}
 	s.note("trouble: %v", trouble)
 	defer s.end()
 	defer func() {
@@ -111,6 +111,8 @@
 	running map[string]map[place]bool
 	begun   map[string]int
 	failed  map[string]int
+	// placesBegun has the minions that have begun a run.
+	placesBegun map[string]bool
 	// twice is the first time that two runs of a task were seen at once.
 	twice string
 }
@@ -139,6 +141,7 @@
 	}
 	s.running[task][place{worker, run}] = true
 	s.begun[task]++
+	s.placesBegun[worker] = true
 	s.noteLocked("%s starts %s run %d", worker, task, run)
 	if len(s.running[task]) > 1 && s.twice == "" {
 		s.twice = fmt.Sprintf("task %s runs twice: %v", task, s.running[task])
@@ -1300,3 +1303,77 @@
 	}
 	return n
 }
+
+func init() { scenarios["evacuated"] = &scenario{5, 6, evacuated} }
+
+const (
+	evacuatedMinions = 9
+	// evacuateTime is evacuate_ms, contact contact_ms.
+	evacuateTime = 5 * time.Second
+	contact      = 3 * time.Second
+)
+
+// evacuated: one control host that does not lead stands still while the operator takes a zone's
+// evacuation back there. It gets no answer, takes it back at another host, and evacuates the zone
+// anew.
+func evacuated(s *system, trouble bool) (broken bool) {
+	s.startMinions(evacuatedMinions)
+	zones := []string{"d1", "d2"}
+	var frozen *host
+	var others []*host
+	for _, h := range s.hosts[:s.control] {
+		if frozen == nil && !s.client.Leading(fmt.Sprintf("%s:%d", h.ip, metricsPort)) {
+			frozen = h
+		} else {
+			others = append(others, h)
+		}
+	}
+	operator := standin.NewClient(callTimeout)
+	order := func(zone string, out bool, hosts ...*host) {
+		for i := range 40 {
+			h := hosts[i%len(hosts)]
+			status := operator.SetDomain(h.control(), zone, out).Status
+			s.note("operator: evacuate %s %v at %s: %d", zone, out, h.name, status)
+			if status == http.StatusOK {
+				return
+			}
+		}
+		giveUp("an order was not acknowledged")
+	}
+	each := func(do func(zone string)) {
+		var wg sync.WaitGroup
+		for _, z := range zones {
+			wg.Go(func() { do(z) })
+		}
+		wg.Wait()
+	}
+	each(func(z string) { order(z, true, others...) })
+	time.Sleep(contact)
+	if trouble {
+		frozen.signal(syscall.SIGSTOP)
+		s.note("%s stands still", frozen.name)
+	}
+	began := time.Now()
+	each(func(z string) { order(z, false, append([]*host{frozen}, others...)...) })
+	time.Sleep(500 * time.Millisecond)
+	each(func(z string) { order(z, true, others...) })
+	acknowledged := time.Now()
+	time.Sleep(time.Until(began.Add(freeze)))
+	if trouble {
+		frozen.signal(syscall.SIGCONT)
+		s.note("%s wakes", frozen.name)
+	}
+	time.Sleep(time.Until(time.Now().Add(contact)))
+	time.Sleep(time.Until(acknowledged.Add(evacuateTime)))
+	s.note("evacuate_ms after the acknowledgement, and contact_ms after the disruption")
+	s.submit("00000000000000e1", job(18, work{CPU: 1000, MS: 2000}, 2000))
+	time.Sleep(6 * time.Second)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for at := range s.placesBegun {
+		if m := s.minionOf(at); m != nil && m.number%3 < len(zones) {
+			broken = true
+		}
+	}
+	return broken
+}
