--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -795,6 +795,8 @@
 	silent bool
 	// now sends the next heartbeat without delay.
 	now chan struct{}
+	// at is the control host that took the last heartbeat.
+	at int
 }
 
 func (s *system) startMinions(n int) {
@@ -833,14 +835,13 @@
 
 // beats sends a heartbeat in every interval, to the first control host that takes it.
 func (m *minion) beats() {
-	for first := m.number; ; {
-		for k := range m.out {
-			at := (first + k) % len(m.out)
-			status, sent := m.send(http.MethodPut, at, m.heartbeat())
+	for m.at = m.number % len(m.out); ; {
+		for range m.out {
+			status, sent := m.send(http.MethodPut, m.at, m.heartbeat())
 			if !sent || status == http.StatusOK {
-				first = at
 				break
 			}
+			m.at = (m.at + 1) % len(m.out)
 		}
 		select {
 		case <-m.now:
@@ -1005,51 +1006,57 @@
 
 const (
 	leaveMinions = 8
-	// drainMS is drain_ms, and oneWay how long the cut of one direction lasts.
-	drain  = 2 * time.Second
-	oneWay = 5 * time.Second
-	// linger is how long a minion whose notice was not acknowledged goes on.
+	// drain is drain_ms; a minion serves a little longer. cutAfter is when the cut of one
+	// direction begins, between two heartbeats.
+	drain, alittle = 2 * time.Second, 100 * time.Millisecond
+	cutAfter       = 1250 * time.Millisecond
+	// linger is how long a minion whose notice was not acknowledged goes on ("some seconds"; linger_ms
+	// of srt-pond).
 	linger = 4 * time.Second
+	// leaveWorkMS is how long a task takes and leaveEstimateMS the client's estimate; workedFor is
+	// how long tasks have worked when the minion begins to drain.
+	leaveWorkMS, leaveEstimateMS = 15_000, 2_000
+	workedFor                    = 9 * time.Second
 )
 
-// leave: a minion is emptied and taken away; when it has sent its notice that it leaves, the
-// packets to it are lost. Its notice arrives, the acknowledgement does not.
+// leave: a minion is emptied and taken away. Shortly before it leaves, packets to it begin to be
+// lost: its notice that it leaves arrives, the acknowledgement does not, and it ends some seconds
+// later.
 func leave(s *system, trouble bool) (broken bool) {
 	s.startMinions(leaveMinions)
 	id := "00000000000000b1"
-	s.submit(id, job(16, work{CPU: 1000, MS: 14000}, 2500))
-	time.Sleep(3 * time.Second)
+	s.submit(id, job(16, work{CPU: 1000, MS: leaveWorkMS}, leaveEstimateMS))
+	time.Sleep(workedFor)
 	m := s.minionOf(s.placeOf(id + ".0.0.0"))
 	if m == nil {
 		giveUp("the first task of job %s does not run", id)
 	}
+	began := time.Now()
 	m.mu.Lock()
-	m.draining, m.leaves = true, time.Now().Add(drain)
+	m.draining, m.leaves = true, began.Add(drain)
 	m.mu.Unlock()
 	m.now <- struct{}{}
 	s.note("%s drains", m.id())
-	time.Sleep(drain)
-	m.mu.Lock()
-	m.silent = true
-	m.mu.Unlock()
+	time.Sleep(time.Until(began.Add(cutAfter)))
 	if trouble {
 		s.note("packets to %s are lost from now on", m.id())
 		m.cut(true, false)
 	}
+	time.Sleep(time.Until(began.Add(drain + alittle)))
+	m.mu.Lock()
+	m.silent = true
+	m.mu.Unlock()
 	acknowledged := false
-	for sent := time.Now(); !acknowledged && time.Since(sent) < linger; {
-		for k := range m.out {
-			status, _ := m.send(http.MethodDelete, (m.number+k)%len(m.out), "")
-			s.note("%s sends its notice that it leaves to control-%d: %d", m.id(), (m.number+k)%len(m.out), status)
-			if acknowledged = status == http.StatusOK; acknowledged || time.Since(sent) >= linger {
-				break
-			}
-		}
+	for sent, k := time.Now(), m.at; !acknowledged && time.Since(sent) < linger; k++ {
+		status, _ := m.send(http.MethodDelete, k%len(m.out), "")
+		s.note("%s sends its notice that it leaves to control-%d: %d", m.id(), k%len(m.out), status)
+		acknowledged = status == http.StatusOK
 	}
 	s.note("%s ends", m.id())
 	m.life.end()
 	m.cut(false, false)
 	time.Sleep(20 * time.Second)
+	s.note("client: GET job %s: %s", id, s.look(id))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.twice != ""
@@ -1377,3 +1384,43 @@
 	}
 	return broken
 }
+
+func init() { scenarios["times"] = &scenario{3, 2, times} }
+
+const (
+	timesMinions = 6
+	// pastTimes is how many times of a scheduled job were due before it was handed in.
+	pastTimes = 150_000
+)
+
+// times: a client hands in a scheduled job of which many times are due already.
+func times(s *system, trouble bool) (broken bool) {
+	s.startMinions(timesMinions)
+	first, second := "00000000000000f1", "00000000000000f2"
+	s.submit(first, steps(6, work{CPU: 1000, MS: 1000}, 3))
+	time.Sleep(500 * time.Millisecond)
+	if trouble {
+		body, err := json.Marshal(map[string]any{
+			"spec": `{"cpu":1000,"ms":500}`, "times": pastTimes, "start_at_ms": time.Now().Add(-pastTimes * time.Second).UnixMilli(), "interval_ms": 1000,
+			"phases": []any{map[string]any{"count": 1, "cpu": 1000, "mem_mb": 10, wire["estimate"]: 500}},
+		})
+		if err != nil {
+			giveUp("%v", err)
+		}
+		s.submit("00000000000000ff", string(body))
+	}
+	for range 5 { // the client's retries
+		status, _ := s.ask(http.MethodPost, s.hosts[s.control], second, steps(6, work{CPU: 1000, MS: 1000}, 1))
+		s.note("client: POST job %s at entry-0: %d", second, status)
+		if status == http.StatusOK {
+			break
+		}
+	}
+	time.Sleep(settle)
+	for _, id := range []string{first, second} {
+		state := s.look(id)
+		s.note("client: GET job %s: %s", id, state)
+		broken = broken || id == first && state != "completed"
+	}
+	return broken
+}
