--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -66,7 +66,7 @@
 		return exitNotRun
 	}
 	defer f.Close()
-	s := &system{control: run.control, entry: run.entry, record: f, began: time.Now(), running: map[string]map[place]bool{}, begun: map[string]int{}, placesBegun: map[string]bool{}, failed: map[string]int{}}
+	s := &system{control: run.control, entry: run.entry, record: f, began: time.Now(), running: map[string]map[place]bool{}, begun: map[string]int{}, doneNoted: map[string]bool{}, placesBegun: map[string]bool{}, failed: map[string]int{}}
 	s.note("trouble: %v", trouble)
 	defer s.end()
 	defer func() {
@@ -95,12 +95,14 @@
 // system is the deployment with its stand-ins.
 type system struct {
 	control, entry int // numbers of hosts
-	record         io.Writer
-	began          time.Time
-	dir            string
-	hosts          []*host
-	client         *standin.Client
-	clients        http.Client
+	// sameID is set if minions keep their ids when they start again.
+	sameID  bool
+	record  io.Writer
+	began   time.Time
+	dir     string
+	hosts   []*host
+	client  *standin.Client
+	clients http.Client
 	// ending is set once the script ends its processes.
 	ending atomic.Bool
 
@@ -113,6 +115,9 @@
 	failed  map[string]int
 	// placesBegun has the minions that have begun a run.
 	placesBegun map[string]bool
+	// doneNoted has the tasks of which an end done was taken note of, again the first start of one.
+	doneNoted map[string]bool
+	again     string
 	// twice is the first time that two runs of a task were seen at once.
 	twice string
 }
@@ -143,6 +148,10 @@
 	s.begun[task]++
 	s.placesBegun[worker] = true
 	s.noteLocked("%s starts %s run %d", worker, task, run)
+	if s.doneNoted[task] && s.again == "" {
+		s.again = fmt.Sprintf("task %s starts again after its end was taken note of", task)
+		s.noteLocked("%s", s.again)
+	}
 	if len(s.running[task]) > 1 && s.twice == "" {
 		s.twice = fmt.Sprintf("task %s runs twice: %v", task, s.running[task])
 		s.noteLocked("%s", s.twice)
@@ -162,7 +171,10 @@
 
 // noted records that the system has taken note of an end.
 func (s *system) noted(worker, task string, run int, how string) {
-	s.note("%s: end of %s run %d (%s) is taken note of", worker, task, run, how)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteLocked("%s: end of %s run %d (%s) is taken note of", worker, task, run, how)
+	s.doneNoted[task] = s.doneNoted[task] || how == "done"
 }
 
 // placeOf returns the worker on which a task runs; empty if there is none.
@@ -791,8 +803,10 @@
 	draining bool
 	// leaves is when a draining minion leaves at the earliest.
 	leaves time.Time
-	// silent is set once it sends no more heartbeats.
+	// silent is set while it sends no heartbeats.
 	silent bool
+	// sameID is set if the minion keeps its id when it starts again.
+	sameID bool
 	// now sends the next heartbeat without delay.
 	now chan struct{}
 	// at is the control host that took the last heartbeat.
@@ -801,7 +815,7 @@
 
 func (s *system) startMinions(n int) {
 	for i := range n {
-		m := &minion{s: s, number: i, in: newLink(""), now: make(chan struct{}, 1)}
+		m := &minion{s: s, number: i, sameID: s.sameID, in: newLink(""), now: make(chan struct{}, 1)}
 		for _, h := range s.hosts[:s.control] {
 			m.out = append(m.out, newLink(h.control()))
 		}
@@ -819,7 +833,11 @@
 	defer m.mu.Unlock()
 	m.lives++
 	m.seq = 0
-	m.life = newLife(m.s, fmt.Sprintf("i-%d-%d", m.number, m.lives))
+	id := fmt.Sprintf("i-%d-%d", m.number, m.lives)
+	if m.sameID {
+		id = fmt.Sprintf("i-%d", m.number)
+	}
+	m.life = newLife(m.s, id)
 	m.in.retarget(m.life.ln.Addr().String())
 	m.s.note("%s is up", m.life.id)
 }
@@ -1424,3 +1442,53 @@
 	}
 	return broken
 }
+
+func init() { scenarios["reborn"] = &scenario{3, 2, reborn} }
+
+const (
+	rebornMinions = 8
+	// rebornDown is how long the minion is without power, rebornBeat when it sends its first
+	// heartbeat after that.
+	rebornDown = 400 * time.Millisecond
+	rebornBeat = 900 * time.Millisecond
+	// quiet is how long nothing is ordered before: the control host then has one connection to
+	// each minion, on which a call waits for an end.
+	quiet = 12 * time.Second
+)
+
+// reborn: a minion loses power for a moment and starts again under its id. A job is handed in and
+// another one cancelled before it has sent its first heartbeat.
+func reborn(s *system, trouble bool) (broken bool) {
+	s.sameID = true
+	s.startMinions(rebornMinions)
+	first, lasting, second := "00000000000000f1", "00000000000000f2", "00000000000000f3"
+	s.submit(first, job(32, work{CPU: 500, MS: 300}, 300))
+	time.Sleep(time.Second)
+	s.submit(lasting, job(16, work{CPU: 1000}, 9000))
+	time.Sleep(quiet)
+	m := s.minionOf(s.placeOf(lasting + ".0.0.0"))
+	if m == nil {
+		giveUp("the first task of job %s does not run", lasting)
+	}
+	m.mu.Lock()
+	m.silent = true
+	m.mu.Unlock()
+	if trouble {
+		m.crash(rebornDown)
+	}
+	began := time.Now()
+	s.submit(second, job(16, work{CPU: 500, MS: 20}, 20))
+	time.Sleep(60 * time.Millisecond)
+	status, _ := s.ask(http.MethodDelete, s.hosts[s.control], lasting, "")
+	s.note("client: DELETE job %s: %d", lasting, status)
+	time.Sleep(time.Until(began.Add(rebornBeat)))
+	m.mu.Lock()
+	m.silent = false
+	m.mu.Unlock()
+	m.now <- struct{}{}
+	time.Sleep(8 * time.Second)
+	s.note("client: GET job %s: %s", second, s.look(second))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.again != "" || s.twice != ""
+}
