--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-stand ] && [ -x target/gooseberrypond ] || exit 2
 export TROUBLE="${TROUBLE:-1}"
-exec target/review-stand cancelled review/4/record.txt
+exec target/review-stand cancelled review/5/record.txt
