--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -1333,7 +1333,7 @@
 
 const (
 	evacuatedMinions = 9
-	// evacuateTime is evacuate_ms, contact contact_ms.
+	// evacuateTime is how long an evacuation may take to be in force, contact contact_ms.
 	evacuateTime = 5 * time.Second
 	contact      = 3 * time.Second
 )
@@ -1390,7 +1390,7 @@
 	}
 	time.Sleep(time.Until(time.Now().Add(contact)))
 	time.Sleep(time.Until(acknowledged.Add(evacuateTime)))
-	s.note("evacuate_ms after the acknowledgement, and contact_ms after the disruption")
+	s.note("the time of an evacuation after the acknowledgement, and contact_ms after the disruption")
 	s.submit("00000000000000e1", job(18, work{CPU: 1000, MS: 2000}, 2000))
 	time.Sleep(6 * time.Second)
 	s.mu.Lock()
