Control hosts: log what a configuration read shows, suspensions, and the group's strength

Cause: no line told which version a host showed to an operator, nor the term of the leader that answered; nothing told that a machine had stood still, or how many voters could still be lost.

Change: "configuration read" and "configuration acknowledged" with version and term; "this host was suspended", from the difference between the clock that counts suspensions (store/clock) and the steady one; "strength of the group changed" and three gauges. No decision changes.

Measured: tests of host/group, host/dispatcher, store/clock and the programs pass.

--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -59,6 +59,8 @@
 	Config []byte
 	// Version is the version of the configuration that the answer is based on.
 	Version uint64
+	// Term is the term of the leader that read or acknowledged a configuration.
+	Term uint64
 	// Limits are the size and time limits for requests from callers.
 	Limits graph.Limits
 }
@@ -78,7 +80,7 @@
 		a := d.withLeader(ctx, func(l *leadership) (Answer, bool) {
 			if now := d.tables.Config(); now != nil && now.Version >= c.Version {
 				alreadyCommitted = true
-				return Answer{Code: Done, Version: now.Version}, false
+				return Answer{Code: Done, Version: now.Version, Term: l.term}, false
 			}
 			if l.queued.config == nil || l.queued.config.Version < c.Version {
 				l.queued.config = c
@@ -96,12 +98,12 @@
 
 // GetConfig returns the committed configuration.
 func (d *Dispatcher) GetConfig() Answer {
-	return d.countAnswer("getconfig", d.withLeader(context.Background(), func(*leadership) (Answer, bool) {
+	return d.countAnswer("getconfig", d.withLeader(context.Background(), func(l *leadership) (Answer, bool) {
 		c := d.tables.Config()
 		if c == nil {
 			return answer(NoConfig, "no configuration is in force"), false
 		}
-		return Answer{Code: Done, Config: c.Document, Version: c.Version, Limits: c.Limits}, false
+		return Answer{Code: Done, Config: c.Document, Version: c.Version, Limits: c.Limits, Term: l.term}, false
 	}))
 }
 
--- a/host/group/group.go
+++ b/host/group/group.go
@@ -23,6 +23,7 @@
 
 	"gooseberrypond/host/dispatcher"
 	"gooseberrypond/host/relay"
+	"gooseberrypond/store/clock"
 	"gooseberrypond/store/consensus"
 	"gooseberrypond/store/replica"
 )
@@ -42,6 +43,9 @@
 	leaderSilenceLimit = time.Second
 	// changeTimeout bounds one membership change.
 	changeTimeout = time.Second
+	// suspensionLogged is the length of a suspension that is logged. The two clocks
+	// are read one after the other, so small differences say nothing.
+	suspensionLogged = 50 * time.Millisecond
 	// transferTimeout bounds the leadership transfer at a graceful stop.
 	transferTimeout = 800 * time.Millisecond
 )
@@ -76,6 +80,10 @@
 	// to lead in that term.
 	ledTerm  uint64
 	ledSince time.Time
+	// strength is what this replica knew of the group when it last led.
+	strength atomic.Pointer[strength]
+	// suspended is the total time of suspensions that were logged.
+	suspended time.Duration
 }
 
 // New returns a Group; Run starts it.
@@ -184,6 +192,7 @@
 			return false, errors.Wrap(rep.Err(), "replica stopped")
 		case <-ticker.C:
 		}
+		g.logSuspension()
 		if rep.HoldsLease() {
 			g.maintainMembership(ctx, rep)
 		} else if g.joinOrCheckRemoved(ctx, rep) {
@@ -194,6 +203,16 @@
 	}
 }
 
+// logSuspension logs that the machine was suspended since the last call. Other hosts
+// may have elected a leader meanwhile.
+func (g *Group) logSuspension() {
+	total := clock.Suspended()
+	if d := total - g.suspended; d > suspensionLogged {
+		g.suspended = total
+		g.cfg.Logger.Warn().Dur("for", d).Str("replica", g.id).Msg("this host was suspended")
+	}
+}
+
 // transferLeadership transfers leadership before a stop, if this replica leads. The
 // step "hand over" in its log line is the leadership transfer.
 func (g *Group) transferLeadership(rep *replica.Replica) {
@@ -296,13 +315,12 @@
 	if g.ledTerm != s.Term {
 		g.ledTerm, g.ledSince = s.Term, g.leaderSeenAt
 	}
-	var silentVoters, learners []replica.MemberStatus
-	voters := 0
+	var voters, silentVoters, learners []replica.MemberStatus
 	for _, m := range s.Members {
 		silent := m.ID != s.ID && time.Since(laterOf(m.Contact, g.ledSince)) > voterTimeout
 		switch {
 		case m.Voter:
-			voters++
+			voters = append(voters, m)
 			if silent {
 				silentVoters = append(silentVoters, m)
 			}
@@ -310,10 +328,11 @@
 			learners = append(learners, m)
 		}
 	}
+	g.setStrength(strengthOf(voters, silentVoters))
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	switch {
-	case len(silentVoters) > 0 && (len(learners) > 0 || voters%2 == 0) && voters > 1:
+	case len(silentVoters) > 0 && (len(learners) > 0 || len(voters)%2 == 0) && len(voters) > 1:
 		err := rep.Remove(ctx, silentVoters[0].ID)
 		g.logMembershipChange(err, silentVoters[0].ID, "replica removed: it has been silent for too long")
 	case len(learners) > 0:
