Read the configuration by a quorum, not by the leader's lease

Cause: the read was answered under the leader's lease, which is measured on the steady clock. That clock stands still while a machine is suspended. A leader that wakes up believes in its lease for up to 300 ms, and answers from its own tables what waited in its socket, while its successor has acknowledged newer versions. Class: a permission that relies on a clock, used for an answer that must not be older than another host's.

Change: the read asks a quorum whether this host still leads (Replica.ReadBarrier, the path that TestLinearizable checks and nothing but tests used) and reads the tables after that. It depends on no clock. A change that is already committed is still acknowledged from the tables: what is applied there is committed for good.

--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -96,15 +96,29 @@
 	}
 }
 
-// GetConfig returns the committed configuration.
-func (d *Dispatcher) GetConfig() Answer {
-	return d.countAnswer("getconfig", d.withLeader(context.Background(), func(l *leadership) (Answer, bool) {
-		c := d.tables.Config()
-		if c == nil {
-			return answer(NoConfig, "no configuration is in force"), false
-		}
-		return Answer{Code: Done, Config: c.Document, Version: c.Version, Limits: c.Limits, Term: l.term}, false
-	}))
+// GetConfig returns the committed configuration, as current as at the time of the call.
+// It asks a quorum: the lease is not enough, because it relies on the leader's clock.
+func (d *Dispatcher) GetConfig(ctx context.Context) Answer {
+	return d.countAnswer("getconfig", d.readConfig(ctx))
+}
+
+func (d *Dispatcher) readConfig(ctx context.Context) Answer {
+	d.mu.Lock()
+	l, log := d.activeLeadership(), d.log
+	d.mu.Unlock()
+	if l == nil {
+		return answer(NotLeader, "this host does not lead")
+	}
+	if err := log.ReadBarrier(ctx); err != nil {
+		return answer(NotLeader, "leadership is not confirmed: "+err.Error())
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.tables.Config()
+	if c == nil {
+		return answer(NoConfig, "no configuration is in force")
+	}
+	return Answer{Code: Done, Config: c.Document, Version: c.Version, Limits: c.Limits, Term: l.term}
 }
 
 // SetDomain takes a failure domain out of service or brings it back.
--- a/host/dispatcher/dispatcher.go
+++ b/host/dispatcher/dispatcher.go
@@ -54,6 +54,9 @@
 // Log is the replicated log.
 type Log interface {
 	Propose(ctx context.Context, data []byte) (any, error)
+	// ReadBarrier returns once every entry that was committed before the call is
+	// applied here. It fails if a quorum does not confirm that this replica leads.
+	ReadBarrier(ctx context.Context) error
 	LeaseTerm() (term uint64, ok bool)
 	LeaderChanges() <-chan replica.LeaderChange
 }
--- a/host/dispatcher/dispatcher_test.go
+++ b/host/dispatcher/dispatcher_test.go
@@ -45,6 +45,13 @@
 	return res, nil
 }
 
+func (l *singleReplicaLog) ReadBarrier(context.Context) error {
+	if _, ok := l.LeaseTerm(); !ok {
+		return replica.ErrNotLeader
+	}
+	return nil
+}
+
 func (l *singleReplicaLog) LeaseTerm() (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -153,7 +160,7 @@
 	if a := d.PutConfig(ctx, &graph.Config{Version: 4, Document: []byte("four")}); a.Code != Done {
 		t.Errorf("older configuration answered %s, want done", a.Code)
 	}
-	if a := d.GetConfig(); string(a.Config) != "five" {
+	if a := d.GetConfig(t.Context()); string(a.Config) != "five" {
 		t.Errorf("configuration read back is %q, want \"five\"", a.Config)
 	}
 	log.set(func() { log.fail = errors.Wrap(replica.ErrBusy, "full") })
@@ -178,7 +185,7 @@
 	if a := d.Look("h", "/q/00000000000000aa"); a.Code != NotLeader {
 		t.Errorf("job read without the lease answered %s, want not leader", a.Code)
 	}
-	if a := d.GetConfig(); a.Code != NotLeader {
+	if a := d.GetConfig(t.Context()); a.Code != NotLeader {
 		t.Errorf("configuration read without the lease answered %s, want not leader", a.Code)
 	}
 }
--- a/host/dispatcher/keys_test.go
+++ b/host/dispatcher/keys_test.go
@@ -145,6 +145,13 @@
 	m.applied = from.applied
 }
 
+func (m *member) ReadBarrier(context.Context) error {
+	if _, ok := m.LeaseTerm(); !ok {
+		return replica.ErrNotLeader
+	}
+	return nil
+}
+
 func (m *member) LeaseTerm() (uint64, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/host/relay/server.go
+++ b/host/relay/server.go
@@ -183,7 +183,7 @@
 	case *BeatsArgs:
 		return s.d.Beats(ctx, a.Reports), nil
 	case *None:
-		return s.d.GetConfig(), nil
+		return s.d.GetConfig(ctx), nil
 	}
 	return dispatcher.Answer{}, errors.Newf("call %s is unknown", method)
 }
