Measure the leader's lease on the clock that counts suspensions

Cause: replicas read time.Now, whose monotonic clock stands still while the machine is suspended, so a lease of 300 ms lasted 300 ms plus the suspension.

Change: replicas use clock.Now (CLOCK_BOOTTIME). Their status gives the silence of a member instead of a time on that clock, which callers would compare with another clock.

A suspension itself cannot be played here: it needs a machine that is suspended. Tests of store/, host/control, host/group and host/localcluster pass with the race detector.

--- a/host/control/reads.go
+++ b/host/control/reads.go
@@ -79,7 +79,7 @@
 	st := h.replica.Status()
 	out := &structs.Status{
 		Cluster: h.cfg.Cluster, Leader: h.cfg.HostID, Term: st.Term, Commit: st.Commit,
-		Replicas: replicaInfos(&st, time.Now()),
+		Replicas: replicaInfos(&st),
 		Jobs:     map[structs.JobStatus]int{}, Tasks: map[structs.JobStatus]int{},
 		EntryHosts: []structs.EntryHostInfo{}, Owners: []structs.OwnerInfo{},
 	}
@@ -143,11 +143,11 @@
 		return nil, h.notLeader("control.members")
 	}
 	st := h.replica.Status()
-	return replicaInfos(&st, time.Now()), nil
+	return replicaInfos(&st), nil
 }
 
 // replicaInfos describes the members of the group as the leader sees them.
-func replicaInfos(st *replica.Status, now time.Time) []structs.ReplicaInfo {
+func replicaInfos(st *replica.Status) []structs.ReplicaInfo {
 	var out []structs.ReplicaInfo
 	for _, m := range st.Members {
 		id, err := strconv.ParseUint(m.ID, 10, 64)
@@ -158,7 +158,7 @@
 		switch {
 		case m.ID == st.LeaderID:
 			info.Role = "leader"
-		case now.Sub(m.Contact) > unreachableAfter:
+		case m.Silence > unreachableAfter:
 			info.Role = "unreachable"
 		case m.Voter:
 			info.Role = "follower"
--- a/host/group/group.go
+++ b/host/group/group.go
@@ -317,7 +317,7 @@
 	}
 	var voters, silentVoters, learners []replica.MemberStatus
 	for _, m := range s.Members {
-		silent := m.ID != s.ID && time.Since(laterOf(m.Contact, g.ledSince)) > voterTimeout
+		silent := min(m.Silence, time.Since(g.ledSince)) > voterTimeout
 		switch {
 		case m.Voter:
 			voters = append(voters, m)
@@ -343,13 +343,6 @@
 	}
 }
 
-func laterOf(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // logMembershipChange logs the outcome of a change by maintainMembership, which is
 // the step "heal" in log lines.
 func (g *Group) logMembershipChange(err error, id, message string) {
--- a/store/replica/config.go
+++ b/store/replica/config.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"gooseberrypond/core/structs"
+	"gooseberrypond/store/clock"
 	"gooseberrypond/store/consensus"
 	"gooseberrypond/store/disk"
 	"gooseberrypond/store/transport"
@@ -65,7 +66,8 @@
 	Logger zerolog.Logger
 	// FS replaces the operating system's file system, for tests.
 	FS disk.FS
-	// Now replaces time.Now. It must be monotonic.
+	// Now replaces clock.Now. It must be monotonic, and count the time during which
+	// the machine is suspended: the leader lease relies on it.
 	Now func() time.Time
 
 	// A snapshot is taken after SnapshotEntries entries or SnapshotBytes bytes of
@@ -120,7 +122,7 @@
 		c.FS = disk.OS{}
 	}
 	if c.Now == nil {
-		c.Now = time.Now
+		c.Now = clock.Now
 	}
 	if c.SnapshotEntries <= 0 {
 		c.SnapshotEntries = DefaultSnapshotEntries
--- a/store/replica/status.go
+++ b/store/replica/status.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"math"
 	"time"
 
 	"gooseberrypond/store/consensus"
@@ -28,34 +29,40 @@
 	Stopped string
 }
 
+// NeverAnswered is the silence of a member that has not answered this leader yet.
+const NeverAnswered time.Duration = math.MaxInt64
+
 // MemberStatus describes a member of the group.
 type MemberStatus struct {
 	ID      string
 	Address string
 	Voter   bool
 	// Match is the index of the last entry that the member is known to have
-	// synced. Contact is when the last message that the member answered was sent.
-	// Snapshot is true while a snapshot is being sent to the member. All three are
-	// known on the leader only.
+	// synced. Silence is the time since the last message that the member answered
+	// was sent, or NeverAnswered. Snapshot is true while a snapshot is being sent to
+	// the member. All three are known on the leader only.
 	Match    uint64
-	Contact  time.Time
+	Silence  time.Duration
 	Snapshot bool
 }
 
 // Status returns the current status.
 func (r *Replica) Status() Status {
-	s := r.status.Load()
+	s, now := r.status.Load(), r.cfg.Now()
 	out := Status{
 		ID: s.ID, Role: s.Role.String(), Term: s.Term, LeaderID: s.Leader,
 		Commit: s.Commit, Applied: r.AppliedIndex(), Last: s.Last, Snapshot: s.Snapshot, Removed: s.Removed,
 		DiskFull: r.suspended.Load(),
 	}
 	for _, x := range s.Membership.Members {
-		m := MemberStatus{ID: x.ID, Address: x.Address, Voter: x.Voter}
+		m := MemberStatus{ID: x.ID, Address: x.Address, Voter: x.Voter, Silence: NeverAnswered}
 		if p, ok := s.Peers[x.ID]; ok {
-			m.Match, m.Contact, m.Snapshot = p.Match, p.Contact, p.Snapshot
+			m.Match, m.Snapshot = p.Match, p.Snapshot
+			if !p.Contact.IsZero() {
+				m.Silence = now.Sub(p.Contact)
+			}
 		} else if x.ID == s.ID && s.Role == consensus.Leader {
-			m.Match = s.Last
+			m.Match, m.Silence = s.Last, 0
 		}
 		if x.ID == s.Leader {
 			out.LeaderAddress = x.Address
