Measure the age of an entry host's view on the clock that counts suspensions

Callers could see: an entry host of gooseberryd that was suspended sends requests under a view, and with it a catalogue, that expired meanwhile.

Cause: the age of the view (1.8 s) is measured on the steady clock.

Change: the default clock is clock.Now; contexts and write deadlines get the remaining time instead of a time on that clock.

Evidence: TestViewAgeIsMeasuredOnTheClockThatCountsSuspensions fails on the code before; tests of host/entry, host/node and host/localcluster pass with the race detector.

--- a/host/entry/host.go
+++ b/host/entry/host.go
@@ -12,6 +12,7 @@
 
 	"gooseberrypond/core/route"
 	"gooseberrypond/core/structs"
+	"gooseberrypond/store/clock"
 )
 
 // Control is the interface of the control hosts that the entry role uses.
@@ -33,7 +34,8 @@
 	Incarnation uint64
 	Control     Control
 	Log         zerolog.Logger
-	// Now is the clock; nil means time.Now.
+	// Now is the clock; nil means clock.Now. It must count the time during which the
+	// machine is suspended: the age of the view relies on it.
 	Now func() time.Time
 }
 
@@ -60,7 +62,7 @@
 // succeeded.
 func New(cfg Config) *Host {
 	if cfg.Now == nil {
-		cfg.Now = time.Now
+		cfg.Now = clock.Now
 	}
 	if cfg.Incarnation == 0 {
 		cfg.Incarnation = uint64(time.Now().UnixMilli())
--- a/host/entry/response.go
+++ b/host/entry/response.go
@@ -26,7 +26,7 @@
 // http.ErrAbortHandler.
 func (h *Host) forwardResponse(ctx context.Context, w http.ResponseWriter, req *Request, res result, rec *recorder) error {
 	// A writer without support for deadlines keeps the server's write timeout.
-	_ = http.NewResponseController(w).SetWriteDeadline(res.deadline.Add(writeMargin))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(res.timeLeft + writeMargin))
 	outcome := route.AttemptFailed
 	defer func() {
 		res.response.cancel()
--- a/host/entry/run.go
+++ b/host/entry/run.go
@@ -39,7 +39,7 @@
 // result ends the wait of Host.run: it holds a response to pass on, or an error.
 type result struct {
 	attemptID route.AttemptID
-	deadline  time.Time
+	timeLeft  time.Duration // until the request's deadline
 	response  *answer
 	err       *structs.Error
 }
@@ -104,7 +104,7 @@
 // prepareAttempt returns a function that runs the attempt of d. The caller holds
 // h.mu.
 func (h *Host) prepareAttempt(ar *activeRequest, d route.Decision) func() {
-	ctx, cancel := context.WithDeadline(context.Background(), d.Deadline)
+	ctx, cancel := context.WithTimeout(context.Background(), d.Deadline.Sub(h.cfg.Now()))
 	ar.cancels[d.AttemptID] = cancel
 	return func() { h.runAttempt(ctx, cancel, ar, d) }
 }
@@ -142,7 +142,7 @@
 		h.endAttempt(d.AttemptID, route.AttemptCancelled)
 		return
 	}
-	ar.result <- result{attemptID: d.AttemptID, deadline: d.Deadline, response: response}
+	ar.result <- result{attemptID: d.AttemptID, timeLeft: d.Deadline.Sub(h.cfg.Now()), response: response}
 }
 
 func (h *Host) logAttemptFailure(req *Request, d route.Decision, err error) {
