A replica empties its folder only after a removal that is committed

Callers could see: an acknowledged configuration, job or evacuation is gone, or an older configuration is read at every host.

Cause: a replica without a leader asks the leader for the members and empties its folder if it is not among them. The answer named the latest membership in the leader's log, committed or not. If the leader lost its place before the entry was committed, the group still counted on the voter, whose data was gone. The answer was also believed if it was older than the addition of the replica. Class: an act that cannot be undone, on the word of what is only appended.

Change: the answer names the members of the latest and of the committed membership, and the index up to which the leader knows the log to be committed. The replica takes it for its removal only if that index covers the latest membership that included it; then the removal stands, whoever leads and whatever a clock says.

The in-memory network of two tests is now standin.Network.

--- a/host/dispatcher/suspended_test.go
+++ b/host/dispatcher/suspended_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"path/filepath"
-	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,52 +12,10 @@
 
 	"gooseberrypond/core/dispatch"
 	"gooseberrypond/core/graph"
-	"gooseberrypond/store/consensus"
+	"gooseberrypond/host/standin"
 	"gooseberrypond/store/replica"
 )
 
-// cutNetwork delivers messages between replicas that are not cut off.
-type cutNetwork struct {
-	mu      sync.Mutex
-	deliver map[string]func(string, []consensus.Message)
-	cut     map[string]bool
-}
-
-// link is the transport of one replica.
-type link struct {
-	n  *cutNetwork
-	id string
-}
-
-func (l link) Start(deliver func(string, []consensus.Message)) error {
-	l.n.mu.Lock()
-	defer l.n.mu.Unlock()
-	l.n.deliver[l.id] = deliver
-	return nil
-}
-
-func (l link) Close() error {
-	l.n.mu.Lock()
-	defer l.n.mu.Unlock()
-	delete(l.n.deliver, l.id)
-	return nil
-}
-
-func (l link) Send(to, _ string, ms []consensus.Message) {
-	l.n.mu.Lock()
-	deliver, cut := l.n.deliver[to], l.n.cut[l.id] || l.n.cut[to]
-	l.n.mu.Unlock()
-	if deliver != nil && !cut {
-		deliver("", ms)
-	}
-}
-
-func (n *cutNetwork) setCut(id string, cut bool) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cut[id] = cut
-}
-
 // stoppableClock stands still while stopped is set.
 type stoppableClock struct {
 	stopped atomic.Bool
@@ -82,7 +39,7 @@
 	clock stoppableClock
 }
 
-func startReplicatedHosts(t *testing.T, n *cutNetwork, count int) []*replicatedHost {
+func startReplicatedHosts(t *testing.T, n *standin.Network, count int) []*replicatedHost {
 	t.Helper()
 	dir := t.TempDir()
 	var members []replica.Member
@@ -95,7 +52,7 @@
 		h.d = New(Config{Workers: fakeWorkers{}, Logger: zerolog.Nop(), Limits: dispatch.Limits{LeaseMax: 10 * time.Second, Interference: 4 * time.Second}})
 		rep, err := replica.Open(replica.Config{
 			ID: m.ID, ClusterID: "test", Dir: filepath.Join(dir, m.ID), Members: members,
-			StateMachine: h.d, Transport: link{n, m.ID}, Now: h.clock.now,
+			StateMachine: h.d, Transport: n.Transport(m.ID), Now: h.clock.now,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -143,18 +100,18 @@
 // Guards against a configuration that is read back older than one that was acknowledged:
 // a leader that was suspended, with its clock, believes in its lease as it wakes up.
 func TestConfigurationReadBySuspendedLeaderIsNotOlder(t *testing.T) {
-	n := &cutNetwork{deliver: map[string]func(string, []consensus.Message){}, cut: map[string]bool{}}
+	n := standin.NewNetwork()
 	hosts := startReplicatedHosts(t, n, 3)
 	old := putConfig(t, hosts, nil, 1)
 	old.clock.stopped.Store(true)
-	n.setCut(old.id, true)
+	n.SetCut(old.id, true)
 	putConfig(t, hosts, old, 2)
 	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
 	defer cancel()
 	if a := old.d.GetConfig(ctx); a.Code == Done && a.Version < 2 {
 		t.Errorf("the host that led reads version %d, but version 2 was acknowledged", a.Version)
 	}
-	n.setCut(old.id, false)
+	n.SetCut(old.id, false)
 	waitUntil(t, "the host that led to learn of its successor", func() bool { return old.d.GetConfig(t.Context()).Code == NotLeader })
 	old.clock.stopped.Store(false)
 }
--- a/host/group/group.go
+++ b/host/group/group.go
@@ -252,10 +252,12 @@
 		return relay.Info{}
 	}
 	s := rep.Status()
-	info := relay.Info{Leading: rep.HoldsLease(), Term: s.Term}
+	info := relay.Info{Leading: rep.HoldsLease(), Term: s.Term, Commit: s.Commit, Members: s.Committed}
 	for _, m := range s.Members {
 		info.Hosts = append(info.Hosts, g.relayAddress(m.Address))
-		info.Members = append(info.Members, m.ID)
+		if !slices.Contains(info.Members, m.ID) {
+			info.Members = append(info.Members, m.ID)
+		}
 	}
 	if s.LeaderAddress != "" {
 		info.Leader = g.relayAddress(s.LeaderAddress)
@@ -376,7 +378,8 @@
 		return false
 	}
 	if len(s.Members) > 0 || s.Applied > 0 {
-		return true
+		// An answer from before this replica was added says nothing about its removal.
+		return info.Commit >= s.MemberAt
 	}
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
--- a/host/relay/messages.go
+++ b/host/relay/messages.go
@@ -21,9 +21,12 @@
 	Leader string
 	// Hosts are the relay addresses of the group.
 	Hosts []string
-	// Members are the replica ids of the group. Only the leader's list is
-	// guaranteed to be current.
+	// Members are the replica ids of the group: those of the latest membership and
+	// those whose removal is not committed yet.
 	Members []string
+	// Commit is the log index up to which this host knows the log to be committed.
+	// Members includes every change up to it.
+	Commit uint64
 }
 
 // Reply is the outcome of a call that only the leader can execute.
--- a/store/consensus/core.go
+++ b/store/consensus/core.go
@@ -30,8 +30,9 @@
 	// configIndex the index of its entry.
 	members     Membership
 	configIndex uint64
-	// wasMember is set once a membership has included this replica.
-	wasMember bool
+	// memberAt is the index of the latest membership that this replica has seen and
+	// that includes it; 0 if there is none.
+	memberAt uint64
 
 	role   Role
 	leader ID
@@ -121,6 +122,18 @@
 	return c.snap.Membership, c.snap.Last.Index, nil
 }
 
+// committedMembers returns the membership at the commit index.
+func (c *Core) committedMembers() Membership {
+	if c.configIndex <= c.commit {
+		return c.members
+	}
+	m, _, err := c.membersBefore(c.commit + 1)
+	if err != nil {
+		return c.members // cannot happen: memberships are decoded before they enter the log
+	}
+	return m
+}
+
 // canCampaign reports whether this replica may start an election. A voter whose
 // removal is in its log but not known to be committed still may: if it has the
 // longest log, only a replica with that log can be elected and commit the removal.
@@ -199,7 +212,7 @@
 				return errors.Wrapf(err, "entry %d", e.Index)
 			}
 			c.members, c.configIndex = m, e.Index
-			c.recordMembership(m)
+			c.recordMembership(m, e.Index)
 		}
 	}
 	return nil
@@ -280,6 +293,12 @@
 	Base       uint64
 	Snapshot   uint64
 	Membership Membership
+	// Committed is the membership at the commit index. It differs from Membership
+	// while a change is not committed.
+	Committed Membership
+	// MemberAt is the index of the latest membership that this replica has seen and
+	// that includes it, committed or not; 0 if there is none.
+	MemberAt uint64
 	// TermStart is the index of the first entry of the current term. Set on the
 	// leader only.
 	TermStart uint64
@@ -308,6 +327,7 @@
 		ID: c.cfg.ID, Role: c.role, Term: c.term, Leader: c.leader,
 		Commit: c.commit, Last: c.log.last().Index, Base: c.log.base.Index,
 		Snapshot: c.snap.Last.Index, Membership: c.members, Removed: c.Removed(),
+		Committed: c.committedMembers(), MemberAt: c.memberAt,
 	}
 	if c.role != Leader {
 		return s
--- a/store/consensus/follower.go
+++ b/store/consensus/follower.go
@@ -139,7 +139,7 @@
 	c.commit, c.handedOut, c.stable = meta.Last.Index, meta.Last.Index, meta.Last.Index
 	c.unpersistedFrom = 0
 	c.members, c.configIndex = meta.Membership, meta.Last.Index
-	c.recordMembership(meta.Membership)
+	c.recordMembership(meta.Membership, meta.Last.Index)
 	if in != nil && c.role == Follower && c.leader == in.from {
 		c.send(Message{Kind: MsgSnapshotReply, To: in.from, Index: meta.Last.Index, Done: true})
 	}
--- a/store/consensus/leaving.go
+++ b/store/consensus/leaving.go
@@ -59,20 +59,20 @@
 // memberships from before it was added.
 func (c *Core) Removed() bool {
 	_, member := c.members.Get(c.cfg.ID)
-	return !member && c.wasMember && c.configIndex <= c.commit
+	return !member && c.memberAt > 0 && c.configIndex <= c.commit
 }
 
-// recordMembership sets wasMember if the membership includes this replica.
-func (c *Core) recordMembership(m Membership) {
+// recordMembership records whether the membership at index includes this replica.
+func (c *Core) recordMembership(m Membership, index uint64) {
 	if _, ok := m.Get(c.cfg.ID); ok {
-		c.wasMember = true
+		c.memberAt = max(c.memberAt, index)
 	}
 }
 
 // recordPersistedMemberships calls recordMembership for all memberships in the
 // snapshot and the log.
 func (c *Core) recordPersistedMemberships() error {
-	c.recordMembership(c.snap.Membership)
+	c.recordMembership(c.snap.Membership, c.snap.Last.Index)
 	for _, e := range c.log.entries {
 		if e.Kind != EntryConfig {
 			continue
@@ -81,7 +81,7 @@
 		if err != nil {
 			return err
 		}
-		c.recordMembership(m)
+		c.recordMembership(m, e.Index)
 	}
 	return nil
 }
--- a/store/consensus/rules_test.go
+++ b/store/consensus/rules_test.go
@@ -241,8 +241,8 @@
 		removed bool
 	}{{threeVoters(), true}, {threeVoters().Without("n1"), false}} {
 		c, now := newTestCore(t, HardState{Term: 1, Commit: 1})
-		c.members, c.wasMember = x.members, false
-		c.recordMembership(x.members)
+		c.members, c.memberAt = x.members, 0
+		c.recordMembership(x.members, 1)
 		e := Entry{Index: 2, Term: 1, Kind: EntryConfig, Data: threeVoters().Without("n1").Encode()}
 		stepFrom(t, c, now, "n2", Message{Kind: MsgAppend, Term: 1, Index: 1, LogTerm: 1, Entries: []Entry{e}, Commit: 2})
 		if c.Removed() != x.removed {
--- a/store/replica/status.go
+++ b/store/replica/status.go
@@ -19,7 +19,14 @@
 	Commit, Applied, Last uint64
 	// Snapshot is the log index of the last entry covered by the latest snapshot.
 	Snapshot uint64
-	Members  []MemberStatus
+	// Members are the members of the latest membership in the log, which may not be
+	// committed.
+	Members []MemberStatus
+	// Committed are the ids of the members at the commit index.
+	Committed []string
+	// MemberAt is the log index of the latest membership that this replica has seen
+	// and that includes it, committed or not; 0 if there is none.
+	MemberAt uint64
 	// Removed is true once this replica was removed from the group. It cannot be
 	// used any more and may be closed.
 	Removed bool
@@ -52,7 +59,10 @@
 	out := Status{
 		ID: s.ID, Role: s.Role.String(), Term: s.Term, LeaderID: s.Leader,
 		Commit: s.Commit, Applied: r.AppliedIndex(), Last: s.Last, Snapshot: s.Snapshot, Removed: s.Removed,
-		DiskFull: r.suspended.Load(),
+		DiskFull: r.suspended.Load(), MemberAt: s.MemberAt,
+	}
+	for _, x := range s.Committed.Members {
+		out.Committed = append(out.Committed, x.ID)
 	}
 	for _, x := range s.Membership.Members {
 		m := MemberStatus{ID: x.ID, Address: x.Address, Voter: x.Voter, Silence: NeverAnswered}
