Who counts for a quorum follows from what may be lost, not from who came when

Cause: a silent voter was removed only if a learner waited or the number of voters was even. After a planned replacement of two of five hosts the new ones had joined first, so seven voters counted, two of them gone for good, and two lost disks left three of seven. The same rule took a second silent voter out of four, which left a quorum of two that the allowed losses can take (not seen, shown by the model). Class: the number of copies, and who counts, follow from the order of joins and leaves.

Change: the leader chooses each membership change from the number of hosts that may be lost (nextChange, a function without I/O): a voter whose data is lost goes at once, but not below 2f voters; learners are promoted before silent voters go; a silent voter goes only if 2f+1 remain. A host that gets SIGTERM tells the leader while its replica still answers, and is removed by the same rule. All changes that are due are made in one go, and a learner that lags no longer holds up another one.

Tests of host/ and platform/ pass with the race detector.

--- a/host/group/group.go
+++ b/host/group/group.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,9 @@
 	// a frozen process, and leaves time to complete the replacement within the
 	// platform's catch-up limit of 4 s.
 	voterTimeout = 2500 * time.Millisecond
+	// minLosses is the number of hosts that a group survives if the settings name fewer,
+	// or none: the loss of one host is what a group is for.
+	minLosses = 1
 	// leaderSilenceLimit is how long a replica goes without a leader before it
 	// asks whether it is still a member.
 	leaderSilenceLimit = time.Second
@@ -61,7 +65,9 @@
 	// Founders are the IP addresses of the hosts that form the group when the
 	// whole system starts for the first time; empty at every other start.
 	Founders []string
-	Logger   zerolog.Logger
+	// Losses is the number of control hosts that may be lost at once, with their data.
+	Losses int
+	Logger zerolog.Logger
 }
 
 // Group manages one control host's replica and, while that leads, the membership
@@ -76,10 +82,16 @@
 	// leaderSeenAt is when this replica last had a leader or led itself; at
 	// first, when it was opened.
 	leaderSeenAt time.Time
+	// changing is held while a membership change is chosen and made. It guards ledTerm
+	// and ledSince.
+	changing sync.Mutex
 	// ledTerm is the last term that this replica led; ledSince is when it began
 	// to lead in that term.
 	ledTerm  uint64
 	ledSince time.Time
+	// leaving has when hosts announced that they stop.
+	leavingMu sync.Mutex
+	leaving   map[string]time.Time
 	// strength is what this replica knew of the group when it last led.
 	strength atomic.Pointer[strength]
 	// suspended is the total time of suspensions that were logged.
@@ -88,11 +100,13 @@
 
 // New returns a Group; Run starts it.
 func New(cfg Config, d *dispatcher.Dispatcher, client *relay.Client) *Group {
-	return &Group{cfg: cfg, d: d, client: client}
+	cfg.Losses = max(cfg.Losses, minLosses)
+	return &Group{cfg: cfg, d: d, client: client, leaving: map[string]time.Time{}}
 }
 
 // Run opens the replica and keeps it a member of the group until ctx ends. Then
-// it transfers leadership, if it leads, and closes the replica. An error means
+// it transfers leadership, if it leads, tells the leader that it stops, and closes the
+// replica. An error means
 // that the replica failed.
 func (g *Group) Run(ctx context.Context) error {
 	for {
@@ -185,6 +199,7 @@
 		select {
 		case <-ctx.Done():
 			g.transferLeadership(rep)
+			g.announceStop()
 			cancel()
 			<-done
 			return false, rep.Close()
@@ -194,6 +209,7 @@
 		}
 		g.logSuspension()
 		if rep.HoldsLease() {
+			g.leaderSeenAt = time.Now()
 			g.maintainMembership(ctx, rep)
 		} else if g.joinOrCheckRemoved(ctx, rep) {
 			cancel()
@@ -283,23 +299,14 @@
 	return slices.ContainsFunc(s.Members, func(m replica.MemberStatus) bool { return m.ID == s.ID && m.Voter })
 }
 
-// Join implements relay.Group: it adds a replica as a learner. A member with the
-// same address and another id has lost its data folder and is removed first.
+// Join implements relay.Group: it adds a replica as a learner.
 func (g *Group) Join(ctx context.Context, id, address string) error {
 	rep := g.rep.Load()
 	if rep == nil || !rep.HoldsLease() {
 		return replica.ErrNotLeader
 	}
-	for _, m := range rep.Status().Members {
-		if m.ID == id {
-			return nil
-		}
-		if m.Address == address {
-			if err := rep.Remove(ctx, m.ID); err != nil {
-				return errors.Wrapf(err, "remove replica %s, whose folder was lost", m.ID)
-			}
-			g.cfg.Logger.Warn().Str("replica", m.ID).Str("successor", id).Msg("replica removed: its data folder was lost")
-		}
+	if isMember(rep, id) {
+		return nil
 	}
 	if err := rep.AddLearner(ctx, id, address); err != nil {
 		return errors.Wrapf(err, "add replica %s", id)
@@ -308,51 +315,68 @@
 	return nil
 }
 
-// maintainMembership makes at most one membership change on the leader. It
-// removes a silent voter if a learner can replace it or if the number of voters
-// is even; otherwise it promotes a learner that has caught up.
+func isMember(rep *replica.Replica, id string) bool {
+	return slices.ContainsFunc(rep.Status().Members, func(m replica.MemberStatus) bool { return m.ID == id })
+}
+
+// maintainMembership makes the membership changes that are due, on the leader.
 func (g *Group) maintainMembership(ctx context.Context, rep *replica.Replica) {
-	s := rep.Status()
-	g.leaderSeenAt = time.Now()
+	g.changing.Lock()
+	defer g.changing.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
+	defer cancel()
+	for ctx.Err() == nil && rep.HoldsLease() {
+		s := rep.Status()
+		members := g.members(s)
+		g.setStrength(s.ID, strengthOf(members))
+		c := nextChange(members, g.cfg.Losses)
+		if c.kind == noChange || !g.makeChange(ctx, rep, c) {
+			return
+		}
+	}
+}
+
+// members returns what this replica, which leads, knows of the members. A member that has
+// not answered yet is silent since this replica began to lead.
+func (g *Group) members(s replica.Status) []member {
+	now := time.Now()
 	if g.ledTerm != s.Term {
-		g.ledTerm, g.ledSince = s.Term, g.leaderSeenAt
+		g.ledTerm, g.ledSince = s.Term, now
 	}
-	var voters, silentVoters, learners []replica.MemberStatus
+	var out []member
 	for _, m := range s.Members {
-		silent := min(m.Silence, time.Since(g.ledSince)) > voterTimeout
-		switch {
-		case m.Voter:
-			voters = append(voters, m)
-			if silent {
-				silentVoters = append(silentVoters, m)
-			}
-		case !silent:
-			learners = append(learners, m)
+		x := member{
+			id: m.ID, address: m.Address, voter: m.Voter, caughtUp: m.Match >= s.Commit,
+			silence: min(m.Silence, now.Sub(g.ledSince)), leaving: g.isLeaving(m.ID, now),
 		}
-	}
-	g.setStrength(strengthOf(voters, silentVoters))
-	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
-	defer cancel()
-	switch {
-	case len(silentVoters) > 0 && (len(learners) > 0 || len(voters)%2 == 0) && len(voters) > 1:
-		err := rep.Remove(ctx, silentVoters[0].ID)
-		g.logMembershipChange(err, silentVoters[0].ID, "replica removed: it has been silent for too long")
-	case len(learners) > 0:
-		err := rep.Promote(ctx, learners[0].ID)
-		if !errors.Is(err, consensus.ErrNotCaughtUp) {
-			g.logMembershipChange(err, learners[0].ID, "replica promoted to voter")
+		if m.ID == s.ID {
+			x.silence = 0
 		}
+		out = append(out, x)
 	}
+	return out
 }
 
-// logMembershipChange logs the outcome of a change by maintainMembership, which is
-// the step "heal" in log lines.
-func (g *Group) logMembershipChange(err error, id, message string) {
-	if err != nil {
-		g.cfg.Logger.Warn().Err(err).Str("replica", id).Str("step", "heal").Msg("membership change failed; it will be retried")
-		return
+// makeChange reports whether the change was made.
+func (g *Group) makeChange(ctx context.Context, rep *replica.Replica, c change) bool {
+	var err error
+	if c.kind == promote {
+		err = rep.Promote(ctx, c.id)
+	} else {
+		err = rep.Remove(ctx, c.id)
+	}
+	switch {
+	case errors.Is(err, consensus.ErrNotCaughtUp):
+		return false
+	case err != nil:
+		g.cfg.Logger.Warn().Err(err).Str("replica", c.id).Str("step", "heal").Msg("membership change failed; it will be retried")
+		return false
+	case c.kind == promote:
+		g.cfg.Logger.Info().Str("replica", c.id).Msg("replica promoted to voter")
+	default:
+		g.cfg.Logger.Info().Str("replica", c.id).Msg("replica removed: " + c.reason)
 	}
-	g.cfg.Logger.Info().Str("replica", id).Msg(message)
+	return true
 }
 
 // joinOrCheckRemoved reports whether the group has removed this replica. While the
--- a/host/group/metrics.go
+++ b/host/group/metrics.go
@@ -1,10 +1,6 @@
 package group
 
-import (
-	"github.com/prometheus/client_golang/prometheus"
-
-	"gooseberrypond/store/replica"
-)
+import "github.com/prometheus/client_golang/prometheus"
 
 // strength tells how many voters the group can lose. Only the leader knows it.
 type strength struct {
@@ -17,16 +13,25 @@
 // of the quorum; it is negative while there is none.
 func (s strength) spare() int { return s.answering - (s.voters/2 + 1) }
 
-func strengthOf(voters, silent []replica.MemberStatus) strength {
-	return strength{len(voters), len(voters) - len(silent)}
+func strengthOf(members []member) (s strength) {
+	for _, m := range members {
+		if !m.voter {
+			continue
+		}
+		s.voters++
+		if m.answers() {
+			s.answering++
+		}
+	}
+	return s
 }
 
 // setStrength records and logs a change of the group's strength.
-func (g *Group) setStrength(s strength) {
+func (g *Group) setStrength(id string, s strength) {
 	if old := g.strength.Swap(&s); old != nil && *old == s {
 		return
 	}
-	g.cfg.Logger.Info().Str("replica", g.id).Int("voters", s.voters).Int("answering", s.answering).Int("spare", s.spare()).
+	g.cfg.Logger.Info().Str("replica", id).Int("voters", s.voters).Int("answering", s.answering).Int("spare", s.spare()).
 		Msg("strength of the group changed")
 }
 
--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -487,6 +487,12 @@
 // Hosts returns the relay addresses of all known control hosts.
 func (c *Client) Hosts() []string { return c.candidates() }
 
+// LeaveGroup tells the leader that the host of a replica stops.
+func (c *Client) LeaveGroup(ctx context.Context, leader, id string) error {
+	_, err := callHost[None](ctx, c, leader, "LeaveGroup", &LeaveGroupArgs{ID: id}, nil)
+	return err
+}
+
 // Join asks the leader to add a replica to the group.
 func (c *Client) Join(ctx context.Context, leader, id, address string) error {
 	_, err := callHost[None](ctx, c, leader, "Join", &JoinArgs{ID: id, Address: address}, nil)
--- a/host/relay/messages.go
+++ b/host/relay/messages.go
@@ -65,5 +65,8 @@
 	Address string
 }
 
+// LeaveGroupArgs names the replica whose host stops.
+type LeaveGroupArgs struct{ ID string }
+
 // None is the argument or reply of methods that have none.
 type None struct{}
--- a/host/relay/server.go
+++ b/host/relay/server.go
@@ -17,6 +17,7 @@
 type Group interface {
 	Info() Info
 	Join(ctx context.Context, id, address string) error
+	Leave(ctx context.Context, id string) error
 }
 
 // callTimeout bounds the time to handle one call.
@@ -120,6 +121,13 @@
 	return v.s.group.Join(ctx, a.ID, a.Address)
 }
 
+// LeaveGroup tells the leader that the host of a replica stops.
+func (v *service) LeaveGroup(a *LeaveGroupArgs, _ *None) error {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	return v.s.group.Leave(ctx, a.ID)
+}
+
 // Submit accepts a job.
 func (v *service) Submit(a *JobArgs, r *Reply) error { return v.serve("Submit", a, r) }
 
