A control host looks for the leader among the hosts of its own group too

Callers could see: after a restart of all control hosts, calls at hosts whose seeds have all been replaced are refused for good, also at the leader itself.

Cause: the relay client of a control host knew the seeds of the settings and what other hosts had told it since it started. After a restart it did not ask the hosts that stand in its own log. Class: what the host has on its disk is not used where it counts.

Change: the client's candidates include the hosts of the local group and the host itself.

Evidence: TestControlHostAsksItsOwnGroup fails on the code before.

--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -159,10 +159,17 @@
 	}
 }
 
+// candidates returns the addresses of all control hosts that may lead. A control host
+// also knows those of its own group, which after a restart may be the only ones: the
+// seeds may all have been replaced.
 func (c *Client) candidates() []string {
+	var own []string
+	if local := c.local.Load(); local != nil {
+		own = append(local.server.group.Info().Hosts, local.address)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := slices.Concat(c.seeds(), c.hosts)
+	out := slices.Concat(c.seeds(), c.hosts, own)
 	slices.Sort(out)
 	return slices.Compact(out)
 }
