--- a/host/group/group.go
+++ b/host/group/group.go
@@ -11,8 +11,6 @@
 	"crypto/rand"
 	"encoding/hex"
 	"net"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"sync"
@@ -26,6 +24,7 @@
 	"gooseberrypond/host/relay"
 	"gooseberrypond/store/clock"
 	"gooseberrypond/store/consensus"
+	"gooseberrypond/store/disk"
 	"gooseberrypond/store/replica"
 )
 
@@ -249,14 +248,8 @@
 func (g *Group) resetReplica() error {
 	g.cfg.Founders = nil
 	g.cfg.Logger.Warn().Str("replica", g.id).Msg("replica was removed from the group: emptying its data folder and rejoining under a new id")
-	names, err := os.ReadDir(g.cfg.Dir)
-	if err != nil {
-		return errors.Wrap(err, "list data folder")
-	}
-	for _, n := range names {
-		if err := os.RemoveAll(filepath.Join(g.cfg.Dir, n.Name())); err != nil {
-			return errors.Wrap(err, "empty data folder")
-		}
+	if err := replica.Discard(disk.OS{}, g.cfg.Dir); err != nil {
+		return err
 	}
 	return g.d.Restore(nil)
 }
--- a/store/replica/folder.go
+++ b/store/replica/folder.go
@@ -47,6 +47,9 @@
 // openDataFolder opens or initializes the data folder, which the caller has locked.
 func openDataFolder(cfg *Config) (*dataFolder, error) {
 	f := &dataFolder{snaps: snapshot.NewStore(cfg.FS, cfg.Dir)}
+	if err := completeDiscard(cfg.FS, cfg.Dir); err != nil {
+		return nil, err
+	}
 	if err := disk.RemoveTemp(cfg.FS, cfg.Dir); err != nil {
 		return nil, errors.Wrapf(err, "remove temporary files in %s", cfg.Dir)
 	}
