A host that is gone is noticed although leaders change

Callers could see: after a host was replaced and two more lose their disks, which is allowed, nobody leads again.

Cause: each new leader took a member that had not answered yet for silent since its own election, so a host that was gone was never silent for 2.5 s, and kept counting as a voter.

Change: leaders tell how long members have been silent (Info, which the other hosts ask for four times a second). A new leader gives each member 1.5 s to answer and then counts that silence too. The gauges count it at once.

--- a/host/group/group.go
+++ b/host/group/group.go
@@ -81,13 +81,12 @@
 	// leaderSeenAt is when this replica last had a leader or led itself; at
 	// first, when it was opened.
 	leaderSeenAt time.Time
-	// changing is held while a membership change is chosen and made. It guards ledTerm
-	// and ledSince.
+	// changing is held while a membership change is chosen and made. It guards led.
 	changing sync.Mutex
-	// ledTerm is the last term that this replica led; ledSince is when it began
-	// to lead in that term.
-	ledTerm  uint64
-	ledSince time.Time
+	// led is the last term that this replica led.
+	led ledTerm
+	// silences are the silences of the members as of the last observation as a leader.
+	silences atomic.Pointer[map[string]time.Duration]
 	// leaving has when hosts announced that they stop.
 	leavingMu sync.Mutex
 	leaving   map[string]time.Time
@@ -262,6 +261,9 @@
 	}
 	s := rep.Status()
 	info := relay.Info{Leading: rep.HoldsLease(), Term: s.Term, Commit: s.Commit, Members: s.Committed}
+	if silences := g.silences.Load(); info.Leading && silences != nil {
+		info.Silence = *silences
+	}
 	for _, m := range s.Members {
 		info.Hosts = append(info.Hosts, g.relayAddress(m.Address))
 		if !slices.Contains(info.Members, m.ID) {
@@ -319,37 +321,13 @@
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
 	for ctx.Err() == nil && rep.HoldsLease() {
-		s := rep.Status()
-		members := g.members(s)
-		g.setStrength(s.ID, strengthOf(members))
-		c := nextChange(members, g.cfg.Losses)
+		c := nextChange(g.observeMembers(rep.Status()), g.cfg.Losses)
 		if c.kind == noChange || !g.makeChange(ctx, rep, c) {
 			return
 		}
 	}
 }
 
-// members returns what this replica, which leads, knows of the members. A member that has
-// not answered yet is silent since this replica began to lead.
-func (g *Group) members(s replica.Status) []member {
-	now := time.Now()
-	if g.ledTerm != s.Term {
-		g.ledTerm, g.ledSince = s.Term, now
-	}
-	var out []member
-	for _, m := range s.Members {
-		x := member{
-			id: m.ID, address: m.Address, voter: m.Voter, caughtUp: m.Match >= s.Commit,
-			silence: min(m.Silence, now.Sub(g.ledSince)), leaving: g.isLeaving(m.ID, now),
-		}
-		if m.ID == s.ID {
-			x.silence = 0
-		}
-		out = append(out, x)
-	}
-	return out
-}
-
 // makeChange reports whether the change was made.
 func (g *Group) makeChange(ctx context.Context, rep *replica.Replica, c change) bool {
 	var err error
--- a/host/group/metrics.go
+++ b/host/group/metrics.go
@@ -13,17 +13,12 @@
 // of the quorum; it is negative while there is none.
 func (s strength) spare() int { return s.answering - (s.voters/2 + 1) }
 
-func strengthOf(members []member) (s strength) {
-	for _, m := range members {
-		if !m.voter {
-			continue
-		}
-		s.voters++
-		if m.answers() {
-			s.answering++
-		}
+// add counts a voter.
+func (s *strength) add(answers bool) {
+	s.voters++
+	if answers {
+		s.answering++
 	}
-	return s
 }
 
 // setStrength records and logs a change of the group's strength.
--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -60,6 +60,9 @@
 	changed chan struct{}
 	// hosts are the relay addresses learned from control hosts.
 	hosts []string
+	// lastInfo is the latest answer of a leader, and lastInfoAt when it arrived.
+	lastInfo   Info
+	lastInfoAt time.Time
 	// absences has when a leader last answered and how long recoveries took.
 	absences outage.Tracker
 	// asked are the hosts that a search has asked and that have not answered yet.
@@ -196,6 +199,7 @@
 	defer c.mu.Unlock()
 	away := c.absences.Contact(time.Now())
 	c.hosts = info.Hosts
+	c.lastInfo, c.lastInfoAt = info, time.Now()
 	if c.leader == address && c.term == info.Term {
 		return
 	}
@@ -233,6 +237,14 @@
 	return leader
 }
 
+// LastLeaderInfo returns the latest answer of a leader and its age. The term is 0 if none
+// has answered.
+func (c *Client) LastLeaderInfo() (info Info, age time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastInfo, time.Since(c.lastInfoAt)
+}
+
 // SinceLeaderContact returns the time since a leader last answered, or the maximum
 // duration if none has answered yet.
 func (c *Client) SinceLeaderContact() time.Duration {
--- a/host/relay/messages.go
+++ b/host/relay/messages.go
@@ -5,6 +5,8 @@
 package relay
 
 import (
+	"time"
+
 	"gooseberrypond/core/graph"
 	"gooseberrypond/host/dispatcher"
 )
@@ -27,6 +29,8 @@
 	// Commit is the log index up to which this host knows the log to be committed.
 	// Members includes every change up to it.
 	Commit uint64
+	// Silence is, on a leader, the time since each member last answered a leader.
+	Silence map[string]time.Duration
 }
 
 // Reply is the outcome of a call that only the leader can execute.
