Keep a voter that stops while others may be gone

Callers could see: nobody leads after the loss of two disks, although the group said that it survives it.

Cause: a stopping voter was removed if 2f+1 voters remained, counting voters that the leader had not heard from. The gauges counted such voters as answering.

Change: a stopping voter is removed only if 2f+1 voters remain that have answered this leader. The strength of the group counts only those.

Evidence: two more cases of TestNextChange; "a+ b+ c+ d+ e! f?" was "remove e". What remains: a host that is gone without a word is noticed after 2.5 s in which there is a leader; a restart of all hosts begins that anew.

--- a/host/group/observe.go
+++ b/host/group/observe.go
@@ -30,12 +30,15 @@
 	var known strength
 	silences := map[string]time.Duration{}
 	for _, m := range s.Members {
-		x := member{id: m.ID, address: m.Address, voter: m.Voter, caughtUp: m.Match >= s.Commit, leaving: g.isLeaving(m.ID, now)}
+		x := member{
+			id: m.ID, address: m.Address, voter: m.Voter, caughtUp: m.Match >= s.Commit,
+			heard: m.Silence <= voterTimeout, leaving: g.isLeaving(m.ID, now),
+		}
 		if m.ID != s.ID {
 			x.silence, silences[m.ID] = g.led.silence(m, now)
 		}
 		if m.Voter {
-			known.add(silences[m.ID] <= voterTimeout)
+			known.add(x.heard)
 		}
 		out = append(out, x)
 	}
--- a/host/group/policy.go
+++ b/host/group/policy.go
@@ -17,6 +17,8 @@
 	voter   bool
 	// silence is the time since the member last answered; 0 for the leader itself.
 	silence time.Duration
+	// heard is set if the member has answered this leader within voterTimeout.
+	heard bool
 	// leaving is set for a host that has announced that it stops.
 	leaving bool
 	// caughtUp is set if the member has every entry that is known to be committed.
@@ -49,7 +51,9 @@
 //   - A voter whose data is certainly lost is removed at once, unless an entry could
 //     then be acknowledged by so few voters that the losses can take all of them.
 //   - A learner that has everything is promoted before any silent voter is removed.
-//   - A silent or leaving voter is removed only if 2*losses+1 voters remain.
+//   - A silent voter is removed only if 2*losses+1 voters remain.
+//   - A leaving voter, which has its data and may return soon, is removed only if as many
+//     remain that answer.
 func nextChange(members []member, losses int) change {
 	voters := 0
 	for _, m := range members {
@@ -76,8 +80,14 @@
 			return change{remove, m.id, "it has been silent for too long"}
 		}
 	}
+	staying := 0
 	for _, m := range members {
-		if m.voter && m.leaving {
+		if m.voter && m.heard && !m.leaving {
+			staying++
+		}
+	}
+	for _, m := range members {
+		if m.voter && m.leaving && staying >= 2*losses+1 {
 			return change{remove, m.id, "its host stops"}
 		}
 	}
--- a/host/group/policy_test.go
+++ b/host/group/policy_test.go
@@ -11,20 +11,23 @@
 )
 
 // parseMembers reads members such as "a+ b- c~ d*": a and b are voters, of which b does
-// not answer, c and d are learners, of which d has every committed entry. "a/x" is a
-// voter at the address x that has answered before the others at it; "a!" is leaving.
+// not answer, c and d are learners, of which d has every committed entry. "e-/x" is a
+// voter at the address x, "f!" a leaving one, and "g?" one that has not answered this
+// leader yet.
 func parseMembers(text string) []member {
 	var out []member
 	for _, w := range strings.Fields(text) {
 		name, address, _ := strings.Cut(w, "/")
-		m := member{id: name[:1], address: address, silence: time.Millisecond, caughtUp: true}
+		m := member{id: name[:1], address: address, silence: time.Millisecond, heard: true, caughtUp: true}
 		switch name[1] {
 		case '+':
 			m.voter = true
 		case '!':
 			m.voter, m.leaving = true, true
 		case '-':
-			m.voter, m.silence = true, time.Minute
+			m.voter, m.heard, m.silence = true, false, time.Minute
+		case '?':
+			m.voter, m.heard = true, false
 		case '~':
 			m.caughtUp = false
 		}
@@ -48,6 +51,8 @@
 		{"a+ b+ c+ d+ e+ f- g-", 2, "remove f"}, // odd, and no learner waits
 		{"a+ b+ c+ d+ e+ f! g!", 2, "remove f"},
 		{"a+ b+ c+ d+ e!", 2, ""},
+		{"a+ b+ c+ d+ e! f?", 2, ""}, // e may return with its data, f may be gone
+		{"a+ b+ c+ d+ e+ f! g?", 2, "remove f"},
 		{"a+ b+ c+ d+ e-/x f~/x", 2, "remove e"}, // its data is lost
 		{"a+ b+ c+ d-/x e-/y f~/x g~/y", 2, "remove d"},
 		{"a+ b+ c+ e-/y f~/x g~/y", 2, ""}, // three voters could acknowledge with two
@@ -146,7 +151,7 @@
 		for i := range g.members {
 			m := &g.members[i]
 			h := g.holder(m.id)
-			m.caughtUp = m.voter || caughtUp
+			m.caughtUp, m.heard = m.voter || caughtUp, h != nil && h.up
 			switch {
 			case h != nil && h.up:
 				m.silence = time.Millisecond
