--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -320,11 +320,15 @@
 	return b
 }
 
-// dueOccurrences returns the job occurrences that have become due.
+// maxDueOccurrences is the largest number of occurrences that one plan creates, so that a
+// job with many overdue times holds up no other decision for long. The next plan goes on.
+const maxDueOccurrences = 1000
+
+// dueOccurrences returns job occurrences that have become due.
 func (c *Core) dueOccurrences(nowMS int64) []graph.OccurrenceDue {
 	var out []graph.OccurrenceDue
 	for j := range c.tables.Recurring {
-		for k := len(j.Occurrences); k < j.Spec.Times; k++ {
+		for k := len(j.Occurrences); k < j.Spec.Times && len(out) < maxDueOccurrences; k++ {
 			if j.Spec.StartAtMS+int64(k)*j.Spec.IntervalMS > nowMS {
 				break
 			}
--- a/core/graph/apply.go
+++ b/core/graph/apply.go
@@ -175,7 +175,7 @@
 
 func (t *Tables) applyOccurrence(d OccurrenceDue, r *Result) {
 	j := t.live[d.Job]
-	if j == nil || d.Number < 0 || d.Number >= j.Spec.Times || slices.ContainsFunc(j.Occurrences, func(o *Occurrence) bool { return o.Number == d.Number }) {
+	if j == nil || d.Number < 0 || d.Number >= j.Spec.Times || j.hasOccurrence(d.Number) {
 		r.Dropped++
 		return
 	}
@@ -185,6 +185,17 @@
 	}
 }
 
+// hasOccurrence looks from the end, since occurrences are added in the order of their
+// numbers: the search is short however many there are.
+func (j *Job) hasOccurrence(number int) bool {
+	for _, o := range slices.Backward(j.Occurrences) {
+		if o.Number <= number {
+			return o.Number == number
+		}
+	}
+	return false
+}
+
 func (t *Tables) applyStart(st *Start, r *Result) {
 	s, task := t.task(st.Task)
 	w := t.workers[st.Worker]
--- a/core/graph/batch.go
+++ b/core/graph/batch.go
@@ -172,7 +172,7 @@
 // DecodeBatch decodes a log entry and checks its format version.
 func DecodeBatch(data []byte) (*Batch, error) {
 	b := new(Batch)
-	if err := cbor.Unmarshal(data, b); err != nil {
+	if err := decMode.Unmarshal(data, b); err != nil {
 		return nil, errors.Wrap(err, "decode batch")
 	}
 	if b.Version != BatchVersion {
--- a/core/graph/report.go
+++ b/core/graph/report.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 )
@@ -43,6 +44,9 @@
 		if len(name) > maxNameBytes {
 			return errors.Newf("a name of %d bytes, at most %d are allowed", len(name), maxNameBytes)
 		}
+		if !utf8.ValidString(name) {
+			return errors.Newf("name %q is not UTF-8", name)
+		}
 	}
 	return checkAddress(r.Address)
 }
--- a/core/graph/report_test.go
+++ b/core/graph/report_test.go
@@ -37,6 +37,8 @@
 		"sequence":        func(r *WorkerReport) { r.Seq = math.MaxInt64 },
 		"remaining":       func(r *WorkerReport) { r.RemainingMS = math.MaxInt64 },
 		"negative":        func(r *WorkerReport) { r.RemainingMS = -1 },
+		"odd id":          func(r *WorkerReport) { r.ID = "\xff" },
+		"odd label":       func(r *WorkerReport) { r.Labels = []string{"\xc3("} },
 		"long name":       func(r *WorkerReport) { r.Pool = strings.Repeat("p", 1000) },
 		"long label":      func(r *WorkerReport) { r.Labels = []string{strings.Repeat("p", 1000)} },
 		"too many labels": func(r *WorkerReport) { r.Labels = make([]string, 1000) },
--- a/core/graph/snapshot.go
+++ b/core/graph/snapshot.go
@@ -1,6 +1,7 @@
 package graph
 
 import (
+	"math"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -179,10 +180,21 @@
 	return out
 }
 
+// decMode decodes everything that can be encoded: a snapshot or a log entry that cannot be
+// read again is lost. The library's limits protect from input of others, and allow fewer
+// elements than the tables may have.
+var decMode = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
+	if err != nil {
+		panic(err) // the options are valid
+	}
+	return m
+}()
+
 // Decode restores the tables from a snapshot.
 func Decode(data []byte) (*Tables, error) {
 	var im image
-	if err := cbor.Unmarshal(data, &im); err != nil {
+	if err := decMode.Unmarshal(data, &im); err != nil {
 		return nil, errors.Wrap(err, "decode snapshot")
 	}
 	if im.Version != BatchVersion {
