--- a/soak/host.go
+++ b/soak/host.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -152,3 +153,13 @@
 		return false
 	}
 }
+
+// lastLine returns the last line of the log, which says why a process has ended.
+func (h *host) lastLine() string {
+	data, err := os.ReadFile(filepath.Join(h.dir, "log"))
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return lines[len(lines)-1]
+}
--- a/soak/run.go
+++ b/soak/run.go
@@ -235,7 +235,7 @@
 		})
 		for _, h := range s.hosts() {
 			if h.crashed() {
-				s.ledger.with(func() { s.ledger.report("%s ended by itself; see its log", h.name) })
+				s.ledger.with(func() { s.ledger.report("%s ended by itself; its log ends with: %s", h.name, h.lastLine()) })
 				return
 			}
 		}
