--- a/soak/control.go
+++ b/soak/control.go
@@ -62,7 +62,7 @@
 	s.mu.Lock()
 	h := s.newControl(false)
 	s.mu.Unlock()
-	if err := h.start(); err != nil {
+	if err := h.startEmpty(); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
--- a/soak/host.go
+++ b/soak/host.go
@@ -54,6 +54,14 @@
 
 func (h *host) dataDir() string { return filepath.Join(h.dir, "data") }
 
+// startEmpty starts a new host. Its folder may hold what an earlier run has left there.
+func (h *host) startEmpty() error {
+	if err := os.RemoveAll(h.dir); err != nil {
+		return errors.Wrapf(err, "folder of %s", h.name)
+	}
+	return h.start()
+}
+
 func (h *host) setSeeds(seeds []string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -144,10 +144,7 @@
 		s.entry = append(s.entry, h)
 	}
 	for _, h := range s.hosts() {
-		if err := os.RemoveAll(h.dir); err != nil {
-			return errors.Wrapf(err, "folder of %s", h.name)
-		}
-		if err := h.start(); err != nil {
+		if err := h.startEmpty(); err != nil {
 			return err
 		}
 	}
