--- a/core/graph/batch.go
+++ b/core/graph/batch.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"gooseberrypond/core/codec"
 )
 
 // BatchVersion is the format version of log entries and snapshots.
@@ -172,7 +174,7 @@
 // DecodeBatch decodes a log entry and checks its format version.
 func DecodeBatch(data []byte) (*Batch, error) {
 	b := new(Batch)
-	if err := decMode.Unmarshal(data, b); err != nil {
+	if err := codec.Unmarshal(data, b); err != nil {
 		return nil, errors.Wrap(err, "decode batch")
 	}
 	if b.Version != BatchVersion {
--- a/core/graph/snapshot.go
+++ b/core/graph/snapshot.go
@@ -1,11 +1,12 @@
 package graph
 
 import (
-	"math"
 	"slices"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"gooseberrypond/core/codec"
 )
 
 // image is the encoded form of the tables. Indexes and sums are not stored;
@@ -180,21 +181,10 @@
 	return out
 }
 
-// decMode decodes everything that can be encoded: a snapshot or a log entry that cannot be
-// read again is lost. The library's limits protect from input of others, and allow fewer
-// elements than the tables may have.
-var decMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32, UTF8: cbor.UTF8DecodeInvalid}.DecMode()
-	if err != nil {
-		panic(err) // the options are valid
-	}
-	return m
-}()
-
 // Decode restores the tables from a snapshot.
 func Decode(data []byte) (*Tables, error) {
 	var im image
-	if err := decMode.Unmarshal(data, &im); err != nil {
+	if err := codec.Unmarshal(data, &im); err != nil {
 		return nil, errors.Wrap(err, "decode snapshot")
 	}
 	if im.Version != BatchVersion {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"gooseberrypond/core/codec"
 	"gooseberrypond/core/structs"
 )
 
@@ -179,15 +180,6 @@
 	return m
 }()
 
-var decMode = func() cbor.DecMode {
-	// The decoder's default limits are lower than the number of tasks in full tables.
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 26, MaxMapPairs: 1 << 26}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
-
 // Encode returns the snapshot as CBOR: the format version, then the tables.
 func (im *Image) Encode() ([]byte, error) {
 	header, err := encMode.Marshal(snapshotFormat)
@@ -208,7 +200,7 @@
 // Decode returns the tables of a snapshot, with all indexes rebuilt.
 func Decode(data []byte) (*Tables, error) {
 	var format int
-	body, err := decMode.UnmarshalFirst(data, &format)
+	body, err := codec.UnmarshalFirst(data, &format)
 	if err != nil {
 		return nil, errors.Wrap(err, "decode snapshot format")
 	}
@@ -216,7 +208,7 @@
 		return nil, errors.Wrapf(ErrFormat, "snapshot has format %d, this program supports %d", format, snapshotFormat)
 	}
 	im := Image{flat: true}
-	if err := decMode.Unmarshal(body, &im); err != nil {
+	if err := codec.Unmarshal(body, &im); err != nil {
 		return nil, errors.Wrap(err, "decode snapshot")
 	}
 	return im.restore()
--- a/host/control/machine.go
+++ b/host/control/machine.go
@@ -8,6 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"gooseberrypond/core/codec"
 	"gooseberrypond/core/leader"
 	"gooseberrypond/core/state"
 	"gooseberrypond/core/structs"
@@ -82,7 +83,7 @@
 // skipping it would make the tables diverge from those of the other replicas.
 func (m *stateMachine) Apply(index uint64, data []byte) any {
 	cmd := new(structs.Command)
-	if err := cbor.Unmarshal(data, cmd); err != nil {
+	if err := codec.Unmarshal(data, cmd); err != nil {
 		panic(errors.Wrapf(err, "log entry %d cannot be decoded", index))
 	}
 	start := time.Now()
--- a/store/consensus/membership.go
+++ b/store/consensus/membership.go
@@ -6,6 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"gooseberrypond/core/codec"
 )
 
 // Member is a replica of the group.
@@ -84,7 +86,7 @@
 // DecodeMembership decodes the data of an EntryConfig.
 func DecodeMembership(data []byte) (Membership, error) {
 	var m Membership
-	if err := cbor.Unmarshal(data, &m); err != nil {
+	if err := codec.Unmarshal(data, &m); err != nil {
 		return m, errors.Wrap(err, "decode membership")
 	}
 	return m, nil
--- a/store/snapshot/snapshot.go
+++ b/store/snapshot/snapshot.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"gooseberrypond/core/codec"
 	"gooseberrypond/store/consensus"
 	"gooseberrypond/store/disk"
 )
@@ -253,5 +254,5 @@
 	if crc32.Checksum(data, castagnoli) != binary.LittleEndian.Uint32(rest[dl:]) {
 		return meta, nil, errors.New("snapshot data is damaged")
 	}
-	return meta, data, errors.Wrap(cbor.Unmarshal(m, &meta), "decode snapshot metadata")
+	return meta, data, errors.Wrap(codec.Unmarshal(m, &meta), "decode snapshot metadata")
 }
--- a/store/wal/frame.go
+++ b/store/wal/frame.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"encoding/binary"
 	"hash/crc32"
-	"math"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
@@ -39,16 +38,6 @@
 	Base *consensus.Position `cbor:"3,keyasint,omitempty"`
 }
 
-// decMode raises the decoder's limit on array elements, so that it does not
-// reject a frame with many entries.
-var decMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
-
 func appendHeader(b []byte) []byte {
 	start := len(b)
 	b = append(b, fileMagic...)
--- a/store/wal/wal.go
+++ b/store/wal/wal.go
@@ -26,6 +26,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"gooseberrypond/core/codec"
 	"gooseberrypond/store/consensus"
 	"gooseberrypond/store/disk"
 )
@@ -168,7 +169,7 @@
 // apply applies the payload of a frame to the contents.
 func (c *Contents) apply(payload []byte, first bool) error {
 	var b batch
-	if err := decMode.Unmarshal(payload, &b); err != nil {
+	if err := codec.Unmarshal(payload, &b); err != nil {
 		return errors.Wrap(err, "decode log frame")
 	}
 	if first != (b.Base != nil) {
