--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -60,6 +60,9 @@
 	begun     begunJobs
 	crashes   []graph.Crash
 	waits     []graph.Wait
+	// maxRecords is the largest number of records in the next batch; 0 means that their
+	// size alone limits them.
+	maxRecords int
 	// lapsed holds, by worker, the runs that were released because its lease expired
 	// and during which it may have crashed.
 	lapsed map[*graph.Worker]lapsedRuns
@@ -286,21 +289,15 @@
 
 // Plan returns the next batch to propose: worker changes, ends, releases, due
 // occurrences, new starts and jobs that have begun. Only one plan may be outstanding at
-// a time.
+// a time. While the core isolates a record, a plan has records only.
 func (c *Core) Plan(now time.Time, nowMS int64) *graph.Batch {
 	c.sweep(now)
-	b := &graph.Batch{NowMS: nowMS, Ends: c.ends, Releases: c.releases, Crashes: c.crashes, Waits: c.waits}
-	c.ends, c.releases, c.crashes, c.waits = nil, nil, nil, nil
-	for _, ch := range c.changes {
-		b.Workers = append(b.Workers, ch)
-	}
-	slices.SortFunc(b.Workers, func(a, b graph.WorkerChange) int {
-		if a.Report.ID < b.Report.ID {
-			return -1
-		}
-		return 1
-	})
-	clear(c.changes)
+	b := &graph.Batch{NowMS: nowMS}
+	isolating := c.Isolating()
+	c.takeRecords(b)
+	if isolating {
+		return b
+	}
 	b.Occurrences = c.dueOccurrences(nowMS)
 	b.Starts = c.place(now, nowMS)
 	if now.Sub(c.pressuresSavedAt) >= pressureSaveInterval {
@@ -338,23 +335,9 @@
 	return out
 }
 
-// ProposalFailed requeues the records of a batch that was not committed; the next
-// plan contains them again.
-func (c *Core) ProposalFailed(b *graph.Batch) {
-	c.ends = append(b.Ends, c.ends...)
-	c.releases = append(b.Releases, c.releases...)
-	c.crashes = append(b.Crashes, c.crashes...)
-	c.waits = append(b.Waits, c.waits...)
-	for _, ch := range b.Workers {
-		c.queueChange(ch)
-	}
-	for _, id := range b.Begun {
-		c.begun.ids[id] = struct{}{}
-	}
-}
-
 // Applied updates the state after a batch has been applied to the tables.
 func (c *Core) Applied(now time.Time, b *graph.Batch, res *graph.Result) {
+	c.recordsCommitted(b)
 	if len(b.Workers) > 0 {
 		c.addWorkers(now)
 	}
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -186,8 +186,8 @@
 		r.measure = row.Measure
 	}
 	r.reported = true
-	if row.Checkpoint != "" {
-		r.checkpoint = row.Checkpoint
+	if checkpoint := keptCheckpoint(row.Checkpoint); checkpoint != "" {
+		r.checkpoint = checkpoint
 	}
 	if r.mustStop() {
 		c.queueRun(r)
@@ -252,7 +252,7 @@
 		c.Stats.Ends++
 		c.recordEnd(now, r, row.Kind)
 		c.recordWork(now, r, row.Kind)
-		checkpoint := row.Checkpoint
+		checkpoint := keptCheckpoint(row.Checkpoint)
 		if checkpoint == "" {
 			checkpoint = r.checkpoint
 		}
--- a/core/graph/config.go
+++ b/core/graph/config.go
@@ -3,6 +3,9 @@
 import (
 	"strings"
 
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
 	"gooseberrypond/core/digest"
 )
 
@@ -95,6 +98,22 @@
 	}
 }
 
+// CheckSize returns an error if the configuration takes more bytes in a log entry than
+// the limit. Its parsed form is not larger than the document.
+func (c *Config) CheckSize(limit int) error {
+	if 2*len(c.Document) <= limit {
+		return nil
+	}
+	data, err := cbor.Marshal(c)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration")
+	}
+	if len(data) > limit {
+		return errors.Newf("the configuration takes %d bytes in the log, at most %d are allowed", len(data), limit)
+	}
+	return nil
+}
+
 // MatchQueue returns the host's queue with the longest prefix that matches the
 // path, or nil.
 func (c *Config) MatchQueue(host, path string) *Queue {
--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -82,6 +82,17 @@
 	Excess bool `cbor:"9,keyasint,omitempty"`
 }
 
+// Bytes returns about how much the job takes in a log entry.
+func (s *Spec) Bytes() int {
+	const stepBytes, numberBytes = 96, 5
+	n := len(s.ID) + len(s.Queue) + len(s.Payload) + len(s.Organisation)
+	for i := range s.Steps {
+		st := &s.Steps[i]
+		n += stepBytes + numberBytes*len(st.DependsOn) + len(st.Label) + len(st.DataRack) + len(st.Image)
+	}
+	return n
+}
+
 // LongRunning reports whether any step of the job runs until it is cancelled.
 func (s *Spec) LongRunning() bool {
 	for i := range s.Steps {
--- a/core/graph/worker.go
+++ b/core/graph/worker.go
@@ -37,6 +37,15 @@
 		slices.Equal(r.Labels, o.Labels)
 }
 
+// TextBytes returns the length of the report's text in bytes.
+func (r *WorkerReport) TextBytes() int {
+	n := len(r.ID) + len(r.Address) + len(r.Pool) + len(r.Domain)
+	for _, label := range r.Labels {
+		n += len(label)
+	}
+	return n
+}
+
 // Worker is the replicated record of one incarnation of a worker.
 type Worker struct {
 	WorkerReport
--- a/host/dispatcher/caller.go
+++ b/host/dispatcher/caller.go
@@ -116,7 +116,7 @@
 		}
 		spec.ID, spec.Queue, spec.Organisation = f.id, f.queue.Name, f.organisation
 		spec.Excess = l.isExcess(f.config.OrganisationByName(f.organisation))
-		l.queued.submits = append(l.queued.submits, spec)
+		l.queued.add(queuedCall{submit: &spec})
 		return Answer{}, true
 	})
 	if a.Code == Done && c.hiddenSince(&f) {
@@ -155,7 +155,7 @@
 		case !j.Live():
 			return Answer{Code: Done}, false
 		}
-		l.queued.cancels = append(l.queued.cancels, f.id)
+		l.queued.add(queuedCall{cancel: f.id})
 		return Answer{}, true
 	}))
 }
--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -75,6 +75,9 @@
 // PutConfig commits a configuration. If its version is not higher than that of the
 // committed configuration, the call succeeds without a change.
 func (d *Dispatcher) PutConfig(ctx context.Context, c *graph.Config) Answer {
+	if err := c.CheckSize(maxConfigBytes); err != nil {
+		return d.countAnswer("putconfig", answer(Invalid, err.Error()))
+	}
 	for {
 		alreadyCommitted := false
 		a := d.withLeader(ctx, func(l *leadership) (Answer, bool) {
@@ -124,7 +127,8 @@
 // SetDomain takes a failure domain out of service or brings it back.
 func (d *Dispatcher) SetDomain(ctx context.Context, name string, out bool) Answer {
 	return d.countAnswer("setdomain", d.withLeader(ctx, func(l *leadership) (Answer, bool) {
-		l.queued.domains = append(l.queued.domains, graph.DomainChange{Name: name, Out: out})
+		change := graph.DomainChange{Name: name, Out: out}
+		l.queued.add(queuedCall{domain: &change})
 		return Answer{}, true
 	}))
 }
@@ -186,7 +190,7 @@
 	a, commit := call(l)
 	if commit {
 		w = &waiter{done: make(chan error, 1)}
-		l.queued.waiters = append(l.queued.waiters, w)
+		l.queued.addWaiter(w)
 	}
 	return l, a, w
 }
--- a/host/dispatcher/dispatcher_test.go
+++ b/host/dispatcher/dispatcher_test.go
@@ -23,6 +23,8 @@
 	index uint64
 	lease bool
 	fail  error
+	// rejects makes Propose refuse a batch for its content.
+	rejects func(*graph.Batch) bool
 	// unknown makes Propose report an unknown outcome of the batches for which it is
 	// true, although they are committed.
 	unknown func(*graph.Batch) bool
@@ -31,13 +33,19 @@
 
 func (l *singleReplicaLog) Propose(_ context.Context, data []byte) (any, error) {
 	l.mu.Lock()
-	fail, unknown := l.fail, l.unknown
+	fail, unknown, rejects := l.fail, l.unknown, l.rejects
 	l.index++
 	index := l.index
 	l.mu.Unlock()
 	if fail != nil {
 		return nil, fail
 	}
+	if len(data) > replica.MaxProposalBytes {
+		return nil, replica.ErrTooLarge
+	}
+	if b, err := graph.DecodeBatch(data); err == nil && rejects != nil && rejects(b) {
+		return nil, replica.ErrTooLarge
+	}
 	res := l.d.Apply(index, data)
 	if b, err := graph.DecodeBatch(data); err == nil && unknown != nil && unknown(b) {
 		return nil, errors.Wrap(replica.ErrUnknownOutcome, "stopped waiting for the commit")
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -27,7 +27,7 @@
 
 	// core is nil until the leader's lease is first held.
 	core *dispatch.Core
-	// queued collects the changes for the next proposal.
+	// queued are the changes of callers to propose.
 	queued queuedChanges
 	// buckets tell which jobs organisations send beyond their weight.
 	buckets *organisation.Buckets
@@ -39,16 +39,6 @@
 	holdWakes map[graph.Handle]chan struct{}
 }
 
-// queuedChanges are the changes to propose for callers, and the callers that wait
-// for the commit.
-type queuedChanges struct {
-	submits []graph.Spec
-	cancels []graph.JobID
-	config  *graph.Config
-	domains []graph.DomainChange
-	waiters []*waiter
-}
-
 // waiter waits for the outcome of a proposal. done receives nil, an error that
 // wraps ErrNotApplied, or one that wraps ErrOutcomeUnknown.
 type waiter struct{ done chan error }
@@ -119,7 +109,7 @@
 func (l *leadership) failWaiters() {
 	l.d.mu.Lock()
 	defer l.d.mu.Unlock()
-	for _, w := range l.queued.waiters {
+	for _, w := range l.queued.allWaiters() {
 		w.done <- errors.Wrap(ErrNotApplied, "leadership ended")
 	}
 	l.queued = queuedChanges{}
@@ -165,19 +155,21 @@
 // nextBatch returns the next batch to propose and the callers that wait for it,
 // or nil if there is nothing to propose. The caller must hold d.mu.
 func (l *leadership) nextBatch(now time.Time) (*graph.Batch, []*waiter) {
+	isolating := l.core.Isolating()
 	b := l.core.Plan(now, now.UnixMilli())
 	l.d.metrics.plan.Observe(l.d.cfg.Now().Sub(now).Seconds())
-	r := l.queued
-	l.queued = queuedChanges{}
-	b.Submits, b.Cancels, b.Config, b.Domains = r.submits, r.cancels, r.config, r.domains
+	var waiters []*waiter
+	if !isolating {
+		waiters = l.queued.take(b, l.core.HasRecords())
+	}
 	if b.Empty() {
-		for _, w := range r.waiters {
+		for _, w := range waiters {
 			w.done <- nil
 		}
 		return nil, nil
 	}
 	l.proposing = true
-	return b, r.waiters
+	return b, waiters
 }
 
 func (l *leadership) propose(ctx context.Context, b *graph.Batch, waiters []*waiter) {
@@ -188,8 +180,13 @@
 	d.metrics.commit.Observe(now.Sub(start).Seconds())
 	d.mu.Lock()
 	l.proposing = false
-	if err != nil {
+	switch {
+	case errors.Is(err, errRejected):
+		l.rejected(b, err)
+	case err != nil:
 		l.core.ProposalFailed(b) // if it is committed after all, Apply tells the core
+	default:
+		l.queued.committed(b)
 	}
 	for i := range b.Ends { // a worker's next hold call waits until its ends are committed
 		l.wakeHold(now, b.Ends[i].Worker)
@@ -201,11 +198,15 @@
 	l.wakeRun()
 }
 
+// errRejected marks the error of a batch that no leader can commit, whatever the state of
+// the group: it is too large, or it cannot be encoded or decoded. None of it takes effect.
+var errRejected = errors.New("the batch can never be committed")
+
 // commit proposes a batch and waits until it has been applied.
 func (l *leadership) commit(ctx context.Context, b *graph.Batch) error {
 	data, err := b.Encode()
 	if err != nil {
-		return errors.Mark(err, ErrNotApplied)
+		return errors.Mark(errors.Mark(err, ErrNotApplied), errRejected)
 	}
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
@@ -213,15 +214,29 @@
 	switch {
 	case errors.Is(err, replica.ErrUnknownOutcome):
 		return errors.Mark(err, ErrOutcomeUnknown)
+	case errors.Is(err, replica.ErrTooLarge):
+		return errors.Mark(errors.Mark(err, ErrNotApplied), errRejected)
 	case err != nil:
 		return errors.Mark(err, ErrNotApplied)
 	}
-	if _, ok := v.(*graph.Result); !ok {
-		return errors.Mark(errors.Newf("apply failed: %v", v), ErrOutcomeUnknown)
+	if _, ok := v.(*graph.Result); !ok { // each replica has skipped the entry
+		return errors.Mark(errors.Mark(errors.Newf("apply failed: %v", v), ErrNotApplied), errRejected)
 	}
 	return nil
 }
 
+// rejected makes the next batches smaller until the change at fault is alone and is
+// dropped: repeated as a whole, the batch would be rejected for ever. The caller must
+// hold d.mu.
+func (l *leadership) rejected(b *graph.Batch, cause error) {
+	dropped := l.core.ProposalRejected(b)
+	calls := l.queued.rejected(b)
+	l.d.metrics.rejections.Inc()
+	l.d.cfg.Logger.Error().Err(cause).Str("step", "propose").Int("dropped_records", dropped).Int("refused_calls", calls).
+		Int("workers", len(b.Workers)).Int("ends", len(b.Ends)).Int("starts", len(b.Starts)).
+		Msg("batch can never be committed: later ones are smaller until the change at fault is alone")
+}
+
 // wakeHold ends the pause before the next hold call to a worker if that is due. The caller
 // must hold d.mu.
 func (l *leadership) wakeHold(now time.Time, h graph.Handle) {
--- a/host/dispatcher/metrics.go
+++ b/host/dispatcher/metrics.go
@@ -24,6 +24,8 @@
 	answers  *prometheus.CounterVec
 	refusals *prometheus.CounterVec
 	panics   prometheus.Counter
+	// rejections counts the batches that can never be committed.
+	rejections prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -45,6 +47,9 @@
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "gooseberrypond_internal_errors_total", Help: "Steps that were abandoned because of a panic.",
 		}),
+		rejections: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "gooseberrypond_rejected_batches_total", Help: "Batches that can never be committed because of what is in them.",
+		}),
 	}
 }
 
@@ -64,7 +69,7 @@
 // Register registers the metrics of this host.
 func (d *Dispatcher) Register(reg prometheus.Registerer) {
 	m := d.metrics
-	reg.MustRegister(m.plan, m.commit, m.order, m.ready, m.orders, m.holds, m.answers, m.refusals, m.panics)
+	reg.MustRegister(m.plan, m.commit, m.order, m.ready, m.orders, m.holds, m.answers, m.refusals, m.panics, m.rejections)
 	reg.MustRegister(newOrganisationMetrics(d))
 	gauge := func(name, help string, read func(*leadership) float64) {
 		reg.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "gooseberrypond_" + name, Help: help}, d.leaderValue(read)))
