--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -128,6 +128,9 @@
 func (d *Dispatcher) SetDomain(ctx context.Context, name string, out bool) Answer {
 	return d.countAnswer("setdomain", d.withLeader(ctx, func(l *leadership) (Answer, bool) {
 		change := graph.DomainChange{Name: name, Out: out}
+		if err := d.tables.CheckDomain(&change); err != nil {
+			return answer(Invalid, err.Error()), false
+		}
 		l.queued.add(queuedCall{domain: &change})
 		return Answer{}, true
 	}))
--- a/host/dispatcher/rejected_test.go
+++ b/host/dispatcher/rejected_test.go
@@ -137,3 +137,16 @@
 		t.Errorf("answered %s (%s), want invalid", a.Code, a.Reason)
 	}
 }
+
+// Guards against names of failure domains that fill the tables for good.
+func TestImpossibleDomainIsInvalid(t *testing.T) {
+	d, _ := startSingleReplica(t)
+	for _, name := range []string{"", strings.Repeat("z", 3000), "\xff"} {
+		if a := d.SetDomain(t.Context(), name, true); a.Code != Invalid {
+			t.Errorf("a name of %d bytes answered %s, want invalid", len(name), a.Code)
+		}
+	}
+	if a := d.SetDomain(t.Context(), "z", true); a.Code != Done {
+		t.Errorf("a sound name answered %s, want done", a.Code)
+	}
+}
