--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -82,7 +82,9 @@
 	// polls are the workers to be polled for their run lists.
 	polls []*workerState
 
-	sweptAt time.Time
+	// withdrawalMarks tell how old withdrawals are, the oldest first.
+	withdrawalMarks []withdrawalMark
+	sweptAt         time.Time
 	// measuredAt is when the pools' free capacity was last measured.
 	measuredAt time.Time
 	forgetAt   time.Time
@@ -312,6 +314,7 @@
 		c.forgetGivenUp(now)
 		c.forgetLapsed(now)
 		b.ForgetBeforeMS = nowMS - forgetAfter.Milliseconds()
+		b.ForgetWithdrawals = c.oldWithdrawals(now)
 	}
 	b.Begun = c.takeBegun(now, b)
 	return b
--- a/core/graph/apply.go
+++ b/core/graph/apply.go
@@ -35,13 +35,16 @@
 		t.applyDomain(d)
 	}
 	for i := range b.Submits {
-		t.submit(&b.Submits[i])
+		t.submit(&b.Submits[i], r)
 	}
 	for _, id := range b.Cancels {
 		if j := t.live[id]; j != nil {
 			t.finish(j, JobCancelled, r)
 		}
 	}
+	for _, w := range b.Withdrawals {
+		t.applyWithdrawal(w, r)
+	}
 	for i := range b.Ends {
 		t.applyEnd(&b.Ends[i], r)
 	}
@@ -64,6 +67,9 @@
 	if b.ForgetBeforeMS > 0 {
 		t.forget(b.ForgetBeforeMS)
 	}
+	if b.ForgetWithdrawals > 0 {
+		t.withdrawn.forget(b.ForgetWithdrawals)
+	}
 	if len(b.Pressures) > 0 {
 		t.pressures = b.Pressures
 	}
@@ -132,10 +138,14 @@
 	delete(t.domains, d.Name)
 }
 
-func (t *Tables) submit(s *Spec) {
+func (t *Tables) submit(s *Spec, r *Result) {
 	if t.jobs[s.ID] != nil {
 		return
 	}
+	if t.IsWithdrawn(s) {
+		r.Dropped++
+		return
+	}
 	j := &Job{Spec: *s, AcceptedMS: t.nowMS, State: JobQueued, open: max(s.Times, 1)}
 	if t.config != nil {
 		if q := t.config.QueueByName(s.Queue); q != nil {
--- a/core/graph/batch.go
+++ b/core/graph/batch.go
@@ -41,6 +41,10 @@
 	Crashes []Crash `cbor:"15,keyasint,omitempty"`
 	// Waits are applied after Releases.
 	Waits []Wait `cbor:"16,keyasint,omitempty"`
+	// Withdrawals are applied after Cancels.
+	Withdrawals []Withdrawal `cbor:"18,keyasint,omitempty"`
+	// ForgetWithdrawals drops the withdrawals up to this number, counted from 1; 0 drops none.
+	ForgetWithdrawals uint64 `cbor:"19,keyasint,omitempty"`
 	// Expected replaces what is recorded of expected work unless it is empty.
 	Expected []Expected `cbor:"17,keyasint,omitempty"`
 }
@@ -48,7 +52,7 @@
 // Empty reports whether the batch changes nothing.
 func (b *Batch) Empty() bool {
 	return len(b.Workers)+len(b.Domains)+len(b.Submits)+len(b.Cancels)+len(b.Ends)+len(b.Releases)+
-		len(b.Occurrences)+len(b.Starts)+len(b.Begun)+len(b.Crashes)+len(b.Waits) == 0 && b.Config == nil && b.ForgetBeforeMS == 0 && len(b.Pressures) == 0 && len(b.Expected) == 0
+		len(b.Occurrences)+len(b.Starts)+len(b.Begun)+len(b.Crashes)+len(b.Waits)+len(b.Withdrawals) == 0 && b.Config == nil && b.ForgetBeforeMS == 0 && b.ForgetWithdrawals == 0 && len(b.Pressures) == 0 && len(b.Expected) == 0
 }
 
 // WorkerChange registers a worker incarnation or updates its record.
--- a/core/graph/snapshot.go
+++ b/core/graph/snapshot.go
@@ -27,6 +27,9 @@
 	// Ended lists when the last runs of tasks ended, for the reason given for Crashes.
 	Ended    []endedImage `cbor:"11,keyasint,omitempty"`
 	Expected []Expected   `cbor:"12,keyasint,omitempty"`
+	// Withdrawals follow the given number of forgotten ones.
+	Withdrawals          []Withdrawal `cbor:"13,keyasint,omitempty"`
+	ForgottenWithdrawals uint64       `cbor:"14,keyasint,omitempty"`
 }
 
 type endedImage struct {
@@ -89,6 +92,7 @@
 	im := image{
 		Version: BatchVersion, Index: t.index, NowMS: t.nowMS,
 		Config: t.config, Domains: t.domains, LastHandle: t.lastHandle, Pressures: t.pressures, Expected: t.expected,
+		Withdrawals: t.withdrawn.ordered, ForgottenWithdrawals: t.withdrawn.first - 1,
 	}
 	for _, w := range t.workers {
 		im.Workers = append(im.Workers, workerImage{Report: w.WorkerReport, Handle: w.Handle, Left: w.Left, Current: t.byID[w.ID] == w})
@@ -207,6 +211,10 @@
 		}
 	}
 	t.pressures, t.expected = im.Pressures, im.Expected
+	t.withdrawn.first += im.ForgottenWithdrawals
+	for _, w := range im.Withdrawals {
+		t.withdrawn.add(w)
+	}
 	for i := range im.Jobs {
 		if err := t.restoreJob(&im.Jobs[i]); err != nil {
 			return nil, err
--- a/core/graph/tables.go
+++ b/core/graph/tables.go
@@ -23,6 +23,8 @@
 	// waiting holds the ready steps that have tasks without an attempt. Waiting
 	// removes entries that no longer qualify.
 	waiting []*StepState
+	// withdrawn are the cancelled jobs that were not known.
+	withdrawn withdrawals
 	// pending counts, for each queue, the live jobs none of whose tasks has begun on a
 	// worker.
 	pending map[string]int
@@ -44,6 +46,7 @@
 		workers: map[Handle]*Worker{}, byID: map[string]*Worker{},
 		jobs: map[JobID]*Job{}, live: map[JobID]*Job{}, recurring: map[JobID]*Job{},
 		pending: map[string]int{}, usage: map[string]structs.Resources{},
+		withdrawn: withdrawals{first: 1, byJob: map[JobID][]Withdrawal{}},
 	}
 }
 
--- a/host/dispatcher/caller.go
+++ b/host/dispatcher/caller.go
@@ -115,12 +115,15 @@
 			return Answer{Code: Done}, false
 		}
 		spec.ID, spec.Queue, spec.Organisation = f.id, f.queue.Name, f.organisation
+		if c.d.tables.IsWithdrawn(&spec) {
+			return withdrawn(), false
+		}
 		spec.Excess = l.isExcess(f.config.OrganisationByName(f.organisation))
 		l.queued.add(queuedCall{submit: &spec})
 		return Answer{}, true
 	})
-	if a.Code == Done && c.hiddenSince(&f) {
-		a = idInUse()
+	if a.Code == Done {
+		a = c.accepted(&f)
 	}
 	return c.finish("submit", &f, a)
 }
@@ -129,35 +132,72 @@
 	return answer(IDInUse, "the id is in use; this job was not accepted and never runs")
 }
 
-// hiddenSince reports whether a job that the caller may not see has got the id of a
-// submission while that waited for its commit.
-func (c Caller) hiddenSince(f *target) bool {
-	if !f.config.HasOrganisations() {
-		return false
-	}
+func withdrawn() Answer {
+	return answer(Withdrawn, "the job was cancelled before it arrived; it was not accepted and never runs")
+}
+
+// accepted returns the answer to a submission that has been applied. While it waited for
+// that, its id may have been taken by a job that the caller may not see, or the job may
+// have been cancelled.
+func (c Caller) accepted(f *target) Answer {
 	c.d.mu.Lock()
 	defer c.d.mu.Unlock()
-	_, hidden := c.job(f)
-	return hidden
+	switch j, hidden := c.job(f); {
+	case hidden:
+		return idInUse()
+	case j == nil:
+		return withdrawn()
+	}
+	return Answer{Code: Done}
 }
 
-// Cancel cancels a job. Cancelling a job that has ended succeeds without a change.
+// Cancel cancels a job. Cancelling a job that has ended succeeds without a change. The
+// answer NoJob means that the caller's job with this id does not run later either: its
+// submission may still be under way.
 func (c Caller) Cancel(ctx context.Context, host, path string) Answer {
 	var f target
-	return c.finish("cancel", &f, c.d.withLeader(ctx, func(l *leadership) (Answer, bool) {
+	a := c.d.withLeader(ctx, func(l *leadership) (Answer, bool) {
 		var refusal *Answer
 		if f, refusal = c.resolve(host, path); refusal != nil {
 			return *refusal, false
 		}
-		switch j, _ := c.job(&f); {
+		switch j, hidden := c.job(&f); {
+		case hidden || !ValidID(f.id): // a submission is refused in any case
+			return noJob(), false
 		case j == nil:
-			return answer(NoJob, "there is no such job"), false
+			return l.withdraw(&f)
 		case !j.Live():
 			return Answer{Code: Done}, false
 		}
 		l.queued.add(queuedCall{cancel: f.id})
 		return Answer{}, true
-	}))
+	})
+	if a.Code == Done {
+		a = c.cancelled(&f)
+	}
+	return c.finish("cancel", &f, a)
+}
+
+func noJob() Answer { return answer(NoJob, "there is no such job") }
+
+// withdraw queues the record that a job that is not known has been cancelled. Without
+// room for it nothing is done: the answer that there is no such job would not be certain.
+func (l *leadership) withdraw(f *target) (a Answer, commit bool) {
+	if first, next := l.d.tables.Withdrawals(); next-first+uint64(l.queued.withdrawals()) >= graph.MaxWithdrawals {
+		return answer(NotApplied, "too many cancels of jobs that are not known"), false
+	}
+	l.queued.add(queuedCall{withdrawal: &graph.Withdrawal{Job: f.id, Queue: f.queue.Name, Organisation: f.organisation}})
+	return Answer{}, true
+}
+
+// cancelled returns the answer to a cancel that has been applied, or that needed no change.
+func (c Caller) cancelled(f *target) Answer {
+	c.d.mu.Lock()
+	defer c.d.mu.Unlock()
+	if j, _ := c.job(f); j == nil {
+		return noJob()
+	}
+	return Answer{Code: Done}
 }
 
 // Look returns the state of a job. For a path that equals a queue's prefix, it
@@ -176,7 +216,7 @@
 		}
 		j, _ := c.job(&f)
 		if j == nil {
-			return answer(NoJob, "there is no such job"), false
+			return noJob(), false
 		}
 		a.State = j.State
 		return a, false
--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -39,11 +39,14 @@
 	// IDInUse means that the job's id is that of a job which the caller may not see. The
 	// submitted job was not accepted and never will be.
 	IDInUse
+	// Withdrawn means that the job was cancelled before its submission arrived. It was
+	// not accepted and never runs.
+	Withdrawn
 )
 
 // String returns the name of the code, as used in logs and metric labels.
 func (c Code) String() string {
-	return [...]string{"", "done", "not leader", "not taken", "unknown", "no config", "no queue", "no job", "invalid", "no key", "id in use"}[c]
+	return [...]string{"", "done", "not leader", "not taken", "unknown", "no config", "no queue", "no job", "invalid", "no key", "id in use", "withdrawn"}[c]
 }
 
 // Answer is the outcome of a call.
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -425,11 +425,20 @@
 	log := &l.d.cfg.Logger
 	for i := range b.Submits {
 		j := &b.Submits[i]
+		if l.d.tables.Job(j.ID) == nil {
+			log.Info().Str("job", string(j.ID)).Str("queue", j.Queue).Msg("job refused: it was cancelled before it arrived")
+			continue
+		}
 		log.Info().Str("job", string(j.ID)).Str("queue", j.Queue).Int("steps", len(j.Steps)).Int("times", j.Times).Str("organisation", j.Organisation).Bool("excess", j.Excess).Msg("job accepted")
 	}
 	for _, id := range b.Cancels {
 		log.Info().Str("job", string(id)).Msg("job cancelled")
 	}
+	for i := range b.Withdrawals {
+		w := &b.Withdrawals[i]
+		log.Info().Str("job", string(w.Job)).Str("queue", w.Queue).Str("organisation", w.Organisation).
+			Bool("known", l.d.tables.Job(w.Job) != nil).Msg("cancel recorded for a job that was not known")
+	}
 	l.logStarts(res)
 	for i := range b.Ends {
 		e := &b.Ends[i]
--- a/host/dispatcher/queue.go
+++ b/host/dispatcher/queue.go
@@ -21,8 +21,10 @@
 type queuedCall struct {
 	submit *graph.Spec
 	cancel graph.JobID
-	domain *graph.DomainChange
-	waiter *waiter
+	// withdrawal is a cancel of a job that is not known.
+	withdrawal *graph.Withdrawal
+	domain     *graph.DomainChange
+	waiter     *waiter
 }
 
 // bytes returns about how much the change takes in the log.
@@ -33,6 +35,8 @@
 		return overhead + c.submit.Bytes()
 	case c.domain != nil:
 		return overhead + len(c.domain.Name)
+	case c.withdrawal != nil:
+		return overhead + len(c.withdrawal.Queue) + len(c.withdrawal.Organisation)
 	}
 	return overhead
 }
@@ -43,6 +47,8 @@
 		b.Submits = append(b.Submits, *c.submit)
 	case c.domain != nil:
 		b.Domains = append(b.Domains, *c.domain)
+	case c.withdrawal != nil:
+		b.Withdrawals = append(b.Withdrawals, *c.withdrawal)
 	default:
 		b.Cancels = append(b.Cancels, c.cancel)
 	}
@@ -75,6 +81,16 @@
 	q.waiters = append(q.waiters, w)
 }
 
+// withdrawals returns the number of queued withdrawals.
+func (q *queuedChanges) withdrawals() (n int) {
+	for i := range q.calls {
+		if q.calls[i].withdrawal != nil {
+			n++
+		}
+	}
+	return n
+}
+
 func (q *queuedChanges) allWaiters() []*waiter {
 	out := q.waiters
 	for i := range q.calls {
@@ -128,4 +144,6 @@
 	}
 }
 
-func callsIn(b *graph.Batch) int { return len(b.Submits) + len(b.Cancels) + len(b.Domains) }
+func callsIn(b *graph.Batch) int {
+	return len(b.Submits) + len(b.Cancels) + len(b.Withdrawals) + len(b.Domains)
+}
