--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -15,6 +15,7 @@
 
 	"gooseberrypond/core/graph"
 	"gooseberrypond/core/outage"
+	"gooseberrypond/host/arrival"
 	"gooseberrypond/host/dispatcher"
 )
 
@@ -41,6 +42,8 @@
 	// ErrTooLate means that the caller has too little time left for an answer; nothing was
 	// sent.
 	ErrTooLate = errors.New("too little time left for an answer")
+	// ErrCallerGone means that the caller has closed its connection; nothing was sent.
+	ErrCallerGone = errors.New("the caller has closed its connection")
 	// ErrNoAnswer means that the call was sent and may or may not take effect.
 	ErrNoAnswer = errors.New("no answer from the leader")
 )
@@ -372,8 +375,10 @@
 			}
 			continue
 		}
-		if !sent && tooLate(ctx) {
-			return dispatcher.Answer{}, ErrTooLate
+		if !sent {
+			if err := checkCaller(ctx); err != nil {
+				return dispatcher.Answer{}, err
+			}
 		}
 		r, err := c.callLeaderOnce(ctx, changed, leader, method, args)
 		if err != nil && ctx.Err() != nil {
@@ -398,10 +403,17 @@
 	}
 }
 
-// tooLate reports whether a call that is sent now would not be answered in time.
-func tooLate(ctx context.Context) bool {
+// checkCaller returns an error if a call that is sent now would not be answered in time,
+// or if nobody waits for its answer: the caller may have been told something else by now.
+func checkCaller(ctx context.Context) error {
 	deadline, ok := ctx.Deadline()
-	return ctx.Err() != nil || ok && time.Until(deadline) < outage.MinLeft
+	switch {
+	case ctx.Err() != nil || ok && time.Until(deadline) < outage.MinLeft:
+		return ErrTooLate
+	case arrival.CallerGone(ctx):
+		return ErrCallerGone
+	}
+	return nil
 }
 
 // errNotSent marks the error of a call that was not sent.
--- a/host/relay/server.go
+++ b/host/relay/server.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"gooseberrypond/host/arrival"
 	"gooseberrypond/host/dispatcher"
 )
 
@@ -42,16 +43,11 @@
 		return nil, errors.Wrapf(err, "listen for calls on %s", address)
 	}
 	s := &Server{d: d, group: group, logger: logger, ln: ln, conns: map[net.Conn]struct{}{}}
-	srv := rpc.NewServer()
-	if err := srv.RegisterName(serviceName, &service{s}); err != nil {
-		ln.Close()
-		return nil, errors.Wrap(err, "register control service")
-	}
-	go s.accept(srv)
+	go s.accept()
 	return s, nil
 }
 
-func (s *Server) accept(srv *rpc.Server) {
+func (s *Server) accept() {
 	for {
 		conn, err := s.ln.Accept()
 		if err != nil {
@@ -66,7 +62,7 @@
 		s.conns[conn] = struct{}{}
 		s.mu.Unlock()
 		go func() {
-			srv.ServeConn(conn)
+			s.serveConn(conn)
 			s.mu.Lock()
 			delete(s.conns, conn)
 			s.mu.Unlock()
@@ -74,6 +70,17 @@
 	}
 }
 
+// serveConn answers the calls on a connection until it is closed.
+func (s *Server) serveConn(conn net.Conn) {
+	srv := rpc.NewServer()
+	if err := srv.RegisterName(serviceName, &service{s, conn}); err != nil {
+		s.logger.Error().Err(err).Str("step", "register control service").Msg("connection closed: its calls cannot be served")
+		conn.Close()
+		return
+	}
+	srv.ServeConn(conn)
+}
+
 // acceptRetryInterval is the delay after a failed accept. It keeps a persistent
 // failure, such as a lack of file descriptors, from becoming a busy loop.
 const acceptRetryInterval = 50 * time.Millisecond
@@ -95,8 +102,11 @@
 	return s.ln.Close()
 }
 
-// service is the net/rpc receiver.
-type service struct{ s *Server }
+// service is the net/rpc receiver of one connection.
+type service struct {
+	s    *Server
+	conn net.Conn
+}
 
 // setReply fills the reply. If this host is not the leader, it adds the leader's
 // address.
@@ -152,8 +162,14 @@
 // Beats handles the heartbeat reports of several workers.
 func (v *service) Beats(a *BeatsArgs, r *Reply) error { return v.serve("Beats", a, r) }
 
-// serve executes a call of another host.
+// serve executes a call of another host. One whose host has closed the connection is not
+// executed: this process has read it late, and the host has given its caller another
+// answer or has sent the call to another leader.
 func (v *service) serve(method string, args any, r *Reply) error {
+	if arrival.PeerGone(v.conn) {
+		v.s.logger.Info().Str("call", method).Str("peer", v.conn.RemoteAddr().String()).Msg("call ignored: its host has closed the connection")
+		return errors.Newf("call %s: the connection was closed before the call was read", method)
+	}
 	a, err := v.s.execute(context.Background(), method, args)
 	if err != nil {
 		return err
