--- a/soak/callers.go
+++ b/soak/callers.go
@@ -18,13 +18,15 @@
 	retryPause = 200 * time.Millisecond
 	// jobPause is the mean time between two jobs of a caller.
 	jobPause = 120 * time.Millisecond
+	// shortPatience is how long a caller in a hurry waits before it cancels its job.
+	shortPatience = 400 * time.Millisecond
 )
 
 // call submits jobs until the run ends, looks at them and cancels some. The caller keeps
 // its connections open until their other end is gone.
 func (s *system) call(n int) {
 	r := rand.New(rand.NewPCG(s.o.Seed, 100+uint64(n)))
-	client := standin.NewClient(callTimeout)
+	client, hurried := standin.NewClient(callTimeout), standin.NewClient(shortPatience)
 	for i := 0; ; i++ {
 		select {
 		case <-s.stop:
@@ -35,7 +37,11 @@
 			return
 		}
 		id := fmt.Sprintf("%04x%012x", n, i)
-		s.submit(client, r, id)
+		if r.IntN(5) == 0 {
+			s.submitInAHurry(client, hurried, r, id)
+		} else {
+			s.submit(client, r, id)
+		}
 		if i > 0 && r.IntN(3) == 0 {
 			s.look(client, r, fmt.Sprintf("%04x%012x", n, r.IntN(i)))
 		}
@@ -87,7 +93,7 @@
 	s.ledger.with(func() { s.ledger.owners[id] = owner })
 	certain := true // that no attempt was accepted
 	for range attempts {
-		reply := c.Submit(s.entry[r.IntN(len(s.entry))].address(frontendPort), queue, id, s.key(owner), job)
+		reply := c.Submit(s.anyEntry(r), queue, id, s.key(owner), job)
 		s.ledger.count(fmt.Sprintf("submissions answered %d", reply.Status))
 		switch reply.Status {
 		case 200:
@@ -115,6 +121,40 @@
 	})
 }
 
+// submitInAHurry sends a job once. Without an answer soon it is cancelled, at any entry
+// host and until that is acknowledged. The answer 410 says that there is no such job, so
+// none may run later.
+func (s *system) submitInAHurry(c, hurried *standin.Client, r *rand.Rand, id string) {
+	queue, owner := queueOf(id), ownerOf(id)
+	job := newJob(r, queue)
+	s.ledger.with(func() { s.ledger.owners[id] = owner })
+	switch hurried.Submit(s.anyEntry(r), queue, id, s.key(owner), job).Status {
+	case 200:
+		s.ledger.with(func() { s.ledger.accepted[id] = true })
+		return
+	case 429, 503, 401:
+		return
+	}
+	s.ledger.with(func() { s.ledger.cancelled[id] = true })
+	for range attempts {
+		status := c.Cancel(s.anyEntry(r), queue, id, s.key(owner)).Status
+		s.ledger.count(fmt.Sprintf("cancels without an answer before: %d", status))
+		switch status {
+		case 410:
+			s.ledger.with(func() { s.ledger.absent[id] = true })
+			return
+		case 200:
+			return
+		}
+		time.Sleep(retryPause)
+	}
+	s.ledger.with(func() { s.ledger.uncertain[id] = true })
+}
+
+func (s *system) anyEntry(r *rand.Rand) string {
+	return s.entry[r.IntN(len(s.entry))].address(frontendPort)
+}
+
 // look asks for a job's state and cancels it sometimes.
 func (s *system) look(c *standin.Client, r *rand.Rand, id string) {
 	var known bool
@@ -122,7 +162,7 @@
 	if !known {
 		return
 	}
-	entry, queue, key := s.entry[r.IntN(len(s.entry))].address(frontendPort), queueOf(id), s.key(ownerOf(id))
+	entry, queue, key := s.anyEntry(r), queueOf(id), s.key(ownerOf(id))
 	if queue == queues[2] || r.IntN(4) == 0 {
 		s.ledger.with(func() { s.ledger.cancelled[id] = true }) // also if no answer comes
 		c.Cancel(entry, queue, id, key)
@@ -148,7 +188,7 @@
 	if since < keyBound {
 		return
 	}
-	reply := c.Look(s.entry[r.IntN(len(s.entry))].address(frontendPort), queues[0], "", key)
+	reply := c.Look(s.anyEntry(r), queues[0], "", key)
 	s.ledger.count(fmt.Sprintf("withdrawn keys answered %d", reply.Status))
 	if reply.Status == 200 {
 		s.ledger.with(func() {
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -33,8 +33,11 @@
 	// uncertain has the jobs whose submissions got no clear answer.
 	uncertain map[string]bool
 	cancelled map[string]bool // asked for, whatever the answer
+	absent    map[string]bool // cancelled, with the answer that there is no such job
 	version   int             // the newest acknowledged configuration
-	shown     int             // the highest version that a control host has answered
+	sent      int             // the newest configuration that was sent
+	ackedAt   map[int]time.Time
+	shown     int // the highest version that a control host has answered
 	counts    map[string]int
 }
 
@@ -48,7 +51,7 @@
 		began: time.Now(), running: map[string]map[place]int64{}, done: map[string]map[place]bool{}, noted: map[string]bool{},
 		started: map[string]bool{}, used: map[string]int64{}, capacity: map[string]int64{},
 		owners: map[string]string{}, held: map[string]int64{}, limit: map[string]int64{}, largest: map[string]int64{},
-		accepted: map[string]bool{}, refused: map[string]bool{}, uncertain: map[string]bool{}, cancelled: map[string]bool{}, counts: map[string]int{},
+		accepted: map[string]bool{}, refused: map[string]bool{}, uncertain: map[string]bool{}, cancelled: map[string]bool{}, absent: map[string]bool{}, ackedAt: map[int]time.Time{}, counts: map[string]int{},
 	}
 }
 
@@ -155,6 +158,17 @@
 	}
 }
 
+// checkAbsent finds jobs that ran although a caller was told that there are none.
+func (l *ledger) checkAbsent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id := range l.absent {
+		if l.started[id] {
+			l.report("the cancel of job %s was answered that there is none, and a task of it was started", id)
+		}
+	}
+}
+
 // leftovers returns the tasks that run though their job has ended.
 func (l *ledger) leftovers(ended func(job string) bool) []string {
 	l.mu.Lock()
--- a/soak/run.go
+++ b/soak/run.go
@@ -83,21 +83,33 @@
 	mended       time.Time  // when the last such fault no longer counts as a loss
 }
 
-// Run plays one seed. It ends the processes that it started also if ctx ends first.
-func Run(ctx context.Context, o Options) (*Report, error) {
-	s := &system{
+func newSystem(o Options) *system {
+	return &system{
 		o: o, ledger: newLedger(), client: standin.NewClient(callTimeout), stop: make(chan struct{}), random: rand.New(rand.NewPCG(o.Seed, 3)),
 		keys: map[string]string{"harbour": "harbour-key-0", "mill": "mill-key-0"}, oldKeys: map[string]time.Time{},
 	}
-	defer s.end()
+}
+
+// start starts the hosts and workers and puts the first configuration.
+func (s *system) start() error {
 	if err := s.startHosts(); err != nil {
-		return nil, err
+		return err
 	}
 	if err := s.startWorkers(); err != nil {
-		return nil, err
+		return err
 	}
 	if !s.putConfig(1, 30*time.Second) {
-		return nil, errors.New("the first configuration was not acknowledged within 30 s")
+		return errors.New("the first configuration was not acknowledged within 30 s")
+	}
+	return nil
+}
+
+// Run plays one seed. It ends the processes that it started also if ctx ends first.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	s := newSystem(o)
+	defer s.end()
+	if err := s.start(); err != nil {
+		return nil, err
 	}
 	s.startCallers()
 	schedule := newSchedule(o.Seed, o.Length, kindsOf(o))
@@ -111,12 +123,14 @@
 	}
 	s.settle()
 	s.ledger.checkRefused()
+	s.ledger.checkAbsent()
 	r.Violations, r.Counts = s.ledger.violations(), maps.Clone(s.ledger.counts)
 	return r, nil
 }
 
 // startCallers starts whoever calls the system.
 func (s *system) startCallers() {
+	s.wg.Go(s.checkRoutes)
 	if s.o.Dense {
 		s.wg.Go(s.changeOften)
 		for _, h := range s.controls() {
@@ -411,7 +425,7 @@
 
 func (s *system) putConfig(version int, limit time.Duration) bool {
 	s.mu.Lock()
-	cfg := &standin.Config{Version: version, Pool: "pool", Queues: queues}
+	cfg := &standin.Config{Version: version, Pool: "pool", Queues: append(slices.Clone(queues), routeOf(version))}
 	for name, key := range s.keys {
 		o := standin.Owner{Name: name, Keys: []string{key}, Weight: 20}
 		if name == "mill" {
@@ -420,10 +434,10 @@
 		cfg.Owners = append(cfg.Owners, o)
 	}
 	s.mu.Unlock()
-	s.ledger.with(func() { s.ledger.limit["mill"] = ownerLimit })
+	s.ledger.with(func() { s.ledger.limit["mill"], s.ledger.sent = ownerLimit, max(s.ledger.sent, version) })
 	ok := s.untilAcknowledged(limit, func(c *host) int { return s.client.PutConfig(c.address(controlPort), cfg).Status })
 	if ok {
-		s.ledger.with(func() { s.ledger.version = max(s.ledger.version, version) })
+		s.ledger.with(func() { s.ledger.version, s.ledger.ackedAt[version] = max(s.ledger.version, version), time.Now() })
 	}
 	return ok
 }
