--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -21,6 +21,9 @@
 	if ws.lastListed > ws.ackCursor && now.Sub(ws.lastListedAt) < commitWait {
 		return Hold{}, commitWait - now.Sub(ws.lastListedAt), true
 	}
+	if again := ws.heldAt.Add(holdRetryMin); ws.startsInFlight > 0 && ws.ackCursor > ws.sentCursor && now.Before(again) {
+		return Hold{}, again.Sub(now), true // the worker would list the same ends at once
+	}
 	switch {
 	case len(ws.runs) == 0:
 		return c.hold(now, ws, 0), 0, true // HoldDone paces these calls
@@ -36,8 +39,9 @@
 	}
 	h := Hold{Target: ws.target(), WaitMS: wait.Milliseconds()}
 	h.Urgency = ws.holdUrgency()
-	if ws.incarnationKnown {
-		h.AckCursor = ws.ackCursor
+	ws.heldAt = now
+	if ws.mayAcknowledge() {
+		h.AckCursor, ws.sentCursor = ws.ackCursor, ws.ackCursor
 	}
 	if !ws.suspect && !ws.w.Left {
 		// Calls to a worker that may be dead must not extend its lease, or a dead
@@ -47,6 +51,12 @@
 	return h
 }
 
+// mayAcknowledge reports whether ends may be acknowledged. While a start is in flight, a
+// later incarnation may already have ended it; its answer tells which one that is.
+func (ws *workerState) mayAcknowledge() bool {
+	return ws.incarnationKnown && ws.startsInFlight == 0
+}
+
 // holdUrgency returns the urgency of a hold call.
 func (ws *workerState) holdUrgency() Urgency {
 	if ws.suspect {
--- a/core/dispatch/known_faults_test.go
+++ b/core/dispatch/known_faults_test.go
@@ -233,25 +233,3 @@
 		t.Errorf("a new task of 1 core has waited for %s; %d thousandths of a core were free on average, reserve %d", d, idle/int64(n), r.core.poolStates["p"].reserve())
 	}
 }
-
-// Guards against an end that is discarded unseen: a worker that crashes and returns between
-// two calls, with no call open, runs a start that was meant for its earlier incarnation to
-// its end, and the next call carries the cursor of that one.
-func TestCursorIsNotSentAfterAStartToAnUnconfirmedIncarnation(t *testing.T) {
-	r := newRig(t)
-	a := r.register("a", 1)
-	r.submit(job1, step(2, 1000))
-	r.commitPlan()
-	r.acceptOrders()
-	r.endRun(a, graph.TaskRef{Job: job1}, graph.EndDone)
-	r.hold(a)
-	r.commitPlan()
-	r.hold(a) // the last list of this incarnation
-	r.submit(job2, step(1, 1000))
-	r.commitPlan()
-	r.acceptOrders() // accepted by whichever incarnation has the address now
-	r.advance(10 * time.Millisecond)
-	if hold, _, _ := r.core.NextHold(r.now, a); hold.AckCursor != 0 {
-		t.Errorf("the call after the start acknowledges the ends up to %d; a later incarnation, which counts anew, would discard the end of that start", hold.AckCursor)
-	}
-}
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -20,6 +20,9 @@
 		if o, ok := c.nextOrder(now, r); ok {
 			r.inFlight = true
 			r.ws.inFlight++
+			if o.Kind == OrderStart {
+				r.ws.startsInFlight++
+			}
 			out = append(out, o)
 		}
 	}
@@ -136,6 +139,9 @@
 	r := o.run
 	r.inFlight = false
 	r.ws.inFlight--
+	if o.Kind == OrderStart {
+		r.ws.startsInFlight--
+	}
 	r.ws.candidate.current = false
 	if reply.Outcome == NotSent {
 		r.nextAt = now.Add(orderRetryDelay)
@@ -152,7 +158,11 @@
 		c.orderUnanswered(now, o)
 		return
 	}
-	c.recordAnswer(now, r.ws, reply.ClockMS)
+	if r.ws.isOtherClock(now, reply.ClockMS) {
+		c.doubtIncarnation(now, r.ws)
+	} else {
+		c.recordAnswer(now, r.ws, reply.ClockMS)
+	}
 	switch o.Kind {
 	case OrderStart:
 		c.startAnswered(now, r, reply.Outcome)
--- a/core/dispatch/successor_test.go
+++ b/core/dispatch/successor_test.go
@@ -153,3 +153,71 @@
 		t.Errorf("acknowledged %d after the second end is recorded, want 2", ws.ackCursor)
 	}
 }
+
+// Guards against an end that is discarded unseen: a worker that crashes and returns between
+// two calls, with no call open, runs a start that was meant for its earlier incarnation to
+// its end, and the next call carries the cursor of that one. Neither a call beside the
+// start nor one after its answer may; the clock in the answer tells who gave it.
+func TestCursorIsNotSentAfterAStartToALaterIncarnation(t *testing.T) {
+	for _, returned := range []bool{false, true} {
+		r := newRig(t)
+		a := r.register("a", 1)
+		r.submit(job1, step(2, 1000))
+		r.commitPlan()
+		r.acceptOrders()
+		r.endRun(a, graph.TaskRef{Job: job1}, graph.EndDone)
+		r.hold(a)
+		r.commitPlan()
+		r.hold(a) // the last list of this incarnation
+		r.submit(job2, step(1, 1000))
+		r.commitPlan()
+		orders := r.core.Orders(r.now)
+		if len(orders) != 1 || orders[0].Kind != OrderStart {
+			t.Fatalf("orders %+v, want a start", orders)
+		}
+		r.advance(time.Second)
+		if hold := r.core.hold(r.now, r.core.workers[a], 0); hold.AckCursor != 0 {
+			t.Errorf("a call beside the start acknowledges the ends up to %d", hold.AckCursor)
+		}
+		clock := r.now.UnixMilli()
+		if returned {
+			clock = 700 // of a worker that has just started
+		}
+		r.core.OrderDone(r.now, orders[0], OrderReply{Outcome: Accepted, ClockMS: clock})
+		r.advance(pollDelay)
+		hold := r.core.hold(r.now, r.core.workers[a], 0)
+		if acknowledges := hold.AckCursor > 0; acknowledges == returned {
+			t.Errorf("the call after the start acknowledges the ends up to %d; a later incarnation answered: %t", hold.AckCursor, returned)
+		}
+		if polls := r.core.DuePolls(r.now); returned && (len(polls) != 1 || polls[0].AckCursor != 0) {
+			t.Errorf("polled %+v, want one call without a cursor that finds out who answers", polls)
+		}
+	}
+}
+
+// Guards against a call at once after each list while a start is in flight: the ends that
+// the worker lists cannot be acknowledged then.
+func TestCallsBesideAStartArePaced(t *testing.T) {
+	r := newRig(t)
+	a := r.register("a", 1)
+	r.submit(job1, step(2, 1000))
+	r.commitPlan()
+	r.acceptOrders()
+	r.endRun(a, graph.TaskRef{Job: job1}, graph.EndDone)
+	r.submit(job2, step(1, 1000))
+	r.commitPlan()
+	if orders := r.core.Orders(r.now); len(orders) != 1 {
+		t.Fatalf("orders %+v, want a start", orders)
+	}
+	calls := 0
+	for end := r.now.Add(2 * time.Second); r.now.Before(end); r.advance(5 * time.Millisecond) {
+		if hold, wait, _ := r.core.NextHold(r.now, a); wait == 0 {
+			calls++
+			r.answer(hold)
+			r.commitPlan()
+		}
+	}
+	if most := int(2*time.Second/holdRetryMin) + 1; calls < 2 || calls > most {
+		t.Errorf("%d calls in 2 s beside a start, want 2 to %d", calls, most)
+	}
+}
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -49,8 +49,8 @@
 	// suspect is set when a call gets no answer and cleared by the next answer.
 	suspect bool
 	// incarnationKnown is set by a list of this incarnation and cleared when a call gets
-	// no answer. Until the next list a later incarnation may be called in its place, and
-	// it numbers its ends anew, so no end is acknowledged.
+	// no answer, or one with another clock. Until the next list a later incarnation may be
+	// called in its place, and it numbers its ends anew, so no end is acknowledged.
 	incarnationKnown bool
 	// callFailedAt is when a call last got no answer, or a rival came. Answers to calls that
 	// were sent before tell nothing about the incarnation that is called next.
@@ -59,15 +59,20 @@
 	// ackCursor is the sequence number of the last recorded end; lastListed is
 	// that of the last end listed by the worker.
 	ackCursor, lastListed uint64
-	lastListedAt          time.Time
-	failedCalls           int
-	nextHold              time.Time
+	// sentCursor is the cursor in the last call that had one, and heldAt when the last
+	// hold call was sent.
+	sentCursor   uint64
+	heldAt       time.Time
+	lastListedAt time.Time
+	failedCalls  int
+	nextHold     time.Time
 	// pollQueued is set while a poll of the run lists is queued for pollAt.
 	pollQueued bool
 	pollAt     time.Time
 
-	inFlight int // orders in flight
-	health   workerHealth
+	// inFlight counts the orders in flight, startsInFlight the starts among them.
+	inFlight, startsInFlight int
+	health                   workerHealth
 	// noNewWorkUntil is the end of the backoff after a refused start. Until then the
 	// worker gets no new work.
 	noNewWorkUntil time.Time
@@ -229,6 +234,16 @@
 	}
 }
 
+// isOtherClock reports whether a reading of the clock in an answer cannot be this
+// incarnation's: a later one begins anew. An answer that was long under way looks the same.
+func (ws *workerState) isOtherClock(now time.Time, clockMS int64) bool {
+	if clockMS == 0 || ws.clockAt.IsZero() {
+		return false
+	}
+	slow := time.Duration(float64(now.Sub(ws.clockAt)) * MaxClockSlow)
+	return clockMS+(slow+clockTolerance).Milliseconds() < ws.estimatedClock(now)
+}
+
 // nextDeadline returns the lease deadline for a call sent now, by the worker's
 // clock, or 0 if that clock is not known.
 func (ws *workerState) nextDeadline(now time.Time, lease time.Duration) int64 {
@@ -291,7 +306,12 @@
 		ws.rivalAt = now
 	}
 	ws.rival = &r
-	// Until it is known who answers, no end is acknowledged.
+	c.doubtIncarnation(now, ws)
+}
+
+// doubtIncarnation lets the worker acknowledge no end until a list shows which incarnation
+// answers.
+func (c *Core) doubtIncarnation(now time.Time, ws *workerState) {
 	ws.incarnationKnown, ws.callFailedAt = false, now
 	c.queuePoll(now, ws)
 }
