soak: a configuration after planned replacements and lost disks

Change: TestConfigurationSurvivesReplacedHostsAndLostDisks replaces two of five control hosts as planned, has a change acknowledged, kills all and removes two disks. The change must be read, and another one acknowledged, within 12 s (recovery_s of the sites) after all hosts are back.

--- /dev/null
+++ b/soak/gone_test.go
@@ -0,0 +1,53 @@
+package soak
+
+import (
+	"testing"
+	"time"
+)
+
+// recoveryBound is how long after all processes run again a configuration must be read and
+// a change acknowledged.
+const recoveryBound = 12 * time.Second
+
+// Guards against an acknowledged configuration that cannot be read any more, and jobs that
+// are not known: hosts that were replaced as planned still count for a quorum when, within
+// what must be survived, others lose their disks.
+func TestConfigurationSurvivesReplacedHostsAndLostDisks(t *testing.T) {
+	s := lateSystem(t, 5, 1)
+	s.whileWaiting(t, "five voters", func() bool { return s.whole() })
+	for range 2 {
+		if err := s.replaceControl(fault{kind: replacePlanned}, s.controls()[0]); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(catchUp)
+	const version = 2
+	if !s.putConfig(version, recoveryBound) {
+		t.Fatal("a change was not acknowledged after two planned replacements")
+	}
+	if err := s.loseDisks(fault{duration: 500 * time.Millisecond}); err != nil {
+		t.Fatal(err)
+	}
+	back := time.Now()
+	if !s.untilAcknowledged(recoveryBound, func(c *host) int {
+		if v, ok := s.client.ConfigVersion(c.address(controlPort)); ok && v >= version {
+			return 200
+		}
+		return 0
+	}) {
+		t.Fatalf("version %d is not read %v after all hosts were back", version, recoveryBound)
+	}
+	t.Logf("read %v after all hosts were back", time.Since(back).Round(time.Millisecond))
+	if !s.putConfig(version+1, recoveryBound-time.Since(back)) {
+		t.Fatalf("no change is acknowledged %v after all hosts were back", recoveryBound)
+	}
+}
+
+func (s *system) whileWaiting(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); !condition(); time.Sleep(50 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatalf("waited too long for %s", what)
+		}
+	}
+}
