--- a/soak/gone_test.go
+++ b/soak/gone_test.go
@@ -1,8 +1,11 @@
 package soak
 
 import (
+	"net/http"
 	"testing"
 	"time"
+
+	"gooseberrypond/platform/standin"
 )
 
 // recoveryBound is how long after all processes run again a configuration must be read and
@@ -21,7 +24,11 @@
 		}
 	}
 	time.Sleep(catchUp)
-	const version = 2
+	const version, id = 2, "0000000000000001"
+	s.whileWaiting(t, "an accepted job", func() bool {
+		job := &standin.Job{Work: standin.Work{CPUMilli: 100, DurationMS: 100}, Steps: []int{1}}
+		return s.client.Submit(s.entry[0].address(frontendPort), queueOf(id), id, s.keys[ownerOf(id)], job).Status == http.StatusOK
+	})
 	if !s.putConfig(version, recoveryBound) {
 		t.Fatal("a change was not acknowledged after two planned replacements")
 	}
@@ -37,6 +44,9 @@
 	}) {
 		t.Fatalf("version %d is not read %v after all hosts were back", version, recoveryBound)
 	}
+	s.whileWaiting(t, "the accepted job to be known", func() bool {
+		return s.client.Look(s.entry[0].address(frontendPort), queueOf(id), id, s.keys[ownerOf(id)]).Status == http.StatusOK
+	})
 	t.Logf("read %v after all hosts were back", time.Since(back).Round(time.Millisecond))
 	if !s.putConfig(version+1, recoveryBound-time.Since(back)) {
 		t.Fatalf("no change is acknowledged %v after all hosts were back", recoveryBound)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"os/exec"
 	"path/filepath"
 	"testing"
@@ -45,22 +46,33 @@
 func TestSeeds(t *testing.T) {
 	dir := t.TempDir()
 	binary := buildHosts(t, dir)
-	for _, seed := range fixedSeeds {
-		r, err := Run(t.Context(), Options{Binary: binary, Dir: filepath.Join(dir, "hosts"), Seed: seed, Length: 10 * time.Second, Control: 3, Entry: 2, Workers: 6})
-		if err != nil {
-			t.Fatalf("seed %d: %v", seed, err)
-		}
-		t.Logf("seed %d: %d faults, seen %v", seed, len(r.Faults), r.Counts)
-		for _, v := range r.Violations {
-			t.Errorf("seed %d: %s", seed, v)
+	small := Options{Length: 10 * time.Second, Control: 3, Entry: 2, Workers: 6}
+	large := Options{Length: 12 * time.Second, Control: 8, Entry: 3, Workers: 8}
+	for o, seeds := range map[Options][]uint64{small: smallSeeds, large: largeSeeds} {
+		for _, seed := range seeds {
+			o.Binary, o.Dir, o.Seed = binary, filepath.Join(dir, fmt.Sprint("hosts-", seed)), seed
+			r, err := Run(t.Context(), o)
+			if err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			t.Logf("seed %d: %d faults, seen %v", seed, len(r.Faults), r.Counts)
+			for _, v := range r.Violations {
+				t.Errorf("seed %d: %s", seed, v)
+			}
 		}
 	}
 }
 
-// fixedSeeds are played in CI:
+// smallSeeds are played in CI. What callers draw has changed since the first ones failed;
+// the faults of a seed are the same:
 //   - 6: an end on the next incarnation of a worker was not counted, so its task ran again.
 //   - 10: the next incarnation of a worker discarded an end by a cursor that was not for it.
 //   - 21: has not failed.
 //   - 5007: as 10; an answer sent before a call failed confirmed the next incarnation.
-//   - 7043: as 10, in about one of four plays; not traced.
-var fixedSeeds = []uint64{6, 10, 21, 5007, 7043}
+//   - 7043: as 10, in about one of four plays; an answer to a start did not name it.
+var smallSeeds = []uint64{6, 10, 21, 5007, 7043}
+
+// largeSeeds are played in CI with more hosts:
+//   - 90107: as 7043, in one play.
+//   - 93006: a job ran whose cancel was answered 410, when an entry host woke.
+var largeSeeds = []uint64{90107, 93006}
