A replica that has just joined is not taken for the one that lost its data

Cause: of two replicas at one address the one that answered later is the present one. A new one that has not answered yet counted as silent for as long as the leader leads, and the old one had answered a moment before its end; so the new one was removed as the one that lost its data, unless its first answer came before the next look.

Change: the silence of a new replica counts from when it asked to be added, for as long as a voter may be silent; and only a replica that has answered succeeds another.

--- a/host/group/group.go
+++ b/host/group/group.go
@@ -83,6 +83,7 @@
 	leaderSeenAt time.Time
 	// changing is held while a membership change is chosen and made. It guards led.
 	changing sync.Mutex
+	joined   joinTimes
 	// led is the last term that this replica led.
 	led ledTerm
 	// silences are the silences of the members as of the last observation as a leader.
@@ -303,6 +304,7 @@
 	if isMember(rep, id) {
 		return nil
 	}
+	g.joined.add(id, time.Now())
 	if err := rep.AddLearner(ctx, id, address); err != nil {
 		return errors.Wrapf(err, "add replica %s", id)
 	}
--- a/host/group/observe.go
+++ b/host/group/observe.go
@@ -36,6 +36,7 @@
 		}
 		if m.ID != s.ID {
 			x.silence, silences[m.ID] = g.led.silence(m, now)
+			x.silence = g.joined.limit(m.ID, x.silence, now)
 		}
 		if m.Voter {
 			known.add(x.heard)
--- a/host/group/policy.go
+++ b/host/group/policy.go
@@ -15,7 +15,8 @@
 	id      string
 	address string
 	voter   bool
-	// silence is the time since the member last answered; 0 for the leader itself.
+	// silence is the time since the member last answered, or joined if that was later; 0
+	// for the leader itself.
 	silence time.Duration
 	// heard is set if the member has answered this leader within voterTimeout.
 	heard bool
@@ -99,10 +100,10 @@
 
 // successorOf returns the member that uses the address of m since m has lost its data
 // folder. Only one replica at a time uses an address, so that is the one that answered
-// later.
+// later: after m did, or after m joined if it has not answered yet.
 func successorOf(m member, members []member) (member, bool) {
 	for _, x := range members {
-		if x.id != m.id && m.address != "" && x.address == m.address && x.silence < m.silence {
+		if x.id != m.id && m.address != "" && x.address == m.address && x.heard && x.silence < m.silence {
 			return x, true
 		}
 	}
