--- a/store/replica/config.go
+++ b/store/replica/config.go
@@ -99,11 +99,11 @@
 	// tickInterval is a fifth of the heartbeat interval, so that a heartbeat is
 	// late by at most a fifth of the interval.
 	tickInterval = structs.HeartbeatInterval / 5
-	// maxBatchBytes limits the size of an append message, so that a heartbeat
-	// sent after it is delayed by at most a few milliseconds.
-	maxBatchBytes = 1 << 20
+	// maxBatchBytes limits the size of an append message. A replica that catches up
+	// over a slow link, or from a busy leader, still gets heartbeats between them.
+	maxBatchBytes = 128 << 10
 	// maxInflight limits the number of unacknowledged append messages to one
-	// replica, and with maxBatchBytes their total size to 16 MiB.
+	// replica, and with maxBatchBytes their total size to 2 MiB.
 	maxInflight = 16
 	// maxSyncBytes limits the proposals written with one sync, so that the sync
 	// ends before the next heartbeat is due.
--- a/store/transport/rpc.go
+++ b/store/transport/rpc.go
@@ -30,10 +30,11 @@
 	// fill the log.
 	refusalLogInterval = time.Second
 	// batchMessages and batchBytes limit the number of messages in one call and
-	// their size in bytes. On a slow link, a larger call might exceed
+	// their size in bytes. Heartbeats wait for the call before them: at 1 MiB/s one
+	// ends well within an election timeout. A larger one might also exceed
 	// callTimeout at every attempt.
 	batchMessages = 128
-	batchBytes    = 2 << 20
+	batchBytes    = 256 << 10
 
 	serviceName = "Replica"
 	methodName  = serviceName + ".Deliver"
--- a/store/transport/rpc_test.go
+++ b/store/transport/rpc_test.go
@@ -7,13 +7,16 @@
 	"crypto/rand"
 	"crypto/tls"
 	"crypto/x509"
+	"io"
 	"math/big"
 	"net"
 	"net/rpc"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
+	"gooseberrypond/core/structs"
 	"gooseberrypond/store/consensus"
 )
 
@@ -157,8 +160,12 @@
 	a.Close()
 }
 
-// Guards against calls so large that they always exceed callTimeout.
+// Guards against calls so large that they always exceed callTimeout, or that a heartbeat
+// behind them comes too late over a link of 1 MiB/s.
 func TestCallsAreBounded(t *testing.T) {
+	if longest := time.Duration(batchBytes) * time.Second / (1 << 20); longest >= structs.ElectionTimeoutMin {
+		t.Errorf("a call takes %v at 1 MiB/s, the shortest election timeout is %v", longest, structs.ElectionTimeoutMin)
+	}
 	big := consensus.Message{Entries: []consensus.Entry{{Data: make([]byte, batchBytes*3/4)}}}
 	p := &peer{wake: make(chan struct{}, 1)}
 	p.enqueue("", []consensus.Message{big, big, big})
@@ -169,6 +176,80 @@
 	}
 }
 
+// slowLink forwards connections to an address at a rate in bytes a second, and counts them.
+type slowLink struct {
+	ln    net.Listener
+	rate  int
+	conns atomic.Int64
+}
+
+func newSlowLink(t *testing.T, address string, rate int) *slowLink {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	l := &slowLink{ln: ln, rate: rate}
+	go func() {
+		for {
+			from, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			l.conns.Add(1)
+			go l.forward(from, address)
+		}
+	}()
+	return l
+}
+
+func (l *slowLink) forward(from net.Conn, address string) {
+	defer from.Close()
+	to, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer to.Close()
+	go io.Copy(from, to)
+	buf := make([]byte, 8<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		time.Sleep(time.Duration(n) * time.Second / time.Duration(l.rate))
+		if _, err := to.Write(buf[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against a replica that never catches up over a slow link, since each call exceeds
+// its time-out and its entries are lost.
+func TestEntriesOverASlowLink(t *testing.T) {
+	a, _ := startTransport(t, RPCConfig{ClusterID: "x"})
+	b, got := startTransport(t, RPCConfig{ClusterID: "x"})
+	link := newSlowLink(t, b.Address(), 3<<19)
+	const messages, bytes = 20, 128 << 10
+	for i := range messages {
+		a.Send("b", link.ln.Addr().String(), []consensus.Message{{Term: uint64(i + 1), Entries: []consensus.Entry{{Data: make([]byte, bytes)}}}})
+	}
+	for i := range messages {
+		select {
+		case term := <-got:
+			if term != uint64(i+1) {
+				t.Fatalf("message %d arrived, want %d: others were lost", term, i+1)
+			}
+		case <-time.After(hangLimit):
+			t.Fatalf("message %d did not arrive", i+1)
+		}
+	}
+	if n := link.conns.Load(); n != 1 {
+		t.Errorf("%d connections were opened, want 1", n)
+	}
+}
+
 // Guards against a transport that ignores its TLS settings and accepts plaintext
 // connections.
 func TestTLS(t *testing.T) {
