The size of a configuration is checked whenever its hashes could exceed the limit

Cause: the check of the size in the log took the parsed form as not larger than the document. A key of one letter becomes a hash of 32 bytes, so 200,000 short keys in 800 KB take 6.8 MB and could still reject a batch.

Change: the size is measured unless sixteen times the document is within the limit.

Evidence: the new case of TestTooLargeConfigurationIsInvalid fails without the change.

--- a/core/codec/codec.go
+++ b/core/codec/codec.go
@@ -1,6 +1,7 @@
 // Package codec decodes what processes of this system have encoded themselves: log
-// entries, snapshots and files. The library's limits protect from input of others. What
-// is encoded must be decoded again, or it is lost, and encoding has no such limits.
+// entries, snapshots and files. The library limits the number of elements and refuses
+// text that is not UTF-8, as a protection from others' input; its encoder does neither,
+// and what is encoded must be decoded again, or it is lost.
 package codec
 
 import (
--- a/core/graph/config.go
+++ b/core/graph/config.go
@@ -98,10 +98,14 @@
 	}
 }
 
+// maxGrowth is above the factor by which a configuration can be larger in the log than its
+// document is: a key of one letter becomes a hash.
+const maxGrowth = 16
+
 // CheckSize returns an error if the configuration takes more bytes in a log entry than
-// the limit. Its parsed form is not larger than the document.
+// the limit.
 func (c *Config) CheckSize(limit int) error {
-	if 2*len(c.Document) <= limit {
+	if maxGrowth*len(c.Document) <= limit {
 		return nil
 	}
 	data, err := cbor.Marshal(c)
--- a/host/dispatcher/rejected_test.go
+++ b/host/dispatcher/rejected_test.go
@@ -132,9 +132,14 @@
 // accepted later.
 func TestTooLargeConfigurationIsInvalid(t *testing.T) {
 	d, _ := startSingleReplica(t)
-	a := d.PutConfig(t.Context(), &graph.Config{Version: 1, Document: make([]byte, maxConfigBytes+1)})
-	if a.Code != Invalid {
-		t.Errorf("answered %s (%s), want invalid", a.Code, a.Reason)
+	keys := make([]graph.KeyHash, 200_000)
+	for name, c := range map[string]*graph.Config{
+		"document":           {Version: 1, Document: make([]byte, maxConfigBytes+1)},
+		"hashes of its keys": {Version: 2, Document: make([]byte, 4*len(keys)), Organisations: []graph.Organisation{{Name: "a", Keys: keys}}},
+	} {
+		if a := d.PutConfig(t.Context(), c); a.Code != Invalid {
+			t.Errorf("%s too large: answered %s (%s), want invalid", name, a.Code, a.Reason)
+		}
 	}
 }
 
