--- a/review/stand-2/cases.go
+++ b/review/stand-2/cases.go
@@ -17,7 +17,7 @@
 
 // newSetUp starts control hosts, an entry host and minions of one service.
 func newSetUp(rec *record, minions int, queues map[string]string, prepare func(s *setUp, m *minion) error) (*setUp, error) {
-	sys, err := newSystem(rec, 3, 2)
+	sys, err := newSystem(rec, 3, 2, 1)
 	s := &setUp{system: sys, ledger: newLedger(rec), done: make(chan struct{})}
 	if err != nil {
 		return s, err
@@ -282,3 +282,49 @@
 	rec.note("client: GET -> %d %s; accepted more than %s ago, nothing of it has run for %s though all minions are idle", status, state, finish, nothingRuns)
 	return broken, nil
 }
+
+// founding: the whole system starts for the first time, and one of the machines that are named
+// as seeds loses its disk right then. It comes back empty. The others are well, so the operator's
+// configuration has to be acknowledged.
+func founding(rec *record, trouble bool) (int, error) {
+	s, err := newSystem(rec, 5, 2, 2)
+	if s != nil {
+		defer s.end()
+	}
+	if err != nil {
+		return cannotRun, err
+	}
+	const (
+		lostAfter = 100 * time.Millisecond // after the start of the last process
+		downFor   = 3 * time.Second        // for_s of after_ack_wipe
+		contact   = 3 * time.Second        // contact_ms
+		ack       = 4 * time.Second        // ack_ms
+		listed    = 60 * time.Second       // how long the operator goes on
+	)
+	if trouble {
+		time.Sleep(lostAfter)
+		lost := s.control[1]
+		s.kill(lost)
+		rec.note("platform: %s has lost its power and its disk", lost.name)
+		if err := s.afterBootstrap(); err != nil {
+			return cannotRun, err
+		}
+		if err := s.wipe(lost); err != nil {
+			return cannotRun, err
+		}
+		time.Sleep(downFor)
+		if err := s.start(lost); err != nil {
+			return cannotRun, err
+		}
+		rec.note("platform: %s is back at its address, with an empty folder and bootstrap false", lost.name)
+		time.Sleep(contact)
+	}
+	began := time.Now()
+	err = s.put(map[string]string{"plan": "desk"}, listed)
+	took := time.Since(began)
+	rec.note("operator: %s after the core was stable: %v", took.Round(time.Millisecond), err)
+	if err != nil || took > ack {
+		return broken, nil
+	}
+	return held, nil
+}
--- a/review/stand-2/system.go
+++ b/review/stand-2/system.go
@@ -74,6 +74,8 @@
 	stopPause = 5 * time.Second
 	// readyLimit is how long the system may take to acknowledge the first configuration.
 	readyLimit = 20 * time.Second
+	// putPause is the operator's pause between two tries.
+	putPause = 20 * time.Millisecond
 	// queueHost is the host of all queues.
 	queueHost = "desk.example"
 )
@@ -110,8 +112,9 @@
 	mu       sync.Mutex
 }
 
-// newSystem starts control and entry hosts on loopback addresses of their own.
-func newSystem(rec *record, controls, entries int) (*system, error) {
+// newSystem starts control and entry hosts on loopback addresses of their own. losses is how
+// many control hosts may be lost at once.
+func newSystem(rec *record, controls, entries, losses int) (*system, error) {
 	dir, err := os.MkdirTemp("", "review-2-")
 	if err != nil {
 		return nil, err
@@ -135,7 +138,7 @@
 	for _, h := range append(append([]*host{}, s.control...), s.entry...) {
 		values := map[string]string{
 			"name": h.name, "role": h.role, "ip": h.ip, "seeds": "[" + strings.Join(seeds, ",") + "]",
-			"class": "edge", "serves": "edge", "bootstrap": "true", "counts": "false", "dir": "null", "memory": strconv.Itoa(s.memoryMB),
+			"class": "edge", "serves": "edge", "bootstrap": "true", "counts": "false", "dir": "null", "memory": strconv.Itoa(s.memoryMB), "losses": strconv.Itoa(losses),
 			"listen": fmt.Sprintf(`{"frontend":%q,"readiness":%q}`, h.address(frontendPort), h.address(readinessPort)),
 		}
 		if h.role == "control" {
@@ -212,6 +215,15 @@
 	}
 }
 
+// wipe empties the folder of a control host that does not run.
+func (s *system) wipe(h *host) error {
+	data := filepath.Join(s.dir, h.name)
+	if err := os.RemoveAll(data); err != nil {
+		return err
+	}
+	return os.MkdirAll(data, 0o700)
+}
+
 // end ends all processes and removes the folder, unless KEEP is set.
 func (s *system) end() {
 	for _, h := range append(append([]*host{}, s.control...), s.entry...) {
@@ -261,9 +273,20 @@
 	return r
 }
 
-// configure sends the first configuration until it is acknowledged: each queue with its
-// service.
+// configure sends the first configuration until it is acknowledged.
 func (s *system) configure(queues map[string]string) error {
+	if err := s.put(queues, readyLimit); err != nil {
+		return err
+	}
+	return s.afterBootstrap()
+}
+
+// put sends the configuration, each queue with its service, until it is acknowledged.
+func (s *system) put(queues map[string]string, limit time.Duration) error {
+	return s.putVersion(1, queues, limit)
+}
+
+func (s *system) putVersion(version int, queues map[string]string, limit time.Duration) error {
 	var routes, services []string
 	known := map[string]bool{}
 	for queue, service := range queues {
@@ -273,17 +296,20 @@
 		}
 		known[service] = true
 	}
-	body := fill(configFile, map[string]string{"routes": strings.Join(routes, ","), "services": strings.Join(services, ",")})
+	body := fill(configFile, map[string]string{"version": strconv.Itoa(version), "routes": strings.Join(routes, ","), "services": strings.Join(services, ",")})
 	c := newHTTP(time.Second)
-	for i, end := 0, time.Now().Add(readyLimit); time.Now().Before(end); i++ {
+	for i, end := 0, time.Now().Add(limit); time.Now().Before(end); i++ {
 		r := call(c, http.MethodPut, s.control[i%len(s.control)].address(controlPort), "/config", body, nil)
 		if r.status == http.StatusOK {
-			s.rec.note("operator: configuration 1 acknowledged")
-			return s.afterBootstrap()
+			s.rec.note("operator: configuration %d acknowledged", version)
+			return nil
+		}
+		if i%50 == 0 {
+			s.rec.note("operator: PUT /config at %s -> %d %s", s.control[i%len(s.control)].name, r.status, strings.TrimSpace(r.body))
 		}
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(putPause)
 	}
-	return fmt.Errorf("the first configuration was not acknowledged within %s", readyLimit)
+	return fmt.Errorf("configuration %d was not acknowledged within %s", version, limit)
 }
 
 // client hands jobs in and asks for them.
