--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,5 +3,5 @@
 # TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/gooseberrypond ] && [ -x target/review-stand-2 ] || exit 2
-exec target/review-stand-2 leaving review/6
+[ -x target/gooseberrypond ] && [ -x target/review-stand-2 dropped review/6
+exec target/review-stand-2 dropped review/6
--- a/review/stand-2/dropped.go
+++ b/review/stand-2/dropped.go
@@ -30,7 +30,7 @@
 // in: no task of it may start.
 func dropped(rec *record, trouble bool) (int, error) {
 	with := map[string]string{"plan": "desk", "book": "desk"}
-	s, err := newSetUp(rec, 4, with, nil)
+	s, err := newSetUp(rec, 4, with)
 	defer s.close()
 	if err != nil {
 		return cannotRun, err
--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -16,7 +16,7 @@
 )
 
 var cases = map[string]func(rec *record, trouble bool) (int, error){
-	"crashes": crashes, "leaving": leaving, "writer": writer, "founding": founding, "dropped": dropped,
+	"writer": writer, "founding": founding, "dropped": dropped,
 }
 
 func main() {
--- a/review/stand-2/minion.go
+++ b/review/stand-2/minion.go
@@ -98,12 +98,6 @@
 	return ""
 }
 
-func (l *ledger) ranTwice() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return len(l.twice)
-}
-
 // minion runs tasks on orders. It keeps its id and its address over its lives.
 type minion struct {
 	id, service string
@@ -122,19 +116,14 @@
 	token    uint64
 	leaseEnd time.Time
 	seq      int64
-	draining bool
-	remains  time.Duration
 	runs     map[string]*run
 	ends     []ended
 	lastEnd  uint64
 	highest  map[string]int
 	changed  chan struct{}
 	acked    bool // the newest heartbeat was acknowledged
-	// drained is set once a heartbeat that said draining was acknowledged, and quiet while
-	// no heartbeats are sent.
-	drained, quiet bool
-	client         *http.Client
-	next           string
+	client   *http.Client
+	next     string
 }
 
 func newMinion(id, service string, cpu int64, rec *record, l *ledger, beats []string) (*minion, error) {
@@ -155,7 +144,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.own = ln.Addr().String()
-	m.up, m.born, m.token, m.seq, m.draining = true, time.Now(), 0, 0, false
+	m.up, m.born, m.token, m.seq = true, time.Now(), 0, 0
 	m.leaseEnd = m.born
 	m.runs, m.ends, m.lastEnd, m.highest = map[string]*run{}, nil, 0, map[string]int{}
 	m.changed = make(chan struct{})
@@ -375,21 +364,17 @@
 }
 
 // heartbeat returns the body of the next heartbeat; ok is false if there is none.
-func (m *minion) heartbeat() (body string, draining, ok bool) {
+func (m *minion) heartbeat() (body string, ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if !m.up || m.quiet {
-		return "", false, false
+	if !m.up {
+		return "", false
 	}
 	m.seq++
-	state, extra := "ready", ""
-	if m.draining {
-		state, extra = "draining", fmt.Sprintf(`,"remaining_ms":%d`, m.remains.Milliseconds())
-	}
 	return strings.TrimSpace(fill(beatFile, map[string]string{
-		"backend": m.service, "address": m.shown, "zone": "zone-a", "state": state, "cpu": strconv.FormatInt(m.cpu, 10),
-		"clock": strconv.FormatInt(m.clockLocked(), 10), "seq": strconv.FormatInt(m.seq, 10), "born": strconv.FormatInt(m.born.UnixMilli(), 10), "extra": extra,
-	})), m.draining, true
+		"backend": m.service, "address": m.shown, "zone": "zone-a", "state": "ready", "cpu": strconv.FormatInt(m.cpu, 10),
+		"clock": strconv.FormatInt(m.clockLocked(), 10), "seq": strconv.FormatInt(m.seq, 10), "born": strconv.FormatInt(m.born.UnixMilli(), 10),
+	})), true
 }
 
 // tell makes a call to the control hosts, one after the other, until one acknowledges it.
@@ -411,11 +396,10 @@
 // beat sends heartbeats until done is closed. It keeps one connection while that works.
 func (m *minion) beat(done <-chan struct{}) {
 	for {
-		if body, draining, ok := m.heartbeat(); ok {
+		if body, ok := m.heartbeat(); ok {
 			acked := m.tell(http.MethodPut, body)
 			m.mu.Lock()
 			m.acked = acked
-			m.drained = m.drained || acked && draining
 			m.mu.Unlock()
 		}
 		select {
@@ -426,26 +410,6 @@
 	}
 }
 
-func (m *minion) drain(remains time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.draining, m.remains = true, remains
-	m.rec.note("minion %s: draining", m.id)
-}
-
-func (m *minion) drainAcked() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.drained
-}
-
-// stopBeating ends the heartbeats.
-func (m *minion) stopBeating() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.quiet = true
-}
-
 // foreign returns a heartbeat that another writer sends under the minion's id, all of whose
 // fields are the minion's but the service and the number.
 func (m *minion) foreign(service string, seq int64) string {
@@ -453,6 +417,6 @@
 	defer m.mu.Unlock()
 	return strings.TrimSpace(fill(beatFile, map[string]string{
 		"backend": service, "address": m.shown, "zone": "zone-a", "state": "ready", "cpu": strconv.FormatInt(m.cpu, 10),
-		"clock": strconv.FormatInt(m.clockLocked(), 10), "seq": strconv.FormatInt(seq, 10), "born": strconv.FormatInt(m.born.UnixMilli(), 10), "extra": "",
+		"clock": strconv.FormatInt(m.clockLocked(), 10), "seq": strconv.FormatInt(seq, 10), "born": strconv.FormatInt(m.born.UnixMilli(), 10),
 	}))
 }
--- a/review/stand-2/system.go
+++ b/review/stand-2/system.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -360,80 +359,3 @@
 	}
 	return "", 0
 }
-
-// proxy forwards connections. Each direction can be made to lose all bytes.
-type proxy struct {
-	listener net.Listener
-	target   string
-	mu       sync.Mutex
-	dropIn   bool // what the caller sends is lost
-	dropOut  bool // what the target sends is lost
-}
-
-func newProxy(listen, target string) (*proxy, error) {
-	ln, err := net.Listen("tcp", listen)
-	if err != nil {
-		return nil, err
-	}
-	p := &proxy{listener: ln, target: target}
-	go func() {
-		for {
-			conn, err := ln.Accept()
-			if err != nil {
-				return // closed
-			}
-			go p.serve(conn)
-		}
-	}()
-	return p, nil
-}
-
-func (p *proxy) address() string { return p.listener.Addr().String() }
-
-func (p *proxy) drop(in, out bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.dropIn, p.dropOut = in, out
-}
-
-func (p *proxy) drops() (in, out bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.dropIn, p.dropOut
-}
-
-func (p *proxy) serve(from net.Conn) {
-	defer from.Close()
-	if in, out := p.drops(); in || out {
-		// No connection comes about while packets pass one way only; the caller's hangs.
-		_, _ = io.Copy(io.Discard, from)
-		return
-	}
-	to, err := net.Dial("tcp", p.target)
-	if err != nil {
-		return // the target is down: the caller's connection is reset
-	}
-	defer to.Close()
-	var wg sync.WaitGroup
-	copyTo := func(dst, src net.Conn, lost func() bool) {
-		defer wg.Done()
-		buf := make([]byte, 32<<10)
-		for {
-			n, err := src.Read(buf)
-			if n > 0 && !lost() {
-				if _, err := dst.Write(buf[:n]); err != nil {
-					src.Close()
-					return
-				}
-			}
-			if err != nil {
-				dst.Close()
-				return
-			}
-		}
-	}
-	wg.Add(2)
-	go copyTo(to, from, func() bool { in, _ := p.drops(); return in })
-	go copyTo(from, to, func() bool { _, out := p.drops(); return out })
-	wg.Wait()
-}
