--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,5 +3,8 @@
 # TROUBLE=0 leaves the disruption out.
 set -uo pipefail
 cd "$(dirname "$0")/../.." || exit 2
-[ -x target/gooseberrypond ] && [ -x target/review-stand-2 dropped review/6
+if [ ! -x target/gooseberrypond ] || [ ! -x target/review-stand-2 ]; then
+  echo "build first: the deploy file's build, then review/build-2.sh" >&2
+  exit 2
+fi
 exec target/review-stand-2 dropped review/6
