--- a/review/stand-2/dropped.go
+++ b/review/stand-2/dropped.go
@@ -25,6 +25,24 @@
 	return nil
 }
 
+// lostLeader reports whether an entry host has been without a leader since it first had one,
+// by its own metrics.
+func (s *system) lostLeader() bool {
+	c := newHTTP(time.Second)
+	lost := false
+	for _, h := range s.entry {
+		r := call(c, http.MethodGet, h.address(metricsPort), "/metrics", "", nil)
+		for line := range strings.Lines(r.body) {
+			value, ok := strings.CutPrefix(line, "gooseberrypond_leader_recovery_seconds ")
+			if ok && strings.TrimSpace(value) != "0" {
+				s.rec.note("platform: %s says that its last recovery of the leader took %s s", h.name, strings.TrimSpace(value))
+				lost = true
+			}
+		}
+	}
+	return lost
+}
+
 // dropped: clients hand jobs in, the leader is killed, and a configuration without their queue
 // comes into force. A client that is told that there is no such queue has not handed its job
 // in: no task of it may start.
@@ -103,6 +121,10 @@
 		for _, task := range ran {
 			rec.note("REFUSED: %s has started; the only attempt to hand its job in was answered 404", task)
 		}
+		lost := s.lostLeader()
+		if len(ran) > 0 && !trouble && lost {
+			return cannotRun, fmt.Errorf("an entry host lost the leader though nothing was disturbed")
+		}
 		if len(ran) > 0 {
 			return broken, nil
 		}
