--- a/host/dispatcher/caller.go
+++ b/host/dispatcher/caller.go
@@ -194,8 +194,11 @@
 func (c Caller) cancelled(f *target) Answer {
 	c.d.mu.Lock()
 	defer c.d.mu.Unlock()
-	if j, _ := c.job(f); j == nil {
+	switch j, hidden := c.job(f); {
+	case hidden: // an attempt before its owner changed may have cancelled it
 		return noJob()
+	case j == nil: // the withdrawal makes it true
+		return noJob().settled()
 	}
 	return Answer{Code: Done}
 }
@@ -204,7 +207,7 @@
 // returns the number of jobs in the queue none of whose tasks has begun on a worker.
 func (c Caller) Look(host, path string) Answer {
 	var f target
-	return c.finish("look", &f, c.d.withLeader(context.Background(), func(*leadership) (Answer, bool) {
+	a := c.d.withLeader(context.Background(), func(*leadership) (Answer, bool) {
 		var refusal *Answer
 		if f, refusal = c.resolve(host, path); refusal != nil {
 			return *refusal, false
@@ -220,7 +223,8 @@
 		}
 		a.State = j.State
 		return a, false
-	}))
+	})
+	return c.finish("look", &f, a.settled()) // a read changes nothing
 }
 
 // finish counts an answer, and logs it if a rule about keys or owners has refused the
--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"strings"
 	"time"
 
@@ -44,9 +45,15 @@
 	Withdrawn
 )
 
-// String returns the name of the code, as used in logs and metric labels.
+var codeNames = [...]string{"", "done", "not leader", "not taken", "unknown", "no config", "no queue", "no job", "invalid", "no key", "id in use", "withdrawn"}
+
+// String returns the name of the code, as used in logs and metric labels. A host of a
+// later version may send a code that has none here.
 func (c Code) String() string {
-	return [...]string{"", "done", "not leader", "not taken", "unknown", "no config", "no queue", "no job", "invalid", "no key", "id in use", "withdrawn"}[c]
+	if int(c) >= len(codeNames) {
+		return fmt.Sprintf("code %d", uint8(c))
+	}
+	return codeNames[c]
 }
 
 // Answer is the outcome of a call.
@@ -66,6 +73,19 @@
 	Term uint64
 	// Limits are the size and time limits for requests from callers.
 	Limits graph.Limits
+	// Settled is set in an answer other than Done that holds whatever the call did before.
+	Settled bool
+}
+
+// Final reports whether the answer to a repeated call holds for the call as a whole. Any
+// other answer holds for one attempt only: an earlier one that was not answered may have
+// taken effect before the reason for a refusal arose.
+func (a Answer) Final() bool { return a.Code == Done || a.Settled }
+
+// settled returns the answer with Settled set.
+func (a Answer) settled() Answer {
+	a.Settled = true
+	return a
 }
 
 func answer(code Code, reason string) Answer { return Answer{Code: code, Reason: reason} }
@@ -105,7 +125,7 @@
 // GetConfig returns the committed configuration, as current as at the time of the call.
 // It asks a quorum: the lease is not enough, because it relies on the leader's clock.
 func (d *Dispatcher) GetConfig(ctx context.Context) Answer {
-	return d.countAnswer("getconfig", d.readConfig(ctx))
+	return d.countAnswer("getconfig", d.readConfig(ctx).settled()) // a read changes nothing
 }
 
 func (d *Dispatcher) readConfig(ctx context.Context) Answer {
--- /dev/null
+++ b/host/dispatcher/repeated_test.go
@@ -0,0 +1,57 @@
+package dispatcher
+
+import (
+	"testing"
+
+	"gooseberrypond/core/graph"
+)
+
+// Guards against a repeated cancel whose outcome counts as unknown although the answer is
+// certain, or as certain although an earlier attempt may have cancelled the job.
+func TestWhichAnswersToACancelAreFinal(t *testing.T) {
+	const unknownJob, cancelledJob = "/q/00000000000000bb", "/q/00000000000000cc"
+	d, _ := startSingleReplica(t)
+	put := func(c *graph.Config) {
+		t.Helper()
+		if a := d.PutConfig(t.Context(), c); a.Code != Done {
+			t.Fatalf("configuration answered %s", a.Code)
+		}
+	}
+	cancel := func(path string, code Code, final bool) {
+		t.Helper()
+		if a := d.Caller(graph.HashKey(withdrawnKey)).Cancel(t.Context(), "h", path); a.Code != code || a.Final() != final {
+			t.Errorf("cancel of %s answered %s, final %t; want %s, %t", path, a.Code, a.Final(), code, final)
+		}
+	}
+	put(keyed(1, keptKey, withdrawnKey))
+	for _, path := range []string{jobOfA, cancelledJob} {
+		if a := d.Caller(graph.HashKey(withdrawnKey)).Submit(t.Context(), "h", path, oneTask); a.Code != Done {
+			t.Fatalf("submission answered %s", a.Code)
+		}
+	}
+	cancel(unknownJob, NoJob, true)
+	cancel(unknownJob, NoJob, true)
+	cancel(cancelledJob, Done, true)
+	cancel(cancelledJob, Done, true)
+	moved := keyed(2, keptKey)
+	moved.Organisations[1].Keys = append(moved.Organisations[1].Keys, graph.HashKey(withdrawnKey))
+	put(moved)
+	cancel(cancelledJob, NoJob, false)
+	cancel("/none/00000000000000aa", NoQueue, false)
+	put(keyed(3, keptKey))
+	cancel(cancelledJob, NoKey, false)
+}
+
+// Guards against a repeated read whose outcome counts as unknown: reads change nothing.
+func TestAnswersToReadsAreFinal(t *testing.T) {
+	d, _ := startSingleReplica(t)
+	if a := d.GetConfig(t.Context()); a.Code != NoConfig || !a.Final() {
+		t.Errorf("read without a configuration answered %s, final %t", a.Code, a.Final())
+	}
+	putQueue(t, d)
+	for path, want := range map[string]Code{"/none/": NoQueue, jobOfA: NoJob, "/q/": Done} {
+		if a := d.Look("h", path); a.Code != want || !a.Final() {
+			t.Errorf("read of %s answered %s, final %t; want %s", path, a.Code, a.Final(), want)
+		}
+	}
+}
--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -364,7 +364,9 @@
 
 // callLeader calls a method on the leader. If the leader changes, it repeats the
 // call on the new leader until ctx ends or no leader is found in time; all
-// methods are idempotent.
+// methods are idempotent. After an attempt that was sent and not answered, a refusal of
+// a later one does not mean that nothing was done, and its outcome is unknown, unless
+// the answer is final.
 func (c *Client) callLeader(ctx context.Context, method string, args any) (dispatcher.Answer, error) {
 	sent, began := false, time.Now()
 	for {
@@ -381,28 +383,30 @@
 			}
 		}
 		r, err := c.callLeaderOnce(ctx, changed, leader, method, args)
-		if err != nil && ctx.Err() != nil {
-			// The caller's time is over or it has left, which tells nothing about the leader.
-			return dispatcher.Answer{}, callError(sent || !errors.Is(err, errNotSent))
-		}
+		sent = sent || err != nil && !errors.Is(err, errNotSent)
 		switch {
-		case err == nil && r.Code == dispatcher.NotLeader:
-			c.clearLeader(leader)
-		case err == nil && r.Code == dispatcher.NotApplied && sent:
-			// An earlier attempt of this call may have taken effect.
+		case err != nil && ctx.Err() != nil:
+			// The caller's time is over or it has left, which tells nothing about the leader.
 			return dispatcher.Answer{}, callError(sent)
-		case err == nil:
-			return r.Answer, nil
-		case isTransportError(err) && !errors.Is(err, errNotSent):
-			sent = true
-			c.clearLeader(leader)
-		default:
-			c.clearLeader(leader)
+		case err == nil && r.Code != dispatcher.NotLeader:
+			return c.attempted(sent, leader, method, r.Answer)
 		}
+		c.clearLeader(leader)
 		c.triggerSearch()
 	}
 }
 
+// attempted returns the outcome of a call whose last attempt was answered. sent is set if
+// an earlier attempt was sent and not answered.
+func (c *Client) attempted(sent bool, leader, method string, a dispatcher.Answer) (dispatcher.Answer, error) {
+	if !sent || a.Final() {
+		return a, nil
+	}
+	c.logger.Info().Str("call", method).Str("leader", leader).Stringer("code", a.Code).Str("reason", a.Reason).Uint64("version", a.Version).
+		Msg("outcome is unknown: the call was refused after an attempt without an answer")
+	return dispatcher.Answer{}, errors.Wrapf(ErrNoAnswer, "call %s: refused with %q after an attempt without an answer", method, a.Code)
+}
+
 // checkCaller returns an error if a call that is sent now would not be answered in time,
 // or if nobody waits for its answer: the caller may have been told something else by now.
 func checkCaller(ctx context.Context) error {
