Calls do not lose a leader that has just been found again

Callers saw: nothing wrong, but a longer wait: a host that leads again in another term was found, and each call in flight there lost it again, which ended the other calls and led to one more search. Cause: callLeader cleared the leader by its address after errLeaderChanged, though that error means that the leader has been cleared or replaced already. Change: errLeaderChanged clears nothing. Test: TestLeaderFoundAgainIsKept; before, the call ended without an answer, and no leader was known.

--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -390,9 +390,12 @@
 			return dispatcher.Answer{}, callError(sent)
 		case err == nil && r.Code != dispatcher.NotLeader:
 			return c.attempted(sent, leader, method, r.Answer)
+		case errors.Is(err, errLeaderChanged):
+			// The same host may have been found again meanwhile, in another term.
+		default:
+			c.clearLeader(leader)
+			c.triggerSearch()
 		}
-		c.clearLeader(leader)
-		c.triggerSearch()
 	}
 }
 
--- a/host/relay/repeated_test.go
+++ b/host/relay/repeated_test.go
@@ -109,3 +109,21 @@
 		}
 	}
 }
+
+// Guards against calls that lose a leader which has just been found again, at the same
+// host in another term: all calls in flight there then end, and are repeated, once more.
+func TestLeaderFoundAgainIsKept(t *testing.T) {
+	c, f, addresses := clientOfScript(t)
+	f.script <- dispatcher.Answer{}
+	f.script <- dispatcher.Answer{Code: dispatcher.Done}
+	go func() {
+		<-f.entered
+		c.setLeader(addresses[0], Info{Term: 2})
+	}()
+	if a, err := calls["submit"](t.Context(), c); err != nil || a.Code != dispatcher.Done {
+		t.Errorf("the caller was told %s, %v, want done", a.Code, err)
+	}
+	if c.Leader() != addresses[0] {
+		t.Errorf("the leader is %q, want the host that was found again", c.Leader())
+	}
+}
