A call that fails in its method is answered at once, and does not lose the leader

Callers saw: one call that a leader could not handle (a panic that was caught) was repeated until its time for that was over, and each attempt made the entry host lose the leader, which ends the calls of others with an unknown outcome. Cause: an error of the called method was handled like one of the connection. Change: it is answered at once; the outcome is unknown. On the host that leads itself it is the same.

--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -388,6 +388,9 @@
 		case err != nil && ctx.Err() != nil:
 			// The caller's time is over or it has left, which tells nothing about the leader.
 			return dispatcher.Answer{}, callError(sent)
+		case err != nil && !isTransportError(err):
+			// The method itself failed, and would fail again.
+			return dispatcher.Answer{}, errors.Wrapf(ErrNoAnswer, "call %s: leader %s failed: %v", method, leader, err)
 		case err == nil && r.Code != dispatcher.NotLeader:
 			return c.attempted(sent, leader, method, r.Answer)
 		case errors.Is(err, errLeaderChanged):
@@ -431,6 +434,9 @@
 func (c *Client) callLeaderOnce(ctx context.Context, changed <-chan struct{}, address, method string, args any) (Reply, error) {
 	if local := c.local.Load(); local != nil && local.address == address {
 		a, err := local.server.execute(ctx, method, args)
+		if err != nil {
+			err = rpc.ServerError(err.Error()) // as over the network
+		}
 		return Reply{Answer: a}, err
 	}
 	if _, err := c.connect(ctx, address); err != nil {
--- a/host/relay/repeated_test.go
+++ b/host/relay/repeated_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
@@ -127,3 +128,43 @@
 		t.Errorf("the leader is %q, want the host that was found again", c.Leader())
 	}
 }
+
+// failingLeader fails in the called method.
+type failingLeader struct{ calls int }
+
+func (f *failingLeader) Submit(*JobArgs, *Reply) error {
+	f.calls++
+	return errors.New("internal error")
+}
+
+// Guards against a call that failed in its method and counts as not sent: it may be in the
+// log. The leader is not lost by it, since that would end the calls of others.
+func TestFailedMethodLeavesTheOutcomeOpen(t *testing.T) {
+	f := &failingLeader{}
+	address := serveControl(t, f)
+	c := NewClient(func() []string { return []string{address} }, zerolog.Nop())
+	c.setLeader(address, Info{Term: 1})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if _, err := c.Submit(ctx, graph.KeyHash{}, "h", "/q/1", graph.Spec{}); !errors.Is(err, ErrNoAnswer) {
+		t.Errorf("the caller was told %v, want that the outcome is unknown", err)
+	}
+	if f.calls != 1 || c.Leader() != address {
+		t.Errorf("%d calls, want one; the leader is now %q", f.calls, c.Leader())
+	}
+}
+
+// As TestFailedMethodLeavesTheOutcomeOpen, on the host that leads.
+func TestFailedMethodOnTheOwnHost(t *testing.T) {
+	s := &Server{d: dispatcher.New(dispatcher.Config{Logger: zerolog.Nop()}), logger: zerolog.Nop()}
+	c := NewClient(func() []string { return nil }, zerolog.Nop())
+	c.SetLocal("own", s)
+	c.setLeader("own", Info{Term: 1})
+	var missing *JobArgs
+	if _, err := c.callLeader(t.Context(), "Submit", missing); !errors.Is(err, ErrNoAnswer) {
+		t.Errorf("the caller was told %v, want that the outcome is unknown", err)
+	}
+	if c.Leader() != "own" {
+		t.Error("the leader counts as lost because a call failed")
+	}
+}
