The attempts of a submission carry one number, and the leader knows the job that one of them submitted

Cause: rules of the configuration were asked before the job was looked up, and nothing told an attempt of the same call from another submission with the same id. A repeated attempt finds its own job by it and is answered 200, whatever the queue, the key or the owner is now. A caller cannot choose the number, and no other submission with that id learns of the job. The job was accepted before the configuration that refuses it, so no request that was sent after that is served by it.

--- a/core/graph/job.go
+++ b/core/graph/job.go
@@ -80,12 +80,15 @@
 	Organisation string `cbor:"8,keyasint,omitempty"`
 	// Excess marks a job that the organisation sent beyond its weight in jobs a second.
 	Excess bool `cbor:"9,keyasint,omitempty"`
+	// Call is the random number of the call that submitted the job; 0 if it had none. It
+	// tells an attempt of that call from another submission with the same id.
+	Call uint64 `cbor:"10,keyasint,omitempty"`
 }
 
 // Bytes returns about how much the job takes in a log entry.
 func (s *Spec) Bytes() int {
-	const stepBytes, numberBytes = 96, 5
-	n := len(s.ID) + len(s.Queue) + len(s.Payload) + len(s.Organisation)
+	const stepBytes, numberBytes, callBytes = 96, 5, 10
+	n := callBytes + len(s.ID) + len(s.Queue) + len(s.Payload) + len(s.Organisation)
 	for i := range s.Steps {
 		st := &s.Steps[i]
 		n += stepBytes + numberBytes*len(st.DependsOn) + len(st.Label) + len(st.DataRack) + len(st.Image)
--- a/host/dispatcher/caller.go
+++ b/host/dispatcher/caller.go
@@ -97,10 +97,15 @@
 }
 
 // Submit accepts a job. Its id and queue are taken from host and path. Submitting
-// a job that exists succeeds again, if the caller may see it.
+// a job that exists succeeds again, if the caller may see it or an earlier attempt of the
+// same call has submitted it.
 func (c Caller) Submit(ctx context.Context, host, path string, spec graph.Spec) Answer {
 	var f target
+	repeated := false
 	a := c.d.withLeader(ctx, func(l *leadership) (Answer, bool) {
+		if repeated = c.d.isAccepted(path, spec.Call); repeated {
+			return Answer{Code: Done}, false
+		}
 		var refusal *Answer
 		if f, refusal = c.resolve(host, path); refusal != nil {
 			return *refusal, false
@@ -122,12 +127,21 @@
 		l.queued.add(queuedCall{submit: &spec})
 		return Answer{}, true
 	})
-	if a.Code == Done {
+	if a.Code == Done && !repeated {
 		a = c.accepted(&f)
 	}
 	return c.finish("submit", &f, a)
 }
 
+// isAccepted reports whether an attempt of the call with the given number has submitted
+// the job that the path names. It does not ask the configuration, which may have changed
+// since: the queue may be gone, and the caller's key. The caller must hold d.mu.
+func (d *Dispatcher) isAccepted(path string, call uint64) bool {
+	id := graph.JobID(path[max(0, len(path)-idLength):]) // the prefix is that of the queue
+	j := d.tables.Job(id)
+	return j != nil && call != 0 && j.Spec.Call == call
+}
+
 func idInUse() Answer {
 	return answer(IDInUse, "the id is in use; this job was not accepted and never runs")
 }
--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -90,9 +90,12 @@
 
 func answer(code Code, reason string) Answer { return Answer{Code: code, Reason: reason} }
 
+// idLength is the number of hexadecimal digits of a job's id.
+const idLength = 16
+
 // ValidID reports whether id is 16 hexadecimal digits.
 func ValidID(id graph.JobID) bool {
-	return len(id) == 16 && strings.Trim(string(id), "0123456789abcdefABCDEF") == ""
+	return len(id) == idLength && strings.Trim(string(id), "0123456789abcdefABCDEF") == ""
 }
 
 // PutConfig commits a configuration. If its version is not higher than that of the
--- a/host/dispatcher/repeated_test.go
+++ b/host/dispatcher/repeated_test.go
@@ -55,3 +55,56 @@
 		}
 	}
 }
+
+// Guards against a submission that is refused by rules that came after an earlier attempt
+// of it was accepted, by the same leader, the next one, or one that was started again from
+// a snapshot. Another submission with the same id is refused as the rules say.
+func TestAcceptedAttemptIsKnownUnderLaterRules(t *testing.T) {
+	withoutQueue := func(version uint64) *graph.Config {
+		c := keyed(version, keptKey)
+		c.Queues = c.Queues[1:]
+		return c
+	}
+	moved := func(version uint64) *graph.Config {
+		c := keyed(version)
+		c.Organisations[1].Keys = append(c.Organisations[1].Keys, graph.HashKey(keptKey))
+		return c
+	}
+	for name, test := range map[string]struct {
+		later func(version uint64) *graph.Config
+		want  Code
+	}{
+		"queue removed":  {withoutQueue, NoQueue},
+		"key removed":    {func(version uint64) *graph.Config { return keyed(version) }, NoKey},
+		"key of another": {moved, IDInUse},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := &sharedLog{}
+			old, next := g.newMember(t), g.newMember(t)
+			old.lead(t, 1)
+			old.put(t, keyed(1, keptKey))
+			submit := func(m *member, call uint64) Answer {
+				spec := oneTask
+				spec.Call = call
+				return m.d.Caller(graph.HashKey(keptKey)).Submit(t.Context(), "h", jobOfA, spec)
+			}
+			if a := submit(old, 7); a.Code != Done {
+				t.Fatalf("first attempt answered %s", a.Code)
+			}
+			old.put(t, test.later(2))
+			restarted := g.newMember(t)
+			restarted.restore(t, old)
+			for term, m := range []*member{old, next, restarted} {
+				m.lead(t, uint64(term)+2)
+				if a := submit(m, 7); a.Code != Done {
+					t.Errorf("member %d answered another attempt of the call with %s, want done", term, a.Code)
+				}
+				for _, call := range []uint64{0, 8} {
+					if a := submit(m, call); a.Code != test.want || a.Final() {
+						t.Errorf("member %d answered call %d with %s, final %t; want %s", term, call, a.Code, a.Final(), test.want)
+					}
+				}
+			}
+		})
+	}
+}
--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -490,8 +490,11 @@
 	}
 }
 
-// Submit accepts a job. Like Cancel and Look, it carries the hash of the caller's key.
+// Submit accepts a job. Like Cancel and Look, it carries the hash of the caller's key. All
+// attempts of the call carry the same number, so that the leader knows the job that one of
+// them has submitted.
 func (c *Client) Submit(ctx context.Context, key graph.KeyHash, host, path string, spec graph.Spec) (dispatcher.Answer, error) {
+	spec.Call = rand.Uint64()
 	return c.callLeader(ctx, "Submit", &JobArgs{Key: key, Host: host, Path: path, Spec: spec})
 }
 
