gooseberryd: a refusal after an attempt without an answer leaves the outcome open

Callers saw: "outcome": "not_run" for a call of which an earlier attempt was in the log. Cause: rpc.Client repeats a call that was sent and not answered, and returned the refusal of a later attempt with that attempt's outcome. Change: for calls that change something such a refusal becomes no_leader with the outcome unknown and a time to come back; the code and message of the refusal stay in its text. Repeated with its key or change id, the call gets its first answer. Reads are marked as such, and their answers hold. Test: TestRefusalAfterAnUnansweredAttempt in host/rpc; before, submit, cancel, complete, announce and member changes are answered not_found, not_run.

--- a/host/rpc/calls.go
+++ b/host/rpc/calls.go
@@ -23,6 +23,13 @@
 	return callOptions{method: method, timeout: attemptTimeout, retryUnknown: true}
 }
 
+// readCall returns the options of a call that changes nothing.
+func readCall(method string) callOptions {
+	opts := unloggedCall(method)
+	opts.read = true
+	return opts
+}
+
 // loggedCall returns the options of a call that waits for a proposal to the
 // replicated log and may be retried.
 func loggedCall(method string) callOptions {
@@ -78,19 +85,19 @@
 
 // GetJob implements Control.
 func (c *Client) GetJob(ctx context.Context, q GetJob) (*structs.JobView, error) {
-	opts := unloggedCall("GetJob")
+	opts := readCall("GetJob")
 	opts.timeout += time.Duration(q.WaitMS) * time.Millisecond
 	return ptr(call[GetJob, structs.JobView](ctx, c, opts, q))
 }
 
 // Explain implements Control.
 func (c *Client) Explain(ctx context.Context, q Explain) ([]string, error) {
-	return call[Explain, []string](ctx, c, unloggedCall("Explain"), q)
+	return call[Explain, []string](ctx, c, readCall("Explain"), q)
 }
 
 // ListJobs implements Control.
 func (c *Client) ListJobs(ctx context.Context, q ListJobs) ([]structs.Job, error) {
-	return call[ListJobs, []structs.Job](ctx, c, unloggedCall("ListJobs"), q)
+	return call[ListJobs, []structs.Job](ctx, c, readCall("ListJobs"), q)
 }
 
 // Claim implements Control. It may be retried: the nonce makes it idempotent.
@@ -106,7 +113,7 @@
 
 // Catalogue implements Control.
 func (c *Client) Catalogue(ctx context.Context) (*structs.Catalogue, error) {
-	return ptr(call[Empty, structs.Catalogue](ctx, c, unloggedCall("Catalogue"), Empty{}))
+	return ptr(call[Empty, structs.Catalogue](ctx, c, readCall("Catalogue"), Empty{}))
 }
 
 // ApplyCatalogue implements Control. It may be retried: the change id makes it
@@ -122,22 +129,22 @@
 
 // Domains implements Control.
 func (c *Client) Domains(ctx context.Context) ([]structs.DomainInfo, error) {
-	return call[Empty, []structs.DomainInfo](ctx, c, unloggedCall("Domains"), Empty{})
+	return call[Empty, []structs.DomainInfo](ctx, c, readCall("Domains"), Empty{})
 }
 
 // Change implements Control.
 func (c *Client) Change(ctx context.Context, id string) (*structs.ChangeStatus, error) {
-	return ptr(call[Change, structs.ChangeStatus](ctx, c, unloggedCall("Change"), Change{ID: id}))
+	return ptr(call[Change, structs.ChangeStatus](ctx, c, readCall("Change"), Change{ID: id}))
 }
 
 // Status implements Control.
 func (c *Client) Status(ctx context.Context) (*structs.Status, error) {
-	return ptr(call[Empty, structs.Status](ctx, c, unloggedCall("Status"), Empty{}))
+	return ptr(call[Empty, structs.Status](ctx, c, readCall("Status"), Empty{}))
 }
 
 // Members implements Control.
 func (c *Client) Members(ctx context.Context) ([]structs.ReplicaInfo, error) {
-	return call[Empty, []structs.ReplicaInfo](ctx, c, unloggedCall("Members"), Empty{})
+	return call[Empty, []structs.ReplicaInfo](ctx, c, readCall("Members"), Empty{})
 }
 
 // MemberChange implements Control.
@@ -149,7 +156,8 @@
 // Dump implements Control. If host is set, that host answers the call whether it
 // leads or not.
 func (c *Client) Dump(ctx context.Context, host string) ([]byte, error) {
-	opts := callOptions{method: "Dump", timeout: dumpTimeout, retryUnknown: true}
+	opts := readCall("Dump")
+	opts.timeout = dumpTimeout
 	if host == "" {
 		return call[string, []byte](ctx, c, opts, host)
 	}
--- a/host/rpc/client.go
+++ b/host/rpc/client.go
@@ -214,10 +214,14 @@
 	// syncs: the leader refuses a repeated sequence number, so their caller
 	// sends the next number instead.
 	retryUnknown bool
+	// read is set for calls that change nothing. The answer to any attempt then holds
+	// for the call.
+	read bool
 }
 
 // call sends body to the leader, and retries as opts allow until it gets a reply
-// or ctx ends.
+// or ctx ends. A refusal after an attempt without an answer leaves the outcome of a change
+// unknown: that attempt may have taken effect before the reason for the refusal arose.
 func call[T, R any](ctx context.Context, c *Client, opts callOptions, body T) (R, error) {
 	var zero R
 	if _, ok := ctx.Deadline(); !ok {
@@ -238,6 +242,8 @@
 			// The call was not processed, so it may be sent to another peer.
 		case err.Code == structs.CodeNoLeader && opts.retryUnknown:
 			outcomeUnknown = true
+		case outcomeUnknown && !opts.read:
+			return zero, refusedAfterUnknown(opts, err)
 		default:
 			return zero, err
 		}
@@ -248,7 +254,7 @@
 		}
 		pause(ctx)
 	}
-	e := last.WithRetryAfter(int64(structs.ElectionTimeoutMax / time.Millisecond))
+	e := last.WithRetryAfter(structs.ElectionTimeoutMax.Milliseconds())
 	e.Code = structs.CodeNoLeader
 	e.Step = "rpc." + opts.method
 	if outcomeUnknown {
@@ -257,6 +263,14 @@
 	return zero, e
 }
 
+// refusedAfterUnknown returns the error of a call that was refused after an attempt
+// without an answer. Its code asks the caller to repeat the call, which then gets a first
+// answer.
+func refusedAfterUnknown(opts callOptions, refusal *structs.Error) *structs.Error {
+	return structs.Errorf(structs.CodeNoLeader, "rpc."+opts.method, "refused after an attempt without an answer: %s: %s", refusal.Code, refusal.Message).
+		WithPeer(refusal.Peer).WithOutcome(structs.OutcomeUnknown).WithRetryAfter(retryPause.Milliseconds())
+}
+
 // pause waits before the next attempt. The random part keeps hosts from retrying
 // at the same time.
 func pause(ctx context.Context) {
--- a/host/rpc/rpc_test.go
+++ b/host/rpc/rpc_test.go
@@ -23,6 +23,8 @@
 	calls   atomic.Int64
 	submit  func(ctx context.Context) (structs.SubmitResult, error)
 	sync    func(ctx context.Context) (*structs.EntryView, error)
+	change  func(ctx context.Context) error
+	read    func(ctx context.Context) error
 }
 
 func (f *fakeControl) Submit(ctx context.Context, _ structs.SubmitJob) (structs.SubmitResult, error) {
@@ -38,6 +40,24 @@
 	return f.sync(ctx)
 }
 
+// doChange serves the calls that change something and give no result.
+func (f *fakeControl) doChange(ctx context.Context) error {
+	f.calls.Add(1)
+	return f.change(ctx)
+}
+
+func (f *fakeControl) Cancel(ctx context.Context, _ structs.CancelJob) error  { return f.doChange(ctx) }
+func (f *fakeControl) Complete(ctx context.Context, _ structs.Complete) error { return f.doChange(ctx) }
+func (f *fakeControl) Announce(ctx context.Context, _ structs.Upstream) error { return f.doChange(ctx) }
+func (f *fakeControl) MemberChange(ctx context.Context, _ structs.MemberRequest) error {
+	return f.doChange(ctx)
+}
+
+func (f *fakeControl) GetJob(ctx context.Context, _ GetJob) (*structs.JobView, error) {
+	f.calls.Add(1)
+	return &structs.JobView{}, f.read(ctx)
+}
+
 // serveFakes starts a server for each fake. hint is the leader's id that followers
 // return.
 func serveFakes(t *testing.T, hint string, fakes ...*fakeControl) []Peer {
@@ -182,3 +202,53 @@
 		t.Errorf("Submit error = %v; %d calls to the follower, want 0", err, a.calls.Load()-followers)
 	}
 }
+
+// Guards against a caller that is told that its call has certainly not run although an
+// earlier attempt of it, which was sent and not answered, took effect. A read has no
+// effect, so its answer holds, and so does the refusal of a first attempt.
+func TestRefusalAfterAnUnansweredAttempt(t *testing.T) {
+	refusal := structs.Errorf(structs.CodeNotFound, "test", "not there").WithOutcome(structs.OutcomeNotRun)
+	calls := map[string]func(context.Context, *Client) error{
+		"submit": func(ctx context.Context, c *Client) error {
+			_, err := c.Submit(ctx, structs.SubmitJob{})
+			return err
+		},
+		"cancel":   func(ctx context.Context, c *Client) error { return c.Cancel(ctx, structs.CancelJob{}) },
+		"complete": func(ctx context.Context, c *Client) error { return c.Complete(ctx, structs.Complete{}) },
+		"announce": func(ctx context.Context, c *Client) error { return c.Announce(ctx, structs.Upstream{}) },
+		"member":   func(ctx context.Context, c *Client) error { return c.MemberChange(ctx, structs.MemberRequest{}) },
+		"get job": func(ctx context.Context, c *Client) error {
+			_, err := c.GetJob(ctx, GetJob{})
+			return err
+		},
+	}
+	for name, call := range calls {
+		for _, lost := range []bool{false, true} {
+			a := &fakeControl{}
+			a.leading.Store(true)
+			var client *Client
+			a.change = func(ctx context.Context) error {
+				if lost && a.calls.Load() == 1 {
+					client.mu.Lock()
+					conn := client.conns[0]
+					client.mu.Unlock()
+					conn.rpc.Close()
+					<-ctx.Done()
+				}
+				return refusal
+			}
+			a.read = a.change
+			a.submit = func(ctx context.Context) (structs.SubmitResult, error) { return structs.SubmitResult{}, a.change(ctx) }
+			var ctx context.Context
+			client, ctx = newTestClient(t, "c", serveFakes(t, "a", a))
+			want := refusal
+			if lost && name != "get job" {
+				want = structs.Errorf(structs.CodeNoLeader, "", "").WithOutcome(structs.OutcomeUnknown).WithRetryAfter(1)
+			}
+			var e *structs.Error
+			if err := call(ctx, client); !errors.As(err, &e) || e.Code != want.Code || e.Outcome != want.Outcome || (e.RetryAfterMS > 0) != (want.RetryAfterMS > 0) {
+				t.Errorf("%s, first answer lost %t: %v, outcome %q; want %s, %q", name, lost, err, e.Outcome, want.Code, want.Outcome)
+			}
+		}
+	}
+}
