gooseberryctl: a refusal after an attempt whose outcome is unknown is no final answer

Users saw: a change that was refused, with the exit code of the refusal, although an earlier attempt of the same command, whose connection broke off, took effect. Cause: client.Do goes on to the next address after an attempt without a final answer and returned whatever the last one was told. Change: after an attempt that may have taken effect the refusal of a change is ErrUnreachable (exit code 5) and says so, with the refusal in its text. An address that could not be connected to and an answer that says "not_run" do not count; reads are answered as before.

--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -9,6 +9,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strings"
@@ -31,7 +32,8 @@
 
 // ErrUnreachable is returned if no host gave a final response before the context
 // of the call ended, or if there is no address to call. A response that the host
-// has no leader, for example, is not final.
+// has no leader, for example, is not final; nor is the refusal of a change of which an
+// earlier attempt may have taken effect.
 var ErrUnreachable = errors.New("no host gave a final response")
 
 // Client sends requests to a group of equivalent hosts.
@@ -65,12 +67,17 @@
 		return err
 	}
 	var lastErr error
+	unknown := false // whether an earlier attempt may have taken effect
 	for {
 		for _, address := range c.Addresses {
 			retry, err := c.attempt(ctx, address, req, body, out)
-			if !retry {
+			switch {
+			case !retry && err != nil && unknown:
+				return errors.Wrapf(errors.Mark(err, ErrUnreachable), "%s %s: refused after an attempt whose outcome is unknown", req.Method, req.Path)
+			case !retry:
 				return err
 			}
+			unknown = unknown || req.Method != http.MethodGet && mayHaveRun(err)
 			lastErr = err
 		}
 		select {
@@ -81,6 +88,16 @@
 	}
 }
 
+// mayHaveRun reports whether an attempt that failed with err may have taken effect.
+func mayHaveRun(err error) bool {
+	var answered *structs.Error
+	if errors.As(err, &answered) {
+		return answered.Outcome != structs.OutcomeNotRun
+	}
+	var network *net.OpError
+	return !errors.As(err, &network) || network.Op != "dial"
+}
+
 func encodeBody(body any) ([]byte, error) {
 	if body == nil {
 		return nil, nil
