--- a/soak/callers.go
+++ b/soak/callers.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -20,6 +21,8 @@
 	jobPause = 120 * time.Millisecond
 	// shortPatience is how long a caller in a hurry waits before it cancels its job.
 	shortPatience = 400 * time.Millisecond
+	// routeJobPause is the mean time between two jobs for routes that are soon removed.
+	routeJobPause = 60 * time.Millisecond
 )
 
 // call submits jobs until the run ends, looks at them and cancels some. The caller keeps
@@ -121,6 +124,41 @@
 	})
 }
 
+// submitToRoutes submits jobs to the route of the newest version of the configuration
+// until the run ends; the next version removes it.
+func (s *system) submitToRoutes() {
+	r := rand.New(rand.NewPCG(s.o.Seed, 5))
+	client := standin.NewClient(callTimeout)
+	for i := 0; !s.settling(); i++ {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(time.Duration(r.ExpFloat64() * float64(routeJobPause))):
+		}
+		var version int
+		s.ledger.with(func() { version = s.ledger.sent })
+		status := s.submitOnce(client, s.entry[r.IntN(len(s.entry))], version, fmt.Sprintf("e000%012x", i))
+		s.ledger.count(fmt.Sprintf("submissions to a route of one version: %d", status))
+	}
+}
+
+// submitOnce sends a short job to the route of a version and returns the status. If it is
+// a refusal, no task of the job may start.
+func (s *system) submitOnce(c *standin.Client, entry *host, version int, id string) int {
+	s.ledger.with(func() { s.ledger.owners[id] = "harbour" })
+	job := &standin.Job{Work: standin.Work{CPUMilli: 50, DurationMS: 50}, Steps: []int{1}}
+	status := c.Submit(entry.address(frontendPort), routeOf(version), id, s.key("harbour"), job).Status
+	if isRefusal(status) {
+		s.ledger.with(func() { s.ledger.refused[id] = true })
+	}
+	return status
+}
+
+// isRefusal reports whether a status says that a job was not accepted and never runs.
+func isRefusal(status int) bool {
+	return status >= 400 && status < 500 || status == http.StatusServiceUnavailable
+}
+
 // submitInAHurry sends a job once. Without an answer soon it is cancelled, at any entry
 // host and until that is acknowledged. The answer 410 says that there is no such job, so
 // none may run later.
--- a/soak/run.go
+++ b/soak/run.go
@@ -141,6 +141,7 @@
 	for i := range callers {
 		s.callers.Go(func() { s.call(i) })
 	}
+	s.callers.Go(s.submitToRoutes)
 	s.wg.Go(s.watchConfig)
 }
 
@@ -423,7 +424,19 @@
 	}
 }
 
+// putConfig sends a version of the configuration to the control hosts in turn until it is
+// acknowledged.
 func (s *system) putConfig(version int, limit time.Duration) bool {
+	cfg := s.newConfig(version)
+	ok := s.untilAcknowledged(limit, func(c *host) int { return s.client.PutConfig(c.address(controlPort), cfg).Status })
+	if ok {
+		s.acknowledged(version)
+	}
+	return ok
+}
+
+// newConfig returns a version of the configuration that is about to be sent.
+func (s *system) newConfig(version int) *standin.Config {
 	s.mu.Lock()
 	cfg := &standin.Config{Version: version, Pool: "pool", Queues: append(slices.Clone(queues), routeOf(version))}
 	for name, key := range s.keys {
@@ -435,11 +448,11 @@
 	}
 	s.mu.Unlock()
 	s.ledger.with(func() { s.ledger.limit["mill"], s.ledger.sent = ownerLimit, max(s.ledger.sent, version) })
-	ok := s.untilAcknowledged(limit, func(c *host) int { return s.client.PutConfig(c.address(controlPort), cfg).Status })
-	if ok {
-		s.ledger.with(func() { s.ledger.version, s.ledger.ackedAt[version] = max(s.ledger.version, version), time.Now() })
-	}
-	return ok
+	return cfg
+}
+
+func (s *system) acknowledged(version int) {
+	s.ledger.with(func() { s.ledger.version, s.ledger.ackedAt[version] = max(s.ledger.version, version), time.Now() })
 }
 
 // watchConfig reads the configuration at all control hosts in turn.
