--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -105,6 +105,8 @@
 //   - Stuck counts the runs that were abandoned for lack of progress.
 //   - RefutedReports counts the reports of later incarnations of workers that answered
 //     as themselves afterwards.
+//   - UnnamedPools counts the ignored reports that name a pool which the configuration
+//     does not.
 //   - Crashes counts the runs during which a worker crashed soon after their start,
 //     CrashLoops the jobs that failed because of them.
 //   - GivenUp counts the long-running runs that were stopped for a job with nothing at work.
@@ -117,7 +119,7 @@
 type Stats struct {
 	Starts, Stops, Paces, Ends, Releases, LeaseEnds, Unanswered, RoomRefusals, Stuck uint64
 	Crashes, CrashLoops                                                              uint64
-	GivenUp, RefutedReports                                                          uint64
+	GivenUp, RefutedReports, UnnamedPools                                            uint64
 	WorkRuns                                                                         uint64
 	WorkError, EstimateError                                                         float64
 	// Scans counts searches of a pool for workers, Examined the workers that they compared.
@@ -203,19 +205,18 @@
 // must be recorded before it is acknowledged.
 func (c *Core) Beat(now time.Time, r graph.WorkerReport) (record bool) {
 	w := c.tables.WorkerByID(r.ID)
+	recorded := w != nil && w.Born == r.Born
+	if !c.isPoolNamed(r.Pool) && !(recorded && w.Pool == r.Pool) {
+		c.Stats.UnnamedPools++ // a worker whose pool was removed still reports; any other is another writer's
+		return false
+	}
 	if w == nil || w.Born < r.Born {
-		if c.addressTaken(&r) {
-			return false
-		}
-		if ws := c.currentState(w); ws != nil && ws.answersAsItself() {
-			c.doubt(now, ws, r)
-			return false
-		}
-		c.queueChange(graph.WorkerChange{Report: r})
-		return true
+		return c.beatOfNewWorker(now, w, r)
 	}
+	// The numbers of another writer do not order a worker's own reports.
+	foreign := recorded && w.Pool != r.Pool && !c.isPoolNamed(w.Pool)
 	ws := c.workers[w.Handle]
-	if ws == nil || w.Born > r.Born || r.Seq < ws.heartbeatSeq {
+	if ws == nil || w.Born > r.Born || r.Seq < ws.heartbeatSeq && !foreign {
 		return false // from an earlier incarnation, or out of order
 	}
 	ws.lastHeartbeat, ws.heartbeatSeq = now, r.Seq
@@ -231,6 +232,27 @@
 	return true
 }
 
+// beatOfNewWorker handles the first report of an incarnation; w is the one before it, nil
+// if there is none.
+func (c *Core) beatOfNewWorker(now time.Time, w *graph.Worker, r graph.WorkerReport) (record bool) {
+	if c.addressTaken(&r) {
+		return false
+	}
+	if ws := c.currentState(w); ws != nil && ws.answersAsItself() {
+		c.doubt(now, ws, r)
+		return false
+	}
+	c.queueChange(graph.WorkerChange{Report: r})
+	return true
+}
+
+// isPoolNamed reports whether the configuration names the pool. Before the first one any
+// pool may be named.
+func (c *Core) isPoolNamed(pool string) bool {
+	cfg := c.tables.Config()
+	return cfg == nil || cfg.PoolByName(pool) != nil
+}
+
 // currentState returns the state of a recorded worker; nil if there is none.
 func (c *Core) currentState(w *graph.Worker) *workerState {
 	if w == nil {
--- a/core/dispatch/odd_report_test.go
+++ b/core/dispatch/odd_report_test.go
@@ -146,3 +146,82 @@
 		t.Errorf("%d orders are sent after the worker answered as itself, want the start", len(orders))
 	}
 }
+
+// foreignReport returns a report of another writer under a worker's ID and start time, with
+// a pool that no configuration names.
+func foreignReport(id string, born int64) graph.WorkerReport {
+	r := worker(id, born)
+	r.Pool, r.Seq = "elsewhere", 1_000_000
+	return r
+}
+
+// expectPlacedOn submits a job and expects its task on the worker.
+func (r *rig) expectPlacedOn(id string, job graph.JobID) {
+	r.t.Helper()
+	r.submit(job, step(1, 1000))
+	r.advance(placeRetry)
+	r.commitPlan()
+	if a := r.attempts(job); len(a) != 1 || a[0].Worker.ID != id {
+		r.t.Errorf("job %s has the attempts %v, want one on %s", job, a, id)
+	}
+}
+
+// Guards against a worker that is taken out for the leader's term by one report of another
+// writer that names a pool which no configuration has.
+func TestReportOfAnUnnamedPoolIsIgnored(t *testing.T) {
+	r := newRig(t)
+	h := r.register("a", 1)
+	if r.core.Beat(r.now, foreignReport("a", 1)) || r.core.Beat(r.now, foreignReport("b", 1)) {
+		t.Error("a report of an unnamed pool is to be recorded")
+	}
+	r.commitPlan()
+	if w := r.tables.WorkerByID("a"); w.Pool != "p" || r.core.workers[h].heartbeatSeq != 0 || r.tables.WorkerByID("b") != nil {
+		t.Errorf("recorded %+v, %+v", w.WorkerReport, r.tables.WorkerByID("b"))
+	}
+	if n := r.core.Stats.UnnamedPools; n != 2 {
+		t.Errorf("%d reports count as ignored, want 2", n)
+	}
+	r.expectPlacedOn("a", job1)
+}
+
+// Guards against a worker that cannot put right what another writer reported before the
+// first configuration, which named no pools yet.
+func TestOwnReportReplacesThatOfAnUnnamedPool(t *testing.T) {
+	r := newRig(t)
+	config := r.tables.Config()
+	r.tables = graph.New()
+	r.elect(1)
+	h := r.register("a", 1)
+	r.core.Beat(r.now, foreignReport("a", 1))
+	r.commitPlan()
+	if w := r.tables.WorkerByID("a"); w.Pool != "elsewhere" {
+		t.Fatalf("recorded %+v, want the newest report", w.WorkerReport)
+	}
+	again := *config
+	r.apply(&graph.Batch{Config: &again})
+	own := worker("a", 1)
+	own.Seq = 7
+	if !r.core.Beat(r.now, own) {
+		t.Error("the worker's own report is not to be recorded")
+	}
+	r.commitPlan()
+	r.hold(h)
+	r.expectPlacedOn("a", job1)
+}
+
+// Guards against a worker of a pool that was removed from the configuration whose reports
+// are ignored: its notice that it drains must count.
+func TestWorkerOfARemovedPoolStillReports(t *testing.T) {
+	r := newRig(t)
+	r.register("a", 1)
+	r.apply(&graph.Batch{Config: &graph.Config{Version: 2, Pools: []graph.Pool{{Name: "other"}}}})
+	draining := worker("a", 1)
+	draining.Draining, draining.Seq = true, 2
+	if !r.core.Beat(r.now, draining) {
+		t.Error("the report is not to be recorded")
+	}
+	r.commitPlan()
+	if w := r.tables.WorkerByID("a"); w == nil || !w.Draining {
+		t.Errorf("recorded %+v, want a draining worker", w)
+	}
+}
--- a/host/dispatcher/metrics.go
+++ b/host/dispatcher/metrics.go
@@ -95,6 +95,7 @@
 	counter("orders_unanswered_total", "Orders without an answer, in this term.", func(s *dispatch.Stats) uint64 { return s.Unanswered })
 	counter("worker_crash_runs_total", "Runs during which a worker crashed soon after their start, in this term.", func(s *dispatch.Stats) uint64 { return s.Crashes })
 	counter("crash_loop_jobs_total", "Jobs that failed because one of their tasks crashed its workers, in this term.", func(s *dispatch.Stats) uint64 { return s.CrashLoops })
+	counter("unnamed_pool_reports_total", "Heartbeats that were ignored since the configuration does not name their pool, in this term.", func(s *dispatch.Stats) uint64 { return s.UnnamedPools })
 	counter("refuted_reports_total", "Heartbeats that named a later incarnation of a worker that answered as itself afterwards, in this term.", func(s *dispatch.Stats) uint64 { return s.RefutedReports })
 	counter("given_up_runs_total", "Long-running runs stopped for a job with nothing at work, in this term.", func(s *dispatch.Stats) uint64 { return s.GivenUp })
 	gauge("expected_work_error", "Mean error of the expected work of tasks, as the absolute logarithm of its ratio to the time taken, in this term.", func(l *leadership) float64 { return meanOf(l.core.Stats.WorkError, l.core.Stats.WorkRuns) })
--- a/host/dispatcher/rejected_test.go
+++ b/host/dispatcher/rejected_test.go
@@ -13,7 +13,7 @@
 
 func putQueue(t *testing.T, d *Dispatcher) {
 	t.Helper()
-	cfg := &graph.Config{Version: 5, Queues: []graph.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", TimeoutMS: 1}}}
+	cfg := &graph.Config{Version: 5, Pools: []graph.Pool{{Name: "p"}}, Queues: []graph.Queue{{Name: "q", Host: "h", PathPrefix: "/q/", Pool: "p", TimeoutMS: 1}}}
 	if a := d.PutConfig(t.Context(), cfg); a.Code != Done {
 		t.Fatalf("configuration answered %s, want done", a.Code)
 	}
