--- a/host/group/group.go
+++ b/host/group/group.go
@@ -295,12 +295,16 @@
 	return slices.ContainsFunc(s.Members, func(m replica.MemberStatus) bool { return m.ID == s.ID && m.Voter })
 }
 
-// Join implements relay.Group: it adds a replica as a learner.
+// Join implements relay.Group: it adds a replica as a learner. A host that does not lead
+// learns from it which founder has lost its data folder.
 func (g *Group) Join(ctx context.Context, id, address string) error {
 	rep := g.rep.Load()
-	if rep == nil || !rep.HoldsLease() {
+	if rep == nil {
 		return replica.ErrNotLeader
 	}
+	if !rep.HoldsLease() {
+		return errors.CombineErrors(replica.ErrNotLeader, g.founderLost(rep, id, address))
+	}
 	if isMember(rep, id) {
 		return nil
 	}
@@ -368,6 +372,9 @@
 	}
 	leader := g.client.Leader()
 	if leader == "" {
+		if len(s.Members) == 0 && s.Applied == 0 {
+			g.announceEmpty(ctx, s.ID)
+		}
 		return false
 	}
 	info, err := g.client.Info(ctx, leader)
--- a/store/consensus/core.go
+++ b/store/consensus/core.go
@@ -46,6 +46,8 @@
 	votes            map[ID]bool
 	// instances holds the instances that voters reported with their votes.
 	instances map[ID]string
+	// lost has the initial voters that InitialVoterLost was told of.
+	lost map[ID]bool
 	// transferVote is set while this replica campaigns for a leadership transfer.
 	transferVote bool
 
@@ -66,7 +68,7 @@
 // New returns a Core that starts at time now from the state on disk.
 func New(now time.Time, cfg Config, persisted PersistedState) (*Core, error) {
 	c := &Core{
-		cfg: cfg, startTime: now, lastLeaderContact: now,
+		cfg: cfg, startTime: now, lastLeaderContact: now, lost: map[ID]bool{},
 		rng:  rand.New(rand.NewPCG(cfg.Seed, 0x9e3779b97f4a7c15)),
 		term: persisted.State.Term, vote: persisted.State.Vote,
 		commit:    max(persisted.State.Commit, persisted.Snapshot.Last.Index),
--- a/store/consensus/election.go
+++ b/store/consensus/election.go
@@ -71,28 +71,36 @@
 }
 
 // hasElectionQuorum reports whether enough voters have granted the vote or pre-vote.
+//
+// Until the instances of all voters are recorded, which the first leader does, every voter
+// must grant its vote. With a quorum alone, a member that lost its data folder after the
+// first election could bootstrap the group a second time, together with a member that did
+// not take part in the first one. A voter that is lost does not act under its id any more,
+// so a quorum that has the votes of all others is enough without it.
 func (c *Core) hasElectionQuorum() bool {
-	n := 0
-	for id, granted := range c.votes {
-		if granted && c.members.IsVoter(id) {
-			n++
+	granted, recorded := 0, true
+	for _, x := range c.members.Members {
+		recorded = recorded && (!x.Voter || x.Instance != "")
+	}
+	for _, x := range c.members.Members {
+		switch {
+		case !x.Voter:
+		case c.votes[x.ID]:
+			granted++
+		case !recorded && !c.lost[x.ID]:
+			return false
 		}
 	}
-	return n >= c.electionQuorum()
+	return granted >= c.quorum()
 }
 
-// electionQuorum returns the number of votes needed to become leader. Until the
-// instances of all voters are recorded, which the first leader does, all voters
-// must grant their vote. With a smaller quorum, a member that lost its data
-// folder after the first election could bootstrap the group a second time,
-// together with a member that did not take part in the first one.
-func (c *Core) electionQuorum() int {
-	for _, x := range c.members.Members {
-		if x.Voter && x.Instance == "" {
-			return c.members.VoterCount()
-		}
+// InitialVoterLost records, until the next start, that an initial voter has lost its data
+// folder before its instance was recorded and does not act under its id again: its host
+// joins under another id.
+func (c *Core) InitialVoterLost(id ID) {
+	if x, ok := c.members.Get(id); ok && x.Voter && x.Instance == "" && id != c.cfg.ID {
+		c.lost[id] = true
 	}
-	return c.quorum()
 }
 
 func (c *Core) quorum() int { return c.members.VoterCount()/2 + 1 }
--- a/store/replica/member.go
+++ b/store/replica/member.go
@@ -32,6 +32,18 @@
 	})
 }
 
+// InitialVoterLost tells this replica that an initial voter has lost its data folder, if
+// that was not known to the group yet, and that its host joins under another id. The first
+// election then does without its vote.
+func (r *Replica) InitialVoterLost(id string) error {
+	return r.in.add(func(b *inputBatch) {
+		b.calls = append(b.calls, func(time.Time) error {
+			r.core.InitialVoterLost(id)
+			return nil
+		})
+	})
+}
+
 // changeMembership runs a membership change in the event loop and waits until it
 // is applied.
 func (r *Replica) changeMembership(ctx context.Context, f func(now time.Time) (consensus.Position, error)) error {
