--- a/core/dispatch/candidate.go
+++ b/core/dispatch/candidate.go
@@ -45,6 +45,24 @@
 	quarantined []*candidate
 	// next is where the next search for a filler's worker begins.
 	next int
+	// suspectWorkers is the number of members with crash suspects.
+	suspectWorkers int
+}
+
+const (
+	// maxSuspectShare is the largest share of a pool's workers on which crash suspects are
+	// kept apart. The runs that one task takes down with it are those of a few workers. Where
+	// more are suspects, the workers crash for other reasons, and suspects that are spread
+	// over all of them leave no worker to tasks that need one without serving tasks.
+	maxSuspectShare = 0.25
+	// minSuspectWorkers is the number of workers that suspects may have in a small pool.
+	minSuspectWorkers = 8
+)
+
+// hasManySuspects reports whether crash suspects are on so many workers that they are
+// placed like other tasks.
+func (p *candidatePool) hasManySuspects() bool {
+	return p.suspectWorkers >= max(minSuspectWorkers, int(maxSuspectShare*float64(len(p.members))))
 }
 
 // holds reports whether a candidate is a member; its position may be of an earlier plan.
@@ -68,6 +86,9 @@
 	p.members = append(p.members, cd)
 	p.freeMilli = append(p.freeMilli, cd.free.CPUMilli)
 	p.changedIn = append(p.changedIn, cd.changedIn)
+	if cd.crashSuspects > 0 {
+		p.suspectWorkers++
+	}
 }
 
 // imageHeadroom is the headroom that new fillers may take from the serving tasks of
@@ -99,6 +120,7 @@
 	c.plans++
 	for _, p := range c.candidatePools {
 		p.members, p.freeMilli, p.changedIn, p.quarantined = p.members[:0], p.freeMilli[:0], p.changedIn[:0], p.quarantined[:0]
+		p.suspectWorkers = 0
 	}
 	c.Stats.Usable, c.Stats.Quarantined = 0, 0
 	for _, ws := range c.byHandle {
@@ -207,10 +229,15 @@
 	return min(1, max(0, at))
 }
 
-// countRun adds n runs of a task to the worker's runs.
-func (cd *candidate) countRun(task *graph.Task, n int) {
+// countRun adds a run of a task to those of a worker, or takes it away if n is -1.
+func (p *candidatePool) countRun(cd *candidate, task *graph.Task, n int) {
 	cd.runs += n
-	if task.IsCrashSuspect() {
-		cd.crashSuspects += n
+	if !task.IsCrashSuspect() {
+		return
+	}
+	had := cd.crashSuspects > 0
+	cd.crashSuspects += n
+	if has := cd.crashSuspects > 0; has != had && p.holds(cd) {
+		p.suspectWorkers += n
 	}
 }
--- a/core/dispatch/crash_test.go
+++ b/core/dispatch/crash_test.go
@@ -567,6 +567,35 @@
 	}
 }
 
+// Guards against crash suspects that are spread over all workers, after many of these have
+// crashed, so that none is left without serving tasks of several images (KNOWN-RED 13).
+func TestCrashSuspectsAreKeptApartOnAPartOfTheWorkers(t *testing.T) {
+	const workers = 40
+	const image, suspect = graph.JobID("00000000000000b1"), graph.JobID("00000000000000b2")
+	for suspects, apart := range map[int]bool{minSuspectWorkers: true, workers/4 + 1: false} {
+		r := newCrashRig(t, workers)
+		handle := func(i int) graph.Handle { return r.tables.WorkerByID(fmt.Sprint("w", i)).Handle }
+		for i := range suspects {
+			id := graph.JobID(fmt.Sprintf("00000000000001%02d", i))
+			r.occupy(id, handle(i), 1, 10)
+			r.apply(&graph.Batch{Crashes: []graph.Crash{{Task: graph.TaskRef{Job: id}, Run: 1, Worker: handle(i)}}})
+		}
+		same := handle(workers - 1)
+		r.submit(image, serving(3, 1000, "s"))
+		for i := range 3 {
+			r.apply(&graph.Batch{Starts: []graph.Start{{Task: graph.TaskRef{Job: image, Index: i}, Run: 1, Worker: same}}})
+		}
+		r.submit(suspect, serving(1, 1000, "s"))
+		r.apply(&graph.Batch{Crashes: []graph.Crash{{Task: graph.TaskRef{Job: suspect}, Run: 1, Worker: handle(0)}}})
+		r.advance(placeRetry)
+		r.commitPlan()
+		as := r.attempts(suspect)
+		if len(as) != 1 || (as[0].Worker.Handle != same) != apart {
+			t.Errorf("with suspects on %d of %d workers another one is on %v, the image's worker is %d; want it apart %t", suspects, workers, handles(as), same, apart)
+		}
+	}
+}
+
 // occupy starts n tasks of a new job on a worker.
 func (r *crashRig) occupy(id graph.JobID, h graph.Handle, n int, cpu int64) {
 	r.submit(id, step(n, cpu))
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -248,7 +248,7 @@
 		if cd == nil {
 			for k, t := range taken {
 				p.deallocate(t, s)
-				t.countRun(&s.Tasks[k], -1)
+				p.candidates.countRun(t, &s.Tasks[k], -1)
 				p.count(s, t, -1)
 				delete(p.placed, &s.Tasks[k])
 			}
@@ -262,7 +262,7 @@
 
 func (p *placer) start(s *graph.StepState, index, run int, cd *candidate) {
 	p.allocate(cd, s)
-	cd.countRun(&s.Tasks[index], 1)
+	p.candidates.countRun(cd, &s.Tasks[index], 1)
 	p.placed[&s.Tasks[index]] = struct{}{}
 	p.count(s, cd, 1)
 	p.rankAgain(s, &s.Tasks[index], cd)
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -112,12 +112,15 @@
 	if s.DataRack != "" && w.HasLabel(s.DataRack) {
 		v += dataRackWeight
 	}
-	return v - crashPenalty(task, cd), true
+	return v - p.crashPenalty(task, cd), true
 }
 
-// crashPenalty keeps crash suspects apart from each other and from other tasks.
-func crashPenalty(task *graph.Task, cd *candidate) float64 {
+// crashPenalty keeps crash suspects apart from each other and from other tasks, unless
+// that would take too many workers.
+func (p *placer) crashPenalty(task *graph.Task, cd *candidate) float64 {
 	switch {
+	case p.candidates.hasManySuspects():
+		return 0
 	case task.IsCrashSuspect():
 		return suspectApartWeight*float64(cd.crashSuspects) + fewerRunsWeight*float64(cd.runs)
 	case cd.crashSuspects > 0:
