--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -39,4 +39,10 @@
 //   - A worker on which runs fail is quarantined for a time, but remains the last resort
 //     of long-running tasks (quarantine.go).
 //   - A wait counts from the end of the last run that a worker listed (waits.go).
+//
+// Nor does one keep a job of fillers from it:
+//   - Crash suspects are kept apart on a part of the workers only (candidate.go), so that
+//     others have no serving tasks, or those of one image.
+//   - A job with nothing at work for idleFillerWait gets one task where less headroom is
+//     left (place.go).
 package dispatch
--- a/core/dispatch/place.go
+++ b/core/dispatch/place.go
@@ -206,8 +206,9 @@
 		case overdue && p.mayClaim(s, task):
 			p.claim(s, task)
 		case overdue:
-		default:
-			return // the step's other tasks have the same demand
+		default: // the step's other tasks have the same demand
+			p.placeForIdleJob(s, i)
+			return
 		}
 		if len(p.starts) >= maxStarts {
 			return
@@ -215,6 +216,32 @@
 	}
 }
 
+// placeForIdleJob places a filler for which no worker was found, with less headroom left, if
+// its job has had nothing at work for idleFillerWait.
+func (p *placer) placeForIdleJob(s *graph.StepState, index int) {
+	waited := p.nowMS - max(s.Occurrence.DueMS, s.ReadyMS())
+	if !s.Filler || waited < idleFillerWait.Milliseconds() || !p.isIdle(s.Occurrence) {
+		return
+	}
+	p.care = idleCare
+	p.dropRanking()
+	if cd := p.pick(s, &s.Tasks[index]); cd != nil {
+		p.start(s, index, s.Tasks[index].LastRun+1, cd)
+	}
+}
+
+// isIdle reports whether no task of an occurrence is at work or was placed in this plan.
+func (p *placer) isIdle(o *graph.Occurrence) bool {
+	for _, s := range o.Steps {
+		for i := range s.Tasks {
+			if len(s.Tasks[i].Attempts) > 0 || p.isPlaced(&s.Tasks[i]) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // pickFor returns the worker for a task, nil if there is none: the one that it has
 // claimed, else the best, else a quarantined one.
 func (p *placer) pickFor(s *graph.StepState, task *graph.Task) *candidate {
--- a/core/dispatch/place_test.go
+++ b/core/dispatch/place_test.go
@@ -201,6 +201,44 @@
 	}
 }
 
+// Guards against a job of fillers that waits for ever, with most of the room free, for
+// headroom that the serving tasks never have (KNOWN-RED 13). One task is enough, and none
+// starts beside a task near its target.
+func TestIdleJobOfFillersGetsOneTaskWithLessHeadroom(t *testing.T) {
+	for headroom, want := range map[float64]int{headroomAdmit - 0.2: 1, headroomAdmitLight + 0.1: 0} { // the filler takes 0.25
+		r := newRig(t)
+		a := r.register("a", 1)
+		r.submit("00000000000000b1", serving(1, 1000, "s1"))
+		r.commitPlan()
+		r.acceptOrders()
+		r.core.pressure["s1"] = knownPressure("f", 2)
+		list := func() {
+			for ref, row := range r.lists[a].running {
+				if row.Measure > 0 || ref.Job == "00000000000000b1" {
+					row.Measure = 50 / headroom
+					r.lists[a].running[ref] = row
+				}
+			}
+			r.advance(500 * time.Millisecond)
+			r.hold(a)
+			r.commitPlan()
+		}
+		r.submit(job1, filler(3, 1000, "f"))
+		for range idleFillerWait/(500*time.Millisecond) - 1 {
+			list()
+		}
+		if n := len(r.attempts(job1)); n != 0 {
+			t.Errorf("headroom %.1f: %d tasks started before %s", headroom, n, idleFillerWait)
+		}
+		for range 4 {
+			list()
+		}
+		if n := len(r.attempts(job1)); n != want {
+			t.Errorf("headroom %.1f: %d tasks at work after %s, want %d", headroom, n, idleFillerWait, want)
+		}
+	}
+}
+
 // Guards against plans whose cost grows with the product of waiting tasks and
 // workers. After one unsuccessful search, tasks that ask for at least as much are
 // not searched for.
--- a/core/dispatch/score.go
+++ b/core/dispatch/score.go
@@ -33,6 +33,13 @@
 	// careWait is how long a filler waits at most for more headroom than any must leave, so
 	// that a long objective keeps none from the room there is.
 	careWait = 15 * time.Second
+	// idleFillerWait is how long a job of fillers with nothing at work waits for the headroom
+	// that any must leave. Then one of its tasks is placed where headroomAdmitLight is left:
+	// the pace of fillers protects serving tasks, and a job must not wait for ever while most
+	// of the room is free.
+	idleFillerWait = 30 * time.Second
+	// idleCare replaces what careOf returns for that task.
+	idleCare = headroomAdmitLight - headroomAdmit
 )
 
 // careOf returns the headroom that fillers of a step leave beyond what any must.
