A founder that was lost before the first election is recorded as lost

If all of them stopped after the first election and before the lost one was removed, nobody would lead: the host that had taken its place is a member by then and announces nothing. Change: the first leader records an instance for it that no data folder has. Later elections need a quorum, and no folder can act under that id. Test: TestFirstElectionWithoutALostFounder restarts both founders at its end; without this nobody leads. Also: a function of host/relay has a name that says what it returns.

--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -392,7 +392,7 @@
 			// The method itself failed, and would fail again.
 			return dispatcher.Answer{}, errors.Wrapf(ErrNoAnswer, "call %s: leader %s failed: %v", method, leader, err)
 		case err == nil && r.Code != dispatcher.NotLeader:
-			return c.attempted(sent, leader, method, r.Answer)
+			return c.outcomeOf(sent, leader, method, r.Answer)
 		case errors.Is(err, errLeaderChanged):
 			// The same host may have been found again meanwhile, in another term.
 		default:
@@ -402,9 +402,9 @@
 	}
 }
 
-// attempted returns the outcome of a call whose last attempt was answered. sent is set if
+// outcomeOf returns the outcome of a call whose last attempt was answered. sent is set if
 // an earlier attempt was sent and not answered.
-func (c *Client) attempted(sent bool, leader, method string, a dispatcher.Answer) (dispatcher.Answer, error) {
+func (c *Client) outcomeOf(sent bool, leader, method string, a dispatcher.Answer) (dispatcher.Answer, error) {
 	if !sent || a.Final() {
 		return a, nil
 	}
--- a/store/consensus/founding_test.go
+++ b/store/consensus/founding_test.go
@@ -36,6 +36,14 @@
 				t.Errorf("seed %d: the instance of %s is %q", seed, id, x.Instance)
 			}
 		}
+		for _, id := range []ID{"n1", "n2"} { // what they were told is forgotten
+			g.crash(g.nodes[id])
+			g.start(g.nodes[id])
+		}
+		g.run(10 * time.Second)
+		if g.leader() == nil {
+			t.Fatalf("seed %d: nobody leads after a restart", seed)
+		}
 	}
 }
 
--- a/store/consensus/leader.go
+++ b/store/consensus/leader.go
@@ -51,14 +51,22 @@
 	}
 }
 
+// lostInstance is recorded for an initial voter that was lost before the first election.
+// No data folder has it.
+const lostInstance = "lost"
+
 // recordInstances returns the membership with the instances of the initial
-// voters, all of which voted in the first election, and reports whether it
+// voters, all of which voted in the first election or are lost, and reports whether it
 // differs from the current one. Once they are recorded, a replica that lost its
 // data folder can no longer act under its old id.
 func (c *Core) recordInstances(found map[ID]string) (Membership, bool) {
 	m, changed := c.members, false
 	for _, x := range c.members.Members {
-		if inst := found[x.ID]; x.Voter && x.Instance == "" && inst != "" {
+		inst := found[x.ID]
+		if inst == "" && c.lost[x.ID] {
+			inst = lostInstance
+		}
+		if x.Voter && x.Instance == "" && inst != "" {
 			x.Instance = inst
 			m, changed = m.With(x), true
 		}
