--- /dev/null
+++ b/host/admission/concurrent.go
@@ -0,0 +1,34 @@
+package admission
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+const (
+	// answerTime is how long a client may take to read an answer of Concurrent.
+	answerTime = 5 * time.Second
+	// concurrentRetrySeconds is when a client comes back that came too many.
+	concurrentRetrySeconds = 1
+)
+
+// Concurrent returns a handler that lets next answer at most n requests at a time. Others
+// are answered 503. It is for answers that may be large: one that is not read keeps its
+// place for answerTime.
+func Concurrent(n int, next http.Handler) http.Handler {
+	places := make(chan struct{}, n)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case places <- struct{}{}:
+			defer func() { <-places }()
+		default:
+			w.Header().Set("Retry-After", strconv.Itoa(concurrentRetrySeconds))
+			http.Error(w, "too many requests of this kind at a time; try again", http.StatusServiceUnavailable)
+			return
+		}
+		// A server without deadlines, as in tests, goes on without one.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(answerTime))
+		next.ServeHTTP(w, r)
+	})
+}
