Messages and calls between hosts are bounded together (gooseberrypond)

Cause: net/rpc reads a message of up to 1 GiB and allocates what its length announces, for any number of connections and of calls in progress.

Change: Port.ServeRPC counts the length of each message when it begins, and each call until it is answered; a message above 16 MiB ends its connection.

--- a/host/group/group.go
+++ b/host/group/group.go
@@ -26,6 +26,7 @@
 	"gooseberrypond/store/consensus"
 	"gooseberrypond/store/disk"
 	"gooseberrypond/store/replica"
+	"gooseberrypond/store/transport"
 )
 
 const (
@@ -66,7 +67,9 @@
 	Founders []string
 	// Losses is the number of control hosts that may be lost at once, with their data.
 	Losses int
-	Logger zerolog.Logger
+	// ReplicaLimits bounds the connections to the replica.
+	ReplicaLimits transport.Port
+	Logger        zerolog.Logger
 }
 
 // Group manages one control host's replica and, while that leads, the membership
@@ -134,7 +137,7 @@
 	}
 	cfg := replica.Config{
 		ClusterID: clusterID, Dir: g.cfg.Dir, StateMachine: g.d, Logger: g.cfg.Logger,
-		Listen: g.replicaAddress(g.cfg.IP), Advertise: g.replicaAddress(g.cfg.IP),
+		Listen: g.replicaAddress(g.cfg.IP), Advertise: g.replicaAddress(g.cfg.IP), Port: g.cfg.ReplicaLimits,
 	}
 	switch {
 	case found:
--- a/host/relay/late_test.go
+++ b/host/relay/late_test.go
@@ -9,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"gooseberrypond/core/dispatch"
+	"gooseberrypond/host/admission"
 	"gooseberrypond/host/dispatcher"
 )
 
@@ -20,8 +21,10 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
+	port := admission.NewPort("relay", admission.Limits{Connections: 10, RequestBytes: 1 << 20, MessageBytes: 1 << 20}, zerolog.Nop())
+	ln = port.Listener(ln)
 	d := dispatcher.New(dispatcher.Config{Logger: zerolog.Nop(), Limits: dispatch.Limits{LeaseMax: time.Second}})
-	s := &Server{d: d, group: restartedGroup{}, logger: zerolog.Nop()}
+	s := &Server{d: d, port: port, group: restartedGroup{}, logger: zerolog.Nop()}
 	read := func(close bool) (err error) {
 		c, err := net.Dial("tcp", ln.Addr().String())
 		if err != nil {
--- a/host/relay/server.go
+++ b/host/relay/server.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"gooseberrypond/host/admission"
 	"gooseberrypond/host/arrival"
 	"gooseberrypond/host/dispatcher"
 )
@@ -28,6 +29,7 @@
 type Server struct {
 	d      *dispatcher.Dispatcher
 	group  Group
+	port   *admission.Port
 	logger zerolog.Logger
 	ln     net.Listener
 
@@ -36,13 +38,13 @@
 	closed bool
 }
 
-// Serve listens on address and answers calls until Close.
-func Serve(address string, d *dispatcher.Dispatcher, group Group, logger zerolog.Logger) (*Server, error) {
-	ln, err := net.Listen("tcp", address)
+// Serve listens on address and answers calls until Close. port bounds what they take.
+func Serve(address string, port *admission.Port, d *dispatcher.Dispatcher, group Group, logger zerolog.Logger) (*Server, error) {
+	ln, err := port.Listen(address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen for calls on %s", address)
+		return nil, errors.Wrap(err, "calls of other hosts")
 	}
-	s := &Server{d: d, group: group, logger: logger, ln: ln, conns: map[net.Conn]struct{}{}}
+	s := &Server{d: d, group: group, port: port, logger: logger, ln: ln, conns: map[net.Conn]struct{}{}}
 	go s.accept()
 	return s, nil
 }
@@ -78,7 +80,7 @@
 		conn.Close()
 		return
 	}
-	srv.ServeConn(conn)
+	s.port.ServeRPC(srv, conn)
 }
 
 // acceptRetryInterval is the delay after a failed accept. It keeps a persistent
--- a/soak/crowd/crowd_linux_test.go
+++ b/soak/crowd/crowd_linux_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"encoding/binary"
 	"fmt"
 	"net/http"
 	"path/filepath"
@@ -34,10 +35,12 @@
 
 // The largest bodies that the pages allow clients, and for how many the limits have no room.
 const (
-	jobBytes      = 256 << 10
-	jobMembers    = 512
-	reportBytes   = 4 << 20
-	reportMembers = 64
+	jobBytes       = 256 << 10
+	jobMembers     = 512
+	reportBytes    = 4 << 20
+	reportMembers  = 64
+	messageBytes   = 4 << 20
+	messageMembers = 64
 	// unreadQueues make a configuration of 3 MB.
 	unreadQueues  = 16000
 	unreadMembers = 300
@@ -279,6 +282,26 @@
 	}
 }
 
+// message returns the start of a message between hosts that says how long it is.
+func message(length int) []byte {
+	const fourBytes = 0xFC // the count of the bytes that hold the length, negated
+	return append(binary.BigEndian.AppendUint32([]byte{fourBytes}, uint32(length)), make([]byte, length)...)
+}
+
+// Guards against a control host that runs out of memory for messages on the ports of the
+// other hosts.
+func TestUnfinishedMessages(t *testing.T) {
+	for name, port := range map[string]int{"relay": innerPort, "replica": innerPort + 1} {
+		t.Run(name, func(t *testing.T) {
+			s := startPond(t, maxFDs)
+			play(t, s.control, bound{memoryMB, maxFDs}, Options{
+				Address: address(controlIP, port), Members: messageMembers, Form: Raw, Body: message(messageBytes),
+			}, s.configure)
+			mustAnswer(t, s.entry, "job after the crowd", s.submit)
+		})
+	}
+}
+
 // Guards against a host that runs out of descriptors for connections on which nothing, or
 // a part of a header, is sent.
 func TestSilentConnections(t *testing.T) {
@@ -297,6 +320,8 @@
 		{"readiness", entryIP, readinessPort, page(entryIP, readinessPort, "/ready")},
 		{"metrics", entryIP, metricsPort, page(entryIP, metricsPort, "/metrics")},
 		{"control", controlIP, controlPort, configure},
+		{"relay", controlIP, innerPort, configure},
+		{"replica", controlIP, innerPort + 1, configure},
 	} {
 		t.Run(to.name, func(t *testing.T) {
 			s := startPond(t, silentMaxFDs)
--- a/store/replica/config.go
+++ b/store/replica/config.go
@@ -59,6 +59,8 @@
 	Listen, Advertise string
 	// TLS configures the default transport; nil disables TLS.
 	TLS *tls.Config
+	// Port bounds the connections of others to the default transport; nil means no bounds.
+	Port transport.Port
 	// Transport replaces the default one, net/rpc over TCP. The replica closes it.
 	Transport transport.Transport
 
@@ -166,7 +168,7 @@
 		return c.Transport, nil
 	}
 	return transport.NewRPC(transport.RPCConfig{
-		ClusterID: c.ClusterID, Listen: c.Listen, Advertise: c.Advertise, TLS: c.TLS, Logger: c.Logger,
+		ClusterID: c.ClusterID, Listen: c.Listen, Advertise: c.Advertise, TLS: c.TLS, Port: c.Port, Logger: c.Logger,
 	})
 }
 
--- a/store/transport/rpc.go
+++ b/store/transport/rpc.go
@@ -47,10 +47,24 @@
 	// other replicas; if empty, the listener's address is used.
 	Listen, Advertise string
 	// TLS is optional. It is used for both incoming and outgoing connections.
-	TLS    *tls.Config
+	TLS *tls.Config
+	// Port bounds what incoming connections take; nil means no bounds.
+	Port   Port
 	Logger zerolog.Logger
 }
 
+// Port bounds the connections that it accepts, and the messages on them.
+type Port interface {
+	Listen(address string) (net.Listener, error)
+	ServeRPC(srv *rpc.Server, conn net.Conn)
+}
+
+// unbounded is a Port without bounds.
+type unbounded struct{}
+
+func (unbounded) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+func (unbounded) ServeRPC(srv *rpc.Server, conn net.Conn)     { srv.ServeConn(conn) }
+
 // RPC is a Transport over net/rpc.
 type RPC struct {
 	cfg      RPCConfig
@@ -70,7 +84,10 @@
 // NewRPC listens on the configured address and returns a transport. No messages
 // are received before Start is called.
 func NewRPC(cfg RPCConfig) (*RPC, error) {
-	ln, err := net.Listen("tcp", cfg.Listen)
+	if cfg.Port == nil {
+		cfg.Port = unbounded{}
+	}
+	ln, err := cfg.Port.Listen(cfg.Listen)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", cfg.Listen)
 	}
@@ -122,7 +139,7 @@
 		go func() {
 			defer t.wg.Done()
 			defer t.untrack(conn)
-			srv.ServeConn(conn)
+			t.cfg.Port.ServeRPC(srv, conn)
 		}()
 	}
 }
