Requests, connections and messages are bounded together (gooseberryd)

Cause: the sum of the bodies has no limit, a declared body is allocated whole before it comes, each of seven listeners has 4,096 connections of its own, and a listener at its limit accepts nobody.

Change: the ports of host/admission. limits.memory (256 MiB) says what the process may take; a quarter is for connections, shared out between the listeners, and max_connections of a listener goes before that. At its limits a listener closes the connection that has been unfinished or idle for longest. A request without room is answered 503 "overloaded", not run, with a time to come back.

--- a/core/structs/errors.go
+++ b/core/structs/errors.go
@@ -15,6 +15,7 @@
 	CodeTooLarge        ErrorCode = "too_large"
 	CodeRateLimited     ErrorCode = "rate_limited"
 	CodeQueueFull       ErrorCode = "queue_full"
+	CodeOverloaded      ErrorCode = "overloaded"
 	CodeQuota           ErrorCode = "quota"
 	CodeNoUpstream      ErrorCode = "no_upstream"
 	CodeStaleView       ErrorCode = "stale_view"
--- a/host/cmd/gooseberryd/main.go
+++ b/host/cmd/gooseberryd/main.go
@@ -13,6 +13,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/rs/zerolog"
 
+	"gooseberrypond/core/document"
 	"gooseberrypond/host/config"
 	"gooseberrypond/host/node"
 )
@@ -32,19 +33,24 @@
 // it is up to 0.36 ms. GOGC overrides it.
 const gcPercent = 400
 
-// memoryLimit is the soft memory limit in bytes. It makes garbage collections
-// more frequent before the process exceeds the 256 MiB that the control plane
-// may use on a host. GOMEMLIMIT overrides it.
-const memoryLimit = 224 << 20
+// heapShare is the part of the memory of the settings that the heap may take. Garbage
+// collections become more frequent before the process exceeds its memory; the rest is left
+// for stacks, and for what has arrived and is not read. GOMEMLIMIT overrides it.
+const heapShare = 0.75
+
+// setMemory tells the runtime what memory the process may take.
+func setMemory(memory document.Bytes) {
+	if os.Getenv("GOMEMLIMIT") == "" {
+		debug.SetMemoryLimit(int64(float64(memory) * heapShare))
+	}
+}
 
 func main() {
 	var c cli
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	if os.Getenv("GOMEMLIMIT") == "" {
-		debug.SetMemoryLimit(memoryLimit)
-	}
+	setMemory(config.DefaultLimits().Memory)
 	k := kong.Parse(&c, kong.Name("gooseberryd"), kong.Description("One host of the gooseberrypond scheduler."), kong.UsageOnError())
 	if err := k.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -86,6 +92,7 @@
 	if err != nil {
 		return err
 	}
+	setMemory(s.Limits.Memory)
 	log := newLogger(s.Log.Level)
 	n, err := node.Start(s, log)
 	if err != nil {
--- a/host/config/check.go
+++ b/host/config/check.go
@@ -194,6 +194,7 @@
 		d := time.Duration(v)
 		c.Check(d >= least && d <= most, "limits."+name, fmt.Sprintf("%s to %s", least, most))
 	}
+	size("memory", l.Memory, 64<<20, 1<<40)
 	size("max_body", l.MaxBody, 1<<10, 64<<20)
 	size("max_catalogue", l.MaxCatalogue, 1<<10, 64<<20)
 	span("read_timeout", l.ReadTimeout, 100*time.Millisecond, time.Minute)
--- a/host/config/settings.go
+++ b/host/config/settings.go
@@ -68,8 +68,8 @@
 	// TokenFile is the file with the bearer token that clients must send. Only
 	// the operator listener may have one.
 	TokenFile string `json:"token_file"`
-	// MaxConnections is the maximum number of open connections; 0 means
-	// DefaultMaxConnections.
+	// MaxConnections is the maximum number of open connections; 0 means the listener's
+	// share of those for which Limits.Memory has room.
 	MaxConnections int `json:"max_connections"`
 }
 
@@ -102,6 +102,9 @@
 
 // Limits bound what the host accepts.
 type Limits struct {
+	// Memory is what the process may take. A quarter of it is for the connections of
+	// others, and their requests hold at most a bit more than that.
+	Memory document.Bytes `json:"memory"`
 	// MaxBody is the maximum size of the body of a request that is routed to an
 	// upstream.
 	MaxBody document.Bytes `json:"max_body"`
@@ -126,7 +129,7 @@
 
 // Default limits.
 const (
-	DefaultMaxConnections  = 4096
+	defaultMemory          = document.Bytes(256 << 20)
 	defaultMaxBody         = document.Bytes(1 << 20)
 	defaultMaxCatalogue    = document.Bytes(8 << 20)
 	defaultReadTimeout     = document.Duration(10 * time.Second)
@@ -138,6 +141,7 @@
 // DefaultLimits returns the limits that apply where the settings have none.
 func DefaultLimits() Limits {
 	return Limits{
+		Memory:          defaultMemory,
 		MaxBody:         defaultMaxBody,
 		MaxCatalogue:    defaultMaxCatalogue,
 		ReadTimeout:     defaultReadTimeout,
--- a/host/edge/caller/run.go
+++ b/host/edge/caller/run.go
@@ -1,8 +1,6 @@
 package caller
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -89,20 +87,5 @@
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
-	if n := r.ContentLength; n > 0 && n <= s.opts.MaxBody {
-		body := make([]byte, n)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			return nil, web.BadRequest("body: %v", err)
-		}
-		return body, nil
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.opts.MaxBody))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return nil, structs.Errorf(structs.CodeTooLarge, "caller.run", "body is over %d bytes", s.opts.MaxBody).WithOutcome(structs.OutcomeNotRun)
-	}
-	if err != nil {
-		return nil, web.BadRequest("body: %v", err)
-	}
-	return body, nil
+	return web.ReadBody(w, r, s.opts.MaxBody, "caller.run")
 }
--- a/host/edge/web/web.go
+++ b/host/edge/web/web.go
@@ -3,6 +3,7 @@
 package web
 
 import (
+	"bytes"
 	"crypto/tls"
 	"encoding/json"
 	"errors"
@@ -10,10 +11,10 @@
 	"net"
 	"net/http"
 	"strconv"
-	"sync"
 	"time"
 
 	"gooseberrypond/core/structs"
+	"gooseberrypond/host/admission"
 	"gooseberrypond/host/config"
 )
 
@@ -65,21 +66,40 @@
 	_ = enc.Encode(v)
 }
 
+// ReadBody reads the whole body. One over limit bytes is refused, as is one for which the
+// requests of all clients leave no room; step is the step of these errors.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, step string) ([]byte, error) {
+	body, err := admission.ReadBody(w, r, limit)
+	var large *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &large):
+		return nil, structs.Errorf(structs.CodeTooLarge, step, "body is over %d bytes", limit).WithOutcome(structs.OutcomeNotRun)
+	case errors.Is(err, admission.ErrOverloaded):
+		return nil, structs.Errorf(structs.CodeOverloaded, step, "%v", err).WithOutcome(structs.OutcomeNotRun).WithRetryAfter(overloadRetryMS)
+	}
+	return nil, BadRequest("body: %v", err)
+}
+
+// overloadRetryMS is when a client comes back whose request found no room, in milliseconds.
+const overloadRetryMS = 1000
+
 // ReadJSON decodes the whole body into v. Unknown fields, trailing data and
 // bodies over limit bytes are refused.
 func ReadJSON(w http.ResponseWriter, r *http.Request, limit int64, v any) error {
-	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, limit))
+	body, err := ReadBody(w, r, limit, "http.body")
+	if err != nil {
+		return err
+	}
+	dec := json.NewDecoder(bytes.NewReader(body))
 	dec.DisallowUnknownFields()
-	err := dec.Decode(v)
+	err = dec.Decode(v)
 	if err == nil {
 		if _, end := dec.Token(); !errors.Is(end, io.EOF) {
 			err = errors.New("data after the JSON value")
 		}
 	}
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return structs.Errorf(structs.CodeTooLarge, "http.body", "body is over %d bytes", limit).WithOutcome(structs.OutcomeNotRun)
-	}
 	if err != nil {
 		return BadRequest("body: %v", err)
 	}
@@ -106,66 +126,18 @@
 	}
 }
 
-// Listen opens a listener with the connection limit and TLS of its settings.
-func Listen(l *config.Listener) (net.Listener, error) {
+// Listen opens a listener with the TLS of its settings. port bounds its connections.
+func Listen(l *config.Listener, port *admission.Port) (net.Listener, error) {
 	tlsConfig, err := l.TLS.ServerConfig()
 	if err != nil {
 		return nil, structs.Errorf(structs.CodeInternal, "listen", "%v", err).WithPeer(l.Address)
 	}
-	nl, err := net.Listen("tcp", l.Address)
+	nl, err := port.Listen(l.Address)
 	if err != nil {
 		return nil, structs.Errorf(structs.CodeInternal, "listen", "%v", err).WithPeer(l.Address)
 	}
-	limit := l.MaxConnections
-	if limit == 0 {
-		limit = config.DefaultMaxConnections
-	}
-	nl = &limitListener{Listener: nl, slots: make(chan struct{}, limit), done: make(chan struct{})}
 	if tlsConfig != nil {
 		nl = tls.NewListener(nl, tlsConfig)
 	}
 	return nl, nil
 }
-
-// limitListener limits the number of open connections to cap(slots).
-type limitListener struct {
-	net.Listener
-	slots chan struct{}
-	once  sync.Once
-	done  chan struct{}
-}
-
-// Accept implements net.Listener. It waits for a free slot first.
-func (l *limitListener) Accept() (net.Conn, error) {
-	select {
-	case l.slots <- struct{}{}:
-	case <-l.done:
-		return nil, net.ErrClosed
-	}
-	c, err := l.Listener.Accept()
-	if err != nil {
-		<-l.slots
-		return nil, err
-	}
-	return &limitConn{Conn: c, release: func() { <-l.slots }}, nil
-}
-
-// Close implements net.Listener.
-func (l *limitListener) Close() error {
-	l.once.Do(func() { close(l.done) })
-	return l.Listener.Close()
-}
-
-// limitConn frees its slot when closed.
-type limitConn struct {
-	net.Conn
-	once    sync.Once
-	release func()
-}
-
-// Close implements net.Conn.
-func (c *limitConn) Close() error {
-	err := c.Conn.Close()
-	c.once.Do(c.release)
-	return err
-}
--- a/host/node/edges.go
+++ b/host/node/edges.go
@@ -8,6 +8,7 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"gooseberrypond/host/admission"
 	"gooseberrypond/host/edge/operator"
 	"gooseberrypond/host/edge/platform"
 	"gooseberrypond/host/edge/web"
@@ -36,7 +37,7 @@
 	}
 	s := web.NewServer(h, n.settings.Limits)
 	n.servers = append(n.servers, s)
-	go func() { n.reportFailure(name+" listener", s.Serve(l)) }()
+	go func() { n.reportFailure(name+" listener", admission.Serve(s, l)) }()
 }
 
 // healthHandler returns the handler for liveness, readiness and metrics.
--- a/host/node/node.go
+++ b/host/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/rs/zerolog"
 
+	"gooseberrypond/host/admission"
 	"gooseberrypond/host/config"
 	"gooseberrypond/host/control"
 	"gooseberrypond/host/edge/web"
@@ -43,6 +44,7 @@
 	registry *prometheus.Registry
 
 	listeners map[string]net.Listener
+	ports     map[string]*admission.Port
 	servers   []*http.Server
 	control   *control.Host
 	rpcServer *rpc.Server
@@ -68,6 +70,7 @@
 		log:       log.With().Str("host", s.HostID).Logger(),
 		registry:  prometheus.NewRegistry(),
 		listeners: map[string]net.Listener{},
+		ports:     map[string]*admission.Port{},
 		failed:    make(chan error, 16),
 	}
 	n.registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
@@ -110,7 +113,7 @@
 		if !listener.Enabled() {
 			continue
 		}
-		nl, err := web.Listen(listener)
+		nl, err := web.Listen(listener, n.port(name))
 		if err != nil {
 			return errors.Wrapf(err, "listeners.%s", name)
 		}
@@ -119,6 +122,17 @@
 	return nil
 }
 
+// port returns the port of the named listener.
+func (n *Node) port(name string) *admission.Port {
+	p := n.ports[name]
+	if p == nil {
+		p = admission.NewPort(name, n.settings.PortLimits(name), n.log)
+		n.ports[name] = p
+		n.registry.MustRegister(p)
+	}
+	return p
+}
+
 // newClient sets n.client, the client for calls to the control hosts.
 func (n *Node) newClient() error {
 	files := n.settings.ControlTLS
@@ -159,7 +173,7 @@
 	if err != nil {
 		return err
 	}
-	n.rpcServer = rpc.NewServer(n.settings.ClusterID, n.control, n.control.LeaderHost, config.DefaultMaxConnections)
+	n.rpcServer = rpc.NewServer(n.settings.ClusterID, n.control, n.control.LeaderHost, n.port("control"))
 	go func() { n.reportFailure("control listener", n.rpcServer.Serve(n.listeners["control"], nil)) }()
 	return nil
 }
--- a/host/node/replica.go
+++ b/host/node/replica.go
@@ -23,6 +23,7 @@
 		Listen:          self.Peer,
 		Advertise:       self.Peer,
 		TLS:             tlsConfig,
+		Port:            n.port("peer"),
 		Logger:          n.log.With().Str("part", "replica").Logger(),
 		SnapshotEntries: s.Limits.SnapshotEntries,
 	}
--- a/host/rpc/rpc_test.go
+++ b/host/rpc/rpc_test.go
@@ -8,7 +8,10 @@
 	"testing"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"gooseberrypond/core/structs"
+	"gooseberrypond/host/admission"
 )
 
 // testTimeout bounds the calls of a test, so that a failing test ends instead of
@@ -68,14 +71,19 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := NewServer("c", f, func() string { return hint }, 100)
-		go s.Serve(l, nil)
+		port := newTestPort()
+		s := NewServer("c", f, func() string { return hint }, port)
+		go s.Serve(port.Listener(l), nil)
 		t.Cleanup(func() { l.Close(); s.Close() })
 		peers = append(peers, Peer{ID: string(rune('a' + i)), Address: l.Addr().String()})
 	}
 	return peers
 }
 
+func newTestPort() *admission.Port {
+	return admission.NewPort("control", admission.Limits{Connections: 100, RequestBytes: 1 << 20, MessageBytes: 1 << 20}, zerolog.Nop())
+}
+
 func newTestClient(t *testing.T, cluster string, peers []Peer) (*Client, context.Context) {
 	c := NewClient(ClientConfig{Cluster: cluster, Host: "h", Peers: peers})
 	t.Cleanup(func() { c.Close() })
@@ -149,7 +157,7 @@
 	if !errors.As(err, &e) || e.Code != structs.CodeVersionMismatch || e.Outcome != structs.OutcomeNotRun {
 		t.Errorf("call from another cluster: %v, want version_mismatch", err)
 	}
-	s := NewServer("c", a, func() string { return "" }, 1)
+	s := NewServer("c", a, func() string { return "" }, newTestPort())
 	if err := s.check(Header{Cluster: "c", Format: FormatVersion + 1}); err == nil {
 		t.Error("another message format was accepted")
 	}
--- a/host/rpc/server.go
+++ b/host/rpc/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"gooseberrypond/core/structs"
+	"gooseberrypond/host/admission"
 )
 
 // maxCallTime bounds the time of one call on the server.
@@ -21,20 +22,21 @@
 	control Control
 	leader  func() string
 
+	port *admission.Port
+
 	mu     sync.Mutex
 	conns  map[net.Conn]bool
 	closed bool
-	max    int
 }
 
 // NewServer returns a server that passes calls to control. leader returns the id
-// of the known leader, or an empty string. maxConns limits the open connections;
-// those beyond it are closed at once.
-func NewServer(cluster string, control Control, leader func() string, maxConns int) *Server {
-	return &Server{cluster: cluster, control: control, leader: leader, conns: map[net.Conn]bool{}, max: maxConns}
+// of the known leader, or an empty string. port bounds what the calls take.
+func NewServer(cluster string, control Control, leader func() string, port *admission.Port) *Server {
+	return &Server{cluster: cluster, control: control, leader: leader, port: port, conns: map[net.Conn]bool{}}
 }
 
-// Serve accepts connections until the listener closes. tlsConfig may be nil.
+// Serve accepts connections until the listener, which is one of the server's port, closes.
+// tlsConfig may be nil.
 func (s *Server) Serve(l net.Listener, tlsConfig *tls.Config) error {
 	if tlsConfig != nil {
 		l = tls.NewListener(l, tlsConfig)
@@ -57,7 +59,7 @@
 		}
 		go func() {
 			defer s.untrack(conn)
-			srv.ServeConn(conn)
+			s.port.ServeRPC(srv, conn)
 		}()
 	}
 }
@@ -75,7 +77,7 @@
 func (s *Server) track(c net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= s.max {
+	if s.closed {
 		return false
 	}
 	s.conns[c] = true
--- a/soak/crowd/files_test.go
+++ b/soak/crowd/files_test.go
@@ -11,6 +11,7 @@
 // The programs under test.
 const (
 	pondProgram = "gooseberrypond/platform/cmd/gooseberrypond"
+	nodeProgram = "gooseberrypond/host/cmd/gooseberryd"
 )
 
 // programs is the folder of the built programs.
@@ -32,7 +33,7 @@
 		return 0, err
 	}
 	defer os.RemoveAll(programs)
-	for _, source := range []string{pondProgram} {
+	for _, source := range []string{pondProgram, nodeProgram} {
 		if out, err := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", builtProgram(source), source).CombinedOutput(); err != nil {
 			return 0, fmt.Errorf("build: %w\n%s", err, out)
 		}
