Accepted jobs are bounded together; large ones leave room for small ones

What callers saw: beside many whole jobs of 256 KiB that are all content, no ordinary job is accepted any more: each is answered 504.

Cause: every valid job is accepted, whatever is kept already.

Evidence: soak/crowd TestLargeJobs, 512 clients that send three such jobs each, control host of 96 MB: on, and with the bounds of the ports alone, an ordinary job is answered 504 for 60 s on end and the test fails.

A job above 8 KiB finds room in half of that, smaller ones in all of it. One without room is answered 503 with a time to come back; it is not accepted and never runs. The rooms are the leader's alone: replicas apply what is in the log.

The number of tasks of a job is not counted; not shown, open.

--- a/core/graph/apply.go
+++ b/core/graph/apply.go
@@ -156,6 +156,7 @@
 		}
 	}
 	t.jobs[s.ID], t.live[s.ID] = j, j
+	t.keptBytes += int64(s.Bytes())
 	t.pending[s.Queue]++
 	if s.Times > 0 {
 		t.recurring[s.ID] = j
@@ -451,6 +452,7 @@
 			continue
 		}
 		j.Occurrences = nil
+		t.keptBytes -= int64(j.Spec.Bytes())
 		j.Spec = Spec{ID: j.Spec.ID, Queue: j.Spec.Queue, Organisation: j.Spec.Organisation}
 	}
 	clear(t.ended[n:])
--- a/core/graph/snapshot.go
+++ b/core/graph/snapshot.go
@@ -257,6 +257,9 @@
 func (t *Tables) restoreJob(im *jobImage) error {
 	j := &Job{Spec: im.Spec, Queue: im.Queue, AcceptedMS: im.AcceptedMS, EndedMS: im.EndedMS, State: im.State}
 	t.jobs[j.Spec.ID] = j
+	if j.Live() || len(im.Occurrences) > 0 {
+		t.keptBytes += int64(j.Spec.Bytes())
+	}
 	j.open = max(j.Spec.Times, 1)
 	if j.Live() {
 		t.live[j.Spec.ID] = j
--- a/core/graph/tables.go
+++ b/core/graph/tables.go
@@ -20,6 +20,8 @@
 	// ended lists the jobs in a final state whose tasks are still kept, in the
 	// order in which they ended.
 	ended []*Job
+	// keptBytes is about what the specs of the jobs take whose tasks are kept.
+	keptBytes int64
 	// waiting holds the ready steps that have tasks without an attempt. Waiting
 	// removes entries that no longer qualify.
 	waiting []*StepState
@@ -84,6 +86,10 @@
 // Job returns a job, or nil.
 func (t *Tables) Job(id JobID) *Job { return t.jobs[id] }
 
+// KeptBytes returns about how many bytes the jobs take that were accepted and whose tasks are
+// kept, live or ended.
+func (t *Tables) KeptBytes() int64 { return t.keptBytes }
+
 // Jobs calls yield for each job whose tasks are kept, live or ended.
 func (t *Tables) Jobs(yield func(*Job) bool) {
 	for _, j := range t.live {
--- a/host/dispatcher/caller.go
+++ b/host/dispatcher/caller.go
@@ -123,6 +123,9 @@
 		if c.d.tables.IsWithdrawn(&spec) {
 			return withdrawn(), false
 		}
+		if !l.hasRoom(&spec) {
+			return answer(NotApplied, "the jobs that are kept leave no room for this one; it was not accepted and never runs"), false
+		}
 		spec.Excess = l.isExcess(f.config.OrganisationByName(f.organisation))
 		l.queued.add(queuedCall{submit: &spec})
 		return Answer{}, true
@@ -133,6 +136,25 @@
 	return c.finish("submit", &f, a)
 }
 
+const (
+	// largeJobBytes is the size from which a job counts as large. The payload of a job has at
+	// most half of that.
+	largeJobBytes = 8 << 10
+	// largeJobsShare is the part of the room for jobs, one in so many, that large jobs leave
+	// to others.
+	largeJobsShare = 2
+)
+
+// hasRoom reports whether there is room for a job beside those that are kept and those
+// that wait to be accepted. The caller must hold d.mu.
+func (l *leadership) hasRoom(s *graph.Spec) bool {
+	size, room := int64(s.Bytes()), l.d.cfg.JobBytes
+	if size > largeJobBytes {
+		room -= room / largeJobsShare
+	}
+	return l.d.tables.KeptBytes()+l.queued.size+size <= room
+}
+
 // isAccepted reports whether an attempt of the call with the given number has submitted
 // the job that the path names. It does not ask the configuration, which may have changed
 // since: the queue may be gone, and the caller's key. The caller must hold d.mu.
--- a/host/dispatcher/dispatcher.go
+++ b/host/dispatcher/dispatcher.go
@@ -65,11 +65,17 @@
 type Config struct {
 	Workers WorkerClient
 	Limits  dispatch.Limits
-	Logger  zerolog.Logger
+	// JobBytes is about how many bytes the jobs may take that are accepted and not forgotten;
+	// 0 means DefaultJobBytes.
+	JobBytes int64
+	Logger   zerolog.Logger
 	// Now is the clock; the default is time.Now.
 	Now func() time.Time
 }
 
+// DefaultJobBytes is the Config's JobBytes if it names none.
+const DefaultJobBytes = 64 << 20
+
 // Dispatcher runs on every replica of the control plane. Its methods are safe
 // for concurrent use.
 type Dispatcher struct {
@@ -88,6 +94,9 @@
 	if cfg.Now == nil {
 		cfg.Now = time.Now
 	}
+	if cfg.JobBytes <= 0 {
+		cfg.JobBytes = DefaultJobBytes
+	}
 	return &Dispatcher{cfg: cfg, tables: graph.New(), metrics: newMetrics()}
 }
 
--- a/host/dispatcher/queue.go
+++ b/host/dispatcher/queue.go
@@ -64,6 +64,8 @@
 	// maxCalls is the largest number of calls in the next batch; 0 means that their size
 	// alone limits them.
 	maxCalls int
+	// size is about what the calls take in the log, in bytes.
+	size int64
 	// unattended is set while the last call has no waiter yet.
 	unattended bool
 }
@@ -71,6 +73,7 @@
 // add queues a call. The waiter that is added next waits for it.
 func (q *queuedChanges) add(c queuedCall) {
 	q.calls, q.unattended = append(q.calls, c), true
+	q.size += int64(c.bytes())
 }
 
 func (q *queuedChanges) addWaiter(w *waiter) {
@@ -120,6 +123,7 @@
 		n++
 	}
 	q.calls = append([]queuedCall(nil), q.calls[n:]...)
+	q.size -= int64(bytes)
 	return waiters
 }
 
--- a/soak/crowd/crowd.go
+++ b/soak/crowd/crowd.go
@@ -60,8 +60,9 @@
 	Head func(request int) string
 	// Body is the body of each request.
 	Body []byte
-	// NoneFinishes is set if all members stop short of the end of their requests.
-	NoneFinishes bool
+	// NoneFinishes is set if all members stop short of the end of their requests, and
+	// AllFinish if none does.
+	NoneFinishes, AllFinish bool
 }
 
 // Answer is the answer to a request that a member finished. Status 0 means that there was
@@ -123,7 +124,7 @@
 // member connects again when its connection is closed, up to rounds times.
 func (c *Crowd) member(i int) {
 	defer c.pressing.Add(-1)
-	finishes := i%finishers == 0 && !c.o.NoneFinishes
+	finishes := c.o.AllFinish || i%finishers == 0 && !c.o.NoneFinishes
 	for range rounds {
 		select {
 		case <-c.stop:
--- a/soak/crowd/crowd_linux_test.go
+++ b/soak/crowd/crowd_linux_test.go
@@ -208,6 +208,24 @@
 	}
 }
 
+// largeJob returns a job of the largest size that is all content.
+func largeJob() []byte {
+	const steps, frame = 250, 60
+	label := strings.Repeat("x", jobBytes/steps-frame)
+	step := fmt.Sprintf(`{"count":1,"cpu":100,"mem_mb":1,"constraints":"%s"}`, label)
+	return padded(`"spec":"x","phases":[`+step+strings.Repeat(","+step, steps-1)+`]`, jobBytes)
+}
+
+// Guards against control hosts that run out of memory for jobs that they have accepted.
+func TestLargeJobs(t *testing.T) {
+	s := startPond(t, maxFDs)
+	answers := play(t, s.entry, bound{memoryMB, maxFDs}, Options{
+		Address: address(entryIP, frontendPort), Members: jobMembers, Form: Whole, AllFinish: true, Head: s.submitHead, Body: largeJob(),
+	}, s.submit)
+	s.checkAnswers(t, answers)
+	checkControl(t, s)
+}
+
 // checkAnswers checks that a job is known exactly if it was accepted. After 429 or 503 it
 // was not accepted; after no answer, either is allowed.
 func (s *pond) checkAnswers(t *testing.T, answers []Answer) {
