--- a/soak/crowd/crowd_linux_test.go
+++ b/soak/crowd/crowd_linux_test.go
@@ -39,6 +39,7 @@
 	jobMembers     = 512
 	reportBytes    = 4 << 20
 	reportMembers  = 64
+	configBytes    = 3 << 20
 	messageBytes   = 4 << 20
 	messageMembers = 64
 	// unreadQueues make a configuration of 3 MB.
@@ -46,6 +47,9 @@
 	unreadMembers = 300
 )
 
+// heartbeat has the fields of a heartbeat that is accepted.
+const heartbeat = `"backend":"s","address":"127.0.0.1:9","zone":"z","state":"ready","capacity":{"cpu":1000,"mem_mb":1000,"gpus":0},"seq":1,"born":1`
+
 // padded returns a JSON object of the given length with the fields.
 func padded(fields string, length int) []byte {
 	return []byte("{" + fields + strings.Repeat(" ", length-len(fields)-2) + "}")
@@ -193,6 +197,36 @@
 	return fmt.Sprintf("POST %s%016x HTTP/1.1\r\nHost: %s\r\n", queue, n, standin.QueueHost)
 }
 
+// Guards against a limit that keeps one request of the largest size, in any form, from
+// being served in calm.
+func TestLargestRequestsInCalm(t *testing.T) {
+	startPond(t, maxFDs)
+	for name, form := range Forms {
+		for _, r := range []struct {
+			line, address string
+			body          []byte
+		}{
+			{"POST " + queue + "%016x", address(entryIP, frontendPort), padded(`"spec":"x","phases":[{"count":1,"cpu":100,"mem_mb":1}]`, jobBytes)},
+			{"PUT /instances/w-%d", address(controlIP, controlPort), padded(heartbeat, reportBytes)},
+			{"PUT /config?%d", address(controlIP, controlPort), padded(`"version":1,"routes":[],"services":[]`, configBytes)},
+		} {
+			c := Start(Options{Address: r.address, Members: 1, Form: form, AllFinish: true, Body: r.body, Head: func(n int) string {
+				return fmt.Sprintf(r.line, n) + " HTTP/1.1\r\nHost: " + standin.QueueHost + "\r\n"
+			}})
+			c.Press(pressTime)
+			answers := c.Stop()
+			for _, a := range answers {
+				if a.Status != http.StatusOK {
+					t.Errorf("%s, %s: status %d", r.line, name, a.Status)
+				}
+			}
+			if len(answers) != rounds {
+				t.Errorf("%s, %s: %d answers, want %d", r.line, name, len(answers), rounds)
+			}
+		}
+	}
+}
+
 // Guards against an entry host that runs out of memory for jobs that are still arriving.
 func TestUnfinishedJobs(t *testing.T) {
 	for name, form := range Forms {
