--- a/core/graph/report.go
+++ b/core/graph/report.go
@@ -51,6 +51,14 @@
 	return checkAddress(r.Address)
 }
 
+// LabelBytes returns the size of all labels.
+func (r *WorkerReport) LabelBytes() (n int) {
+	for _, l := range r.Labels {
+		n += len(l)
+	}
+	return n
+}
+
 // checkAddress returns an error if an address cannot be that of another host's port.
 func checkAddress(address string) error {
 	colon := strings.LastIndexByte(address, ':')
