What the kernel keeps counts for the number of connections

What callers saw: nothing yet; found by TestHeartbeatsOfManyWorkers, which takes 83 to 99 MB of 96 with bounded labels, up to 28 MB of it bytes that have arrived and are not read.

Cause: the limits of connections reckon with the process's own memory for each, not with its receive buffer, which the kernel doubles.

TestJobsOfManyTasks is new too and passes before and after.

--- a/host/config/ports.go
+++ b/host/config/ports.go
@@ -3,7 +3,8 @@
 import "gooseberrypond/host/admission"
 
 const (
-	// connectionsMemory is the fraction of the memory, one in so many, for connections.
+	// connectionsMemory is the fraction of the memory, one in so many, for connections, with
+	// what the kernel keeps for them.
 	connectionsMemory = 4
 	// MessageBytes is the largest message between hosts. It is above the largest proposal.
 	MessageBytes = 16 << 20
@@ -29,7 +30,7 @@
 // portShares has the shares by name of the listener. Callers and workers come in large
 // numbers, the others do not.
 var portShares = map[string]portShare{
-	"caller": {3, 8}, "platform": {3, 16}, "upstream": {16, 0}, "control": {16, 0},
+	"caller": {3, 8}, "platform": {3, 16}, "upstream": {8, 0}, "control": {16, 0},
 	"peer": {64, 0}, "operator": {64, 0}, "health": {64, 0},
 }
 
@@ -37,7 +38,7 @@
 func (s *Settings) PortLimits(name string) admission.Limits {
 	memory, share := int64(s.Limits.Memory), portShares[name]
 	l := admission.Limits{
-		Connections:  int(memory / connectionsMemory / admission.ConnectionBytes / share.connections),
+		Connections:  int(memory / connectionsMemory / (admission.ConnectionBytes + clientBuffer) / share.connections),
 		RequestBytes: s.largestRequest(name),
 		MessageBytes: MessageBytes, ReceiveBuffer: clientBuffer,
 	}
--- a/host/config/ports_test.go
+++ b/host/config/ports_test.go
@@ -20,7 +20,7 @@
 			t.Errorf("%s: %+v has no room for a request of %d bytes", l.name, p, s.largestRequest(l.name))
 		}
 	}
-	if most := int64(s.Limits.Memory) / connectionsMemory; int64(connections)*admission.ConnectionBytes > most {
+	if most := int64(s.Limits.Memory) / connectionsMemory; int64(connections)*(admission.ConnectionBytes+clientBuffer) > most {
 		t.Errorf("%d connections take more than %d bytes", connections, most)
 	}
 	if most := int64(s.Limits.Memory) / 2; held > most {
--- a/soak/crowd/crowd_linux_test.go
+++ b/soak/crowd/crowd_linux_test.go
@@ -35,13 +35,16 @@
 
 // The largest bodies that the pages allow clients, and for how many the limits have no room.
 const (
-	jobBytes       = 256 << 10
-	jobMembers     = 512
-	reportBytes    = 4 << 20
-	reportMembers  = 64
-	configBytes    = 3 << 20
-	messageBytes   = 4 << 20
-	messageMembers = 64
+	jobBytes      = 256 << 10
+	jobMembers    = 512
+	reportBytes   = 4 << 20
+	reportMembers = 64
+	// manyTasksMembers and manyWorkersMembers send three requests each, all of them whole.
+	manyTasksMembers   = 64
+	manyWorkersMembers = 256
+	configBytes        = 3 << 20
+	messageBytes       = 4 << 20
+	messageMembers     = 64
 	// unreadQueues make a configuration of 3 MB.
 	unreadQueues  = 16000
 	unreadMembers = 300
@@ -86,8 +89,8 @@
 	answers := c.Stop()
 	mustAnswer(t, p, "ordinary request after the crowd", ordinary)
 	u := p.Peak()
-	t.Logf("before: %d MB, %d descriptors; peak: %d MB, %d MB unread, %d descriptors; %d of %d connections left open; %d requests finished",
-		before.MemoryBytes>>20, before.Descriptors, u.MemoryBytes>>20, u.UnreadBytes>>20, u.Descriptors, open, o.Members, len(answers))
+	t.Logf("before: %d MB, %d descriptors; peak: %d MB, %d MB unread, %d descriptors; %d of %d connections left open; requests finished, by status: %v",
+		before.MemoryBytes>>20, before.Descriptors, u.MemoryBytes>>20, u.UnreadBytes>>20, u.Descriptors, open, o.Members, byStatus(answers))
 	if u.MemoryBytes > int64(b.memoryMB)<<20 {
 		t.Errorf("the process took %d MB, %d are allowed", u.MemoryBytes>>20, b.memoryMB)
 	}
@@ -97,6 +100,14 @@
 	return answers
 }
 
+func byStatus(answers []Answer) map[int]int {
+	counts := map[int]int{}
+	for _, a := range answers {
+		counts[a.Status]++
+	}
+	return counts
+}
+
 // Ports of the hosts of gooseberrypond.
 const (
 	innerPort     = 21600 // and the next one
@@ -260,13 +271,36 @@
 	checkControl(t, s)
 }
 
+// Guards against control hosts that run out of memory for the tasks of jobs whose bodies
+// are small.
+func TestJobsOfManyTasks(t *testing.T) {
+	s := startPond(t, maxFDs)
+	answers := play(t, s.entry, bound{memoryMB, maxFDs}, Options{
+		Address: address(entryIP, frontendPort), Members: manyTasksMembers, Form: Whole, AllFinish: true, Head: s.submitHead,
+		Body: []byte(`{"spec":"x","phases":[{"count":20000,"cpu":100,"mem_mb":1}]}`),
+	}, s.submit)
+	s.checkAnswers(t, answers)
+	checkControl(t, s)
+}
+
+// Guards against control hosts that run out of memory for workers that do not exist.
+func TestHeartbeatsOfManyWorkers(t *testing.T) {
+	s := startPond(t, maxFDs)
+	const labels, labelBytes = 500, 500
+	label := strings.Repeat("x", labelBytes)
+	body := "{" + heartbeat + `,"labels":["` + label + strings.Repeat(`","`+label, labels-1) + `"]}`
+	play(t, s.control, bound{memoryMB, maxFDs}, Options{
+		Address: address(controlIP, controlPort), Members: manyWorkersMembers, Form: Whole, AllFinish: true, Body: []byte(body),
+		Head: func(n int) string { return fmt.Sprintf("PUT /instances/w-%d HTTP/1.1\r\nHost: x\r\n", n) },
+	}, s.configure)
+	mustAnswer(t, s.entry, "job after the crowd", s.submit)
+}
+
 // checkAnswers checks that a job is known exactly if it was accepted. After 429 or 503 it
 // was not accepted; after no answer, either is allowed.
 func (s *pond) checkAnswers(t *testing.T, answers []Answer) {
 	t.Helper()
-	counts := map[int]int{}
 	for _, a := range answers {
-		counts[a.Status]++
 		id, want := fmt.Sprintf("%016x", a.Request), 0
 		switch a.Status {
 		case http.StatusOK:
@@ -283,7 +317,6 @@
 			t.Errorf("job %s was answered with %d and is then looked up with %d, want %d", id, a.Status, got, want)
 		}
 	}
-	t.Logf("finished requests by status: %v", counts)
 }
 
 // checkControl checks the control host, which the crowd has reached only through others.
