admission: lines about lost places are written without the lock

A log that is slow, such as the standard error of gooseberryd, would have kept all clients of a port waiting while the line was written. Found by reading; unit tests of the package pass.

--- a/host/admission/port.go
+++ b/host/admission/port.go
@@ -131,11 +131,12 @@
 	if c != nil {
 		p.conns[c] = struct{}{}
 	}
-	p.report()
+	lost := p.unreported()
 	p.mu.Unlock()
 	if loser != nil {
 		loser.Close()
 	}
+	p.report(lost)
 	return c
 }
 
@@ -180,11 +181,12 @@
 		p.held += n
 		c.held += n
 	}
-	p.report()
+	lost := p.unreported()
 	p.mu.Unlock()
 	for _, l := range losers {
 		l.Close()
 	}
+	p.report(lost)
 	return err
 }
 
@@ -245,15 +247,24 @@
 	c.held -= n
 }
 
-// report logs how many clients have lost their places, at most once in reportInterval. The
-// caller must hold p.mu.
-func (p *Port) report() {
+// unreported returns what has happened since the latest log line, or nothing if that was
+// less than reportInterval ago. The caller must hold p.mu.
+func (p *Port) unreported() (lost stats) {
 	now := p.now()
 	if p.stats == p.reported || now.Sub(p.reportedAt) < reportInterval {
-		return
+		return stats{}
 	}
-	p.logger.Warn().Str("port", p.name).Uint64("unfinished", p.stats.unfinished-p.reported.unfinished).
-		Uint64("idle", p.stats.idle-p.reported.idle).Uint64("refused", p.stats.refused-p.reported.refused).
-		Int("connections", len(p.conns)).Int64("held_bytes", p.held).Msg("clients lost their places to others: the port is at its limits")
+	lost = stats{p.stats.unfinished - p.reported.unfinished, p.stats.idle - p.reported.idle, p.stats.refused - p.reported.refused}
 	p.reported, p.reportedAt = p.stats, now
+	return lost
+}
+
+// report logs how many clients have lost their places. The caller must not hold p.mu: the
+// log may be slow.
+func (p *Port) report(lost stats) {
+	if lost == (stats{}) {
+		return
+	}
+	p.logger.Warn().Str("port", p.name).Uint64("unfinished", lost.unfinished).Uint64("idle", lost.idle).Uint64("refused", lost.refused).
+		Msg("clients lost their places to others: the port is at its limits")
 }
