--- a/host/admission/rpc.go
+++ b/host/admission/rpc.go
@@ -224,7 +224,9 @@
 		return errors.Newf("length of a message in %d bytes", size)
 	}
 	rest := make([]byte, size)
-	if _, err := io.ReadFull(m.from, rest); err != nil {
+	if _, err := io.ReadFull(m.from, rest); err == io.EOF {
+		return io.ErrUnexpectedEOF
+	} else if err != nil {
 		return err
 	}
 	m.prefix, m.left = append(m.prefix, rest...), 0
