--- a/ctl/command/env.go
+++ b/ctl/command/env.go
@@ -73,7 +73,7 @@
 	switch code {
 	case structs.CodeBadRequest, structs.CodeTooLarge:
 		return ExitUsage
-	case structs.CodeConflict, structs.CodeKeyReused, structs.CodeQuota, structs.CodeQueueFull:
+	case structs.CodeConflict, structs.CodeKeyReused, structs.CodeQuota, structs.CodeQueueFull, structs.CodeOverloaded:
 		return ExitRefused
 	case structs.CodeNotFound:
 		return ExitNotFound
