Review: one time to come back, one formula for connections, tests of three promises

The time to come back stood in three places and the formula for connections in two; both are in host/admission now, values unchanged.

Tests added, each fails with its mechanism removed (run on a scratch copy): the receive buffer of a connection, an answer that is not read gives its place back, the size of queued calls.

--- a/host/admission/concurrent.go
+++ b/host/admission/concurrent.go
@@ -6,12 +6,8 @@
 	"time"
 )
 
-const (
-	// answerTime is how long a client may take to read an answer of Concurrent.
-	answerTime = 5 * time.Second
-	// concurrentRetrySeconds is when a client comes back that came too many.
-	concurrentRetrySeconds = 1
-)
+// answerTime is how long a client may take to read an answer of Concurrent.
+const answerTime = 5 * time.Second
 
 // Concurrent returns a handler that lets next answer at most n requests at a time. Others
 // are answered 503. It is for answers that may be large: one that is not read keeps its
@@ -23,7 +19,7 @@
 		case places <- struct{}{}:
 			defer func() { <-places }()
 		default:
-			w.Header().Set("Retry-After", strconv.Itoa(concurrentRetrySeconds))
+			w.Header().Set("Retry-After", strconv.Itoa(RetrySeconds))
 			http.Error(w, "too many requests of this kind at a time; try again", http.StatusServiceUnavailable)
 			return
 		}
--- a/host/admission/port.go
+++ b/host/admission/port.go
@@ -26,6 +26,10 @@
 	// HeldFactor is about the memory that each counted byte of a request takes while the
 	// request is read, decoded and answered.
 	HeldFactor = 4
+	// RetrySeconds is when a client comes back that found no room. Clients with unfinished
+	// requests give way at once, so room is short only while requests that have arrived
+	// whole are answered.
+	RetrySeconds = 1
 	// reportInterval is the minimum time between two log lines about clients that lost
 	// their place.
 	reportInterval = time.Second
@@ -50,6 +54,12 @@
 	MessageBytes int64
 }
 
+// ConnectionsIn returns how many connections have room in so many bytes of memory, each
+// with what the process and the kernel keep for it.
+func ConnectionsIn(memory int64, receiveBuffer int) int {
+	return int(memory / int64(ConnectionBytes+receiveBuffer))
+}
+
 // Port keeps the limits of one port.
 type Port struct {
 	name   string
--- a/host/admission/port_test.go
+++ b/host/admission/port_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -289,3 +291,64 @@
 		t.Errorf("capacity %d for a body of unknown length, want 1536", got)
 	}
 }
+
+// Guards against the receive buffer of the system's default, which grows to megabytes on
+// each connection.
+func TestReceiveBufferIsBounded(t *testing.T) {
+	const bytes = 32 << 10
+	ln, err := NewPort("test", Limits{Connections: 2, ReceiveBuffer: bytes}, zerolog.Nop()).Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	caller, err := net.Dial("tcp", ln.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer caller.Close()
+	served, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer served.Close()
+	raw, err := served.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := 0
+	if err := raw.Control(func(fd uintptr) { got, err = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF) }); err != nil {
+		t.Fatal(err)
+	}
+	if err != nil || got > 2*bytes { // the kernel doubles it
+		t.Errorf("receive buffer of %d bytes, error %v, want at most %d", got, err, 2*bytes)
+	}
+}
+
+// Guards against an answer that is not read and keeps its place for good.
+func TestUnreadAnswerGivesItsPlace(t *testing.T) {
+	large := make([]byte, 64<<20)
+	srv := httptest.NewServer(Concurrent(1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			w.Write(large)
+		}
+	})))
+	defer srv.Close()
+	c, err := net.Dial("tcp", srv.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, "GET /large HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	status := func() int {
+		resp, err := http.Get(srv.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		return resp.StatusCode
+	}
+	waitUntil(t, "the place is taken", func() bool { return status() == http.StatusServiceUnavailable })
+	waitUntil(t, "the place is free again", func() bool { return status() == http.StatusOK })
+}
--- a/host/admission/rpc.go
+++ b/host/admission/rpc.go
@@ -135,7 +135,7 @@
 }
 
 // release ends the counting of a call whose answer is about to be sent, but for a large
-// message that the decoder still keeps.
+// message that the decoder still keeps: it does until the next message begins.
 func (t *callTable) release(seq uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/host/config/ports.go
+++ b/host/config/ports.go
@@ -21,7 +21,7 @@
 // portShare is what a listener gets of the memory, as fractions, one in so many.
 type portShare struct {
 	// connections is the share of the connections.
-	connections int64
+	connections int
 	// requests is the share of the memory that counted requests hold; 0 means the largest
 	// request alone.
 	requests int64
@@ -38,7 +38,7 @@
 func (s *Settings) PortLimits(name string) admission.Limits {
 	memory, share := int64(s.Limits.Memory), portShares[name]
 	l := admission.Limits{
-		Connections:  int(memory / connectionsMemory / (admission.ConnectionBytes + clientBuffer) / share.connections),
+		Connections:  admission.ConnectionsIn(memory/connectionsMemory, clientBuffer) / share.connections,
 		RequestBytes: s.largestRequest(name),
 		MessageBytes: MessageBytes, ReceiveBuffer: clientBuffer,
 	}
--- a/host/dispatcher/room_test.go
+++ b/host/dispatcher/room_test.go
@@ -43,3 +43,30 @@
 		t.Errorf("refused job is shown: %s", a.Code)
 	}
 }
+
+// Guards against a count of the bytes of waiting calls that drifts from the calls: once it is
+// too high for good, no job finds room any more.
+func TestSizeOfQueuedCalls(t *testing.T) {
+	var q queuedChanges
+	for i := range 300 {
+		switch s := (graph.Spec{ID: graph.JobID(fmt.Sprint(i)), Payload: strings.Repeat("x", 10<<10)}); i % 3 {
+		case 0:
+			q.add(queuedCall{submit: &s})
+		case 1:
+			q.add(queuedCall{cancel: s.ID})
+		default:
+			q.add(queuedCall{withdrawal: &graph.Withdrawal{Job: s.ID, Queue: "q"}})
+		}
+		q.addWaiter(&waiter{})
+	}
+	for q.maxCalls = 7; len(q.calls) > 0; q.maxCalls *= 2 {
+		q.take(&graph.Batch{}, false)
+		want := int64(0)
+		for i := range q.calls {
+			want += int64(q.calls[i].bytes())
+		}
+		if q.size != want {
+			t.Fatalf("%d bytes are counted for %d calls, want %d", q.size, len(q.calls), want)
+		}
+	}
+}
--- a/host/edge/web/web.go
+++ b/host/edge/web/web.go
@@ -77,14 +77,11 @@
 	case errors.As(err, &large):
 		return nil, structs.Errorf(structs.CodeTooLarge, step, "body is over %d bytes", limit).WithOutcome(structs.OutcomeNotRun)
 	case errors.Is(err, admission.ErrOverloaded):
-		return nil, structs.Errorf(structs.CodeOverloaded, step, "%v", err).WithOutcome(structs.OutcomeNotRun).WithRetryAfter(overloadRetryMS)
+		return nil, structs.Errorf(structs.CodeOverloaded, step, "%v", err).WithOutcome(structs.OutcomeNotRun).WithRetryAfter(1000 * admission.RetrySeconds)
 	}
 	return nil, BadRequest("body: %v", err)
 }
 
-// overloadRetryMS is when a client comes back whose request found no room, in milliseconds.
-const overloadRetryMS = 1000
-
 // ReadJSON decodes the whole body into v. Unknown fields, trailing data and
 // bodies over limit bytes are refused.
 func ReadJSON(w http.ResponseWriter, r *http.Request, limit int64, v any) error {
--- a/soak/crowd/gooseberryd_linux_test.go
+++ b/soak/crowd/gooseberryd_linux_test.go
@@ -14,8 +14,7 @@
 	devToken     = "dev-token"
 	// nodeMemoryMB is what the control plane may take on a host.
 	nodeMemoryMB = 256
-	// nodeFDs is the sum of what the listeners of a host may have open, and what it needs
-	// besides.
+	// nodeFDs is the number of descriptors of the platform's control machines.
 	nodeFDs = 4096
 	// nodeBytes is the largest body of requests and jobs, and nodeMembers a number for
 	// which the limit has no room.
