--- a/review/stand-3/host.go
+++ b/review/stand-3/host.go
@@ -36,6 +36,8 @@
 	dir            string
 	memoryMB       int
 	p              *platform
+	// seeds are the seeds in the host's settings, those of the platform if empty.
+	seeds []string
 
 	mu        sync.Mutex
 	cmd       *exec.Cmd
@@ -133,8 +135,12 @@
 	if h.role != "control" {
 		data = ""
 	}
+	seeds := h.seeds
+	if len(seeds) == 0 {
+		seeds = h.p.seeds
+	}
 	s := standin.Settings{
-		Name: h.name, IP: h.ip, Seeds: h.p.seeds, FirstStart: h.bootstrap, DataDir: data, FirstInnerPort: h.p.port,
+		Name: h.name, IP: h.ip, Seeds: seeds, FirstStart: h.bootstrap, DataDir: data, FirstInnerPort: h.p.port,
 		Control: h.address(2), Frontend: h.address(3), Readiness: h.address(4), LeaseMS: h.p.leaseMS, Losses: h.p.losses, MemoryMB: h.memoryMB, MaxFDs: 4096,
 	}
 	path := filepath.Join(h.dir, "settings.json")
