Review case 12: tasks of a minion that leaves run twice

Cause: a minion that answered once after its notice that it leaves and is then silent counts as ended 2.5 s later, though it works on for some seconds if the acknowledgement does not reach it. Change: case; the cases on evacuation and gangs become 13 and 14, with 16 minions so that one is within the shares of the site.

--- a/review/stand-3/gang.go
+++ b/review/stand-3/gang.go
@@ -14,8 +14,8 @@
 func init() { cases["gang"] = playGang }
 
 const (
-	// gangMinions is the number of minions; one of them is less than a tenth.
-	gangMinions = 12
+	// gangMinions is the number of minions; one of them is within the share of the site.
+	gangMinions = 16
 	// gangCPU is what each of them has, in thousandths of a core.
 	gangCPU = 32000
 	// gangLabels are those of the only minion on which the gang may run.
--- a/review/stand-3/minion.go
+++ b/review/stand-3/minion.go
@@ -20,6 +20,8 @@
 	rec *record
 	// started is told of each start; nil if nobody asks.
 	started func(worker, task string, run int)
+	// ended is told of each end; nil if nobody asks.
+	ended func(worker, task string)
 }
 
 func (l *ledger) Lived(worker, what string) { l.rec.log("minion %s %s", worker, what) }
@@ -31,6 +33,9 @@
 }
 func (l *ledger) Ended(worker, task string, run int, how string) {
 	l.rec.log("minion %s ends %s run %d: %s", worker, task, run, how)
+	if l.ended != nil {
+		l.ended(worker, task)
+	}
 }
 func (l *ledger) Noted(worker, task string, run int, how string) {
 	l.rec.log("minion %s: end %s of %s run %d was taken note of", worker, how, task, run)
@@ -58,6 +63,10 @@
 	target  string
 	forward http.Client
 	hanging atomic.Bool
+	// silent is set while it sends no heartbeats; answered counts the calls that it has
+	// answered after they came to it.
+	silent   atomic.Bool
+	answered atomic.Int64
 	// drainAcked is when a heartbeat that says that the minion drains was acknowledged, in
 	// nanoseconds since 1970; 0 if none was.
 	draining   atomic.Bool
@@ -107,6 +116,10 @@
 	if _, err := rw.Write(answer); err != nil {
 		m.rec.log("minion %s: an answer could not be written: %v", m.ID, err)
 	}
+	if err := http.NewResponseController(rw).Flush(); err != nil {
+		m.rec.log("minion %s: an answer could not be sent: %v", m.ID, err)
+	}
+	m.answered.Add(1)
 }
 
 func (m *minion) pass(ctx context.Context, r *http.Request, body []byte) (int, []byte, error) {
@@ -139,6 +152,14 @@
 func (m *minion) beat(controls []*host, first int, stop chan struct{}) {
 	c := newCaller("", heartbeatWait)
 	for i := first; ; {
+		if m.silent.Load() {
+			select {
+			case <-stop:
+				return
+			case <-time.After(heartbeatRetry):
+			}
+			continue
+		}
 		drains := m.draining.Load()
 		body := m.Heartbeat("svc")
 		if m.labels != "" {
