--- a/review/stand-3/minion.go
+++ b/review/stand-3/minion.go
@@ -60,7 +60,7 @@
 	*standin.Worker
 	labels  string
 	rec     *record
-	target  string
+	target  atomic.Pointer[string]
 	forward http.Client
 	hanging atomic.Bool
 	// silent is set while it sends no heartbeats; answered counts the calls that it has
@@ -83,7 +83,8 @@
 	}
 	m := &minion{Worker: w, labels: labels, rec: p.rec, beatNow: make(chan struct{}, 1)}
 	m.forward.Transport = &http.Transport{MaxIdleConnsPerHost: 8}
-	_, m.target, _ = w.Life()
+	_, address, _ := w.Life()
+	m.target.Store(&address)
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -123,7 +124,7 @@
 }
 
 func (m *minion) pass(ctx context.Context, r *http.Request, body []byte) (int, []byte, error) {
-	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+m.target+r.URL.Path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+*m.target.Load()+r.URL.Path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil, err
 	}
