--- a/review/stand-3/evacuation.go
+++ b/review/stand-3/evacuation.go
@@ -22,7 +22,7 @@
 	evacMinions, evacCPU = 12, 32000
 	// evacZone is the zone that is evacuated.
 	evacZone = "z1"
-	// evacTime is the rule's bound: evacuate_ms.
+	// evacTime is the bound of the rule EVAC.
 	evacTime = 5 * time.Second
 	// contactTime is how long a machine has to be undisturbed to be in touch: contact_ms.
 	contactTime = 3 * time.Second
