--- a/review/stand-3/client.go
+++ b/review/stand-3/client.go
@@ -38,17 +38,4 @@
 	return resp.StatusCode, string(data)
 }
 
-// order sends an order of the operator to one control host after the other until it is
-// acknowledged. It reports whether that happened in time.
-func (c *caller) order(controls []*host, method, path, body string, limit time.Duration) bool {
-	end := time.Now().Add(limit)
-	for i := 0; time.Now().Before(end); i++ {
-		if status, _ := c.call(method, controls[i%len(controls)].address(2), path, body); status == http.StatusOK {
-			return true
-		}
-		time.Sleep(50 * time.Millisecond)
-	}
-	return false
-}
-
 func jobID(n int) string { return fmt.Sprintf("%016x", 0x5eed000000000000+uint64(n)) }
