--- a/review/stand-3/crash.go
+++ b/review/stand-3/crash.go
@@ -82,7 +82,7 @@
 		}
 		e.rec.say("minion %s crashes", m.ID)
 		hit++
-		m.crash(downTime)
+		m.crash(downTime, 0)
 	}
 	time.Sleep(lastWait)
 	state := look()
@@ -119,8 +119,9 @@
 	return nil
 }
 
-// crash ends the minion's life; after the given time the next one begins under the same id.
-func (m *minion) crash(down time.Duration) {
+// crash ends the minion's life; after the given time the next one begins under the same
+// id, and sends its first heartbeat a while later.
+func (m *minion) crash(down, firstBeat time.Duration) {
 	m.silent.Store(true)
 	m.Die()
 	time.Sleep(down)
@@ -130,5 +131,5 @@
 	}
 	_, address, _ := m.Life()
 	m.target.Store(&address)
-	m.silent.Store(false)
+	time.AfterFunc(firstBeat, func() { m.silent.Store(false) })
 }
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -5,7 +5,11 @@
 import (
 	"flag"
 	"fmt"
+	"net/http"
 	"os"
+	"time"
+
+	"gooseberrypond/platform/standin"
 )
 
 // Exit codes of a case.
@@ -15,6 +19,13 @@
 	failed = 2
 )
 
+const (
+	// settleTime is how long all run before a case begins.
+	settleTime = 6 * time.Second
+	// firstOrderLimit bounds the first order to the system.
+	firstOrderLimit = 20 * time.Second
+)
+
 // env is what a case gets.
 type env struct {
 	binary, dir, files string
@@ -51,3 +62,16 @@
 }
 
 var cases = map[string]func(*env) (int, error){}
+
+// configure sends the first configuration until it is acknowledged.
+func configure(controls []*host) bool {
+	op := standin.NewClient(2 * time.Second)
+	cfg := &standin.Config{Version: 1, Pool: "svc", Queues: []string{"/batch/"}}
+	for i, end := 0, time.Now().Add(firstOrderLimit); time.Now().Before(end); i++ {
+		if op.PutConfig(controls[i%len(controls)].address(2), cfg).Status == http.StatusOK {
+			return true
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return false
+}
--- a/review/stand-3/minion.go
+++ b/review/stand-3/minion.go
@@ -22,6 +22,8 @@
 	started func(worker, task string, run int)
 	// ended is told of each end; nil if nobody asks.
 	ended func(worker, task string)
+	// noted is told of each end of which the system has taken note; nil if nobody asks.
+	noted func(worker, task, how string)
 }
 
 func (l *ledger) Lived(worker, what string) { l.rec.log("minion %s %s", worker, what) }
@@ -39,6 +41,9 @@
 }
 func (l *ledger) Noted(worker, task string, run int, how string) {
 	l.rec.log("minion %s: end %s of %s run %d was taken note of", worker, how, task, run)
+	if l.noted != nil {
+		l.noted(worker, task, how)
+	}
 }
 
 const (
@@ -67,6 +72,8 @@
 	// answered after they came to it.
 	silent   atomic.Bool
 	answered atomic.Int64
+	// late is what is done with the next order to start a task; nil if nothing special.
+	late atomic.Pointer[lateOrder]
 	// drainAcked is when a heartbeat that says that the minion drains was acknowledged, in
 	// nanoseconds since 1970; 0 if none was.
 	draining   atomic.Bool
@@ -105,6 +112,10 @@
 		<-r.Context().Done()
 		return
 	}
+	if o := m.late.Load(); o != nil && strings.HasSuffix(r.URL.Path, startPath) && m.late.CompareAndSwap(o, nil) {
+		m.carryOutLate(r, body, o)
+		panic(http.ErrAbortHandler) // closes the connection without an answer
+	}
 	status, answer, err := m.pass(r.Context(), r, body)
 	if m.hanging.Load() {
 		<-r.Context().Done()
