--- a/review/stand-3/host.go
+++ b/review/stand-3/host.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -60,12 +61,16 @@
 	hosts            []*host
 }
 
+// started is the platform of the case.
+var started atomic.Pointer[platform]
+
 // newPlatform chooses a free network and port range.
 func newPlatform(binary, dir string, rec *record) (*platform, error) {
 	for i := range 200 {
 		n := (os.Getpid() + i*7) % 60000
 		p := &platform{binary: binary, dir: dir, rec: rec, net: fmt.Sprintf("127.%d.%d", 2+n/250, 1+n%250), port: 23100 + n%50*10, leaseMS: 10000, losses: 2}
 		if p.free() {
+			started.Store(p)
 			return p, nil
 		}
 	}
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"net/http"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 
 	"gooseberrypond/platform/standin"
@@ -24,6 +26,8 @@
 	settleTime = 6 * time.Second
 	// firstOrderLimit bounds the first order to the system.
 	firstOrderLimit = 20 * time.Second
+	// caseLimit is how long a case may run.
+	caseLimit = 115 * time.Second
 )
 
 // env is what a case gets.
@@ -53,6 +57,7 @@
 		fmt.Fprintln(os.Stderr, "no such case:", *name)
 		os.Exit(failed)
 	}
+	go e.giveUp()
 	code, err := play(&e)
 	if err != nil {
 		rec.say("the case could not run: %v", err)
@@ -63,6 +68,21 @@
 
 var cases = map[string]func(*env) (int, error){}
 
+// giveUp ends all processes and the case when it takes too long or is asked to end.
+func (e *env) giveUp() {
+	asked := make(chan os.Signal, 1)
+	signal.Notify(asked, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-asked:
+	case <-time.After(caseLimit):
+	}
+	e.rec.say("the case was given up")
+	if p := started.Load(); p != nil {
+		p.end()
+	}
+	os.Exit(failed)
+}
+
 // configure sends the first configuration until it is acknowledged.
 func configure(controls []*host) bool {
 	op := standin.NewClient(2 * time.Second)
