dispatch: runs of a worker that leaves are stopped before its notice is acknowledged

Cause: certainlyOver took an answer to a call after the notice for a proof that the acknowledgement arrives too. The answer comes before the acknowledgement is sent and proves nothing about it, and no figure bounds "some seconds".

Evidence: the reason in "run released", 2.5 s after the notice however long the worker works on.

Change: upon the notice the worker's runs are stopped and its lease is renewed no more; the notice is recorded, and so acknowledged, once each run has ended or its stop is answered, 0.7 s after it came at the latest. A run whose stop was answered ends within stop_timeout_ms, whatever becomes of the worker; all others wait for its lease. That is what the protocol promises, so no length of "some seconds" matters.

TestRunsOfAWorkerThatLeft asked for the fault: that an answer after the notice suffices to move the task within 3.5 s. It now asks that nothing moves before the lease is over unless the stop was answered, and then within 2.5 s, but not before a stop can take. The model of incarnations lets workers work on for up to 6 s after their notice, 2 s before.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -91,6 +91,8 @@
 	ranking workerRanking
 	// polls are the workers to be polled for their run lists.
 	polls []*workerState
+	// leaving are the workers that have given notice that is not recorded yet.
+	leaving []*workerState
 
 	// withdrawalMarks tell how old withdrawals are, the oldest first.
 	withdrawalMarks []withdrawalMark
@@ -286,8 +288,8 @@
 	return false
 }
 
-// Leave handles a worker's notice that it has left. It returns whether the notice
-// must be recorded before it is acknowledged.
+// Leave handles a worker's notice that it leaves. It returns whether the notice
+// must be recorded before it is acknowledged, which is up to leaveStopWait later.
 //
 // The notice names only the worker's ID, so it may come late from an earlier
 // incarnation. It is believed if this incarnation has drained. Otherwise the worker
@@ -305,6 +307,7 @@
 	}
 	if ws := c.workers[w.Handle]; ws != nil {
 		c.leaveNoticeArrived(now, ws)
+		return true
 	}
 	c.queueChange(graph.WorkerChange{Report: w.WorkerReport, Left: true})
 	return true
@@ -332,6 +335,7 @@
 // a time. While the core isolates a record, a plan has records only.
 func (c *Core) Plan(now time.Time, nowMS int64) *graph.Batch {
 	c.sweep(now)
+	c.recordLeaves(now)
 	b := &graph.Batch{NowMS: nowMS}
 	isolating := c.Isolating()
 	c.takeRecords(b)
--- a/core/dispatch/drain_test.go
+++ b/core/dispatch/drain_test.go
@@ -32,11 +32,11 @@
 }
 
 // Guards against two runs of a task, and against one that is away longer than it must be. A
-// worker that leaves gets no acknowledgement if it cannot be reached, and works on for some
-// seconds: only its lease bounds that. If it has answered a call after its notice it gets the
-// acknowledgement and ends, so its runs are released soon after it falls silent.
+// worker that leaves works on for some seconds if the acknowledgement does not reach it, also if
+// it has answered a call after its notice: only its lease bounds that. A run whose stop it has
+// answered ends in a known time.
 func TestRunsOfAWorkerThatLeft(t *testing.T) {
-	for _, answers := range []bool{false, true} {
+	for _, answers := range []string{"nothing", "its lists", "the stop"} {
 		r := newRig(t)
 		a := r.register("a", 1)
 		r.submit(job1, step(1, 1000))
@@ -57,13 +57,20 @@
 		if len(polls) != 1 || polls[0].Worker != a {
 			t.Fatalf("calls %+v upon the notice, want one to the worker", polls)
 		}
-		if answers {
-			r.answer(polls[0])
-		} else {
+		if answers == "nothing" {
 			r.core.HoldFailed(r.now, polls[0])
+		} else {
+			r.answer(polls[0])
 		}
 		noticed := r.now
 		for range 120 {
+			for _, o := range r.core.Orders(r.now) {
+				if o.Worker == b || answers == "the stop" {
+					r.accept(o)
+				} else {
+					r.core.OrderDone(r.now, o, OrderReply{Outcome: NoAnswer})
+				}
+			}
 			r.advance(100 * time.Millisecond)
 			if hold, wait, ok := r.core.NextHold(r.now, a); ok && wait == 0 {
 				r.core.HoldFailed(r.now, hold)
@@ -73,14 +80,16 @@
 			as := r.attempts(job1)
 			moved := len(as) == 1 && as[0].Worker.Handle == b
 			switch gone := r.now.Sub(noticed); {
-			case answers && !moved && gone >= 3500*time.Millisecond:
+			case answers == "the stop" && !moved && gone >= 2500*time.Millisecond:
 				t.Fatalf("%s after its worker left, the task has attempts %+v, want one on worker %d", gone, as, b)
-			case !answers && (len(as) != 1 || as[0].Worker.Handle != a) && r.now.Before(leaseEnds):
-				t.Fatalf("%s before its worker's lease is over, the task has attempts %+v", leaseEnds.Sub(r.now), as)
+			case answers == "the stop" && moved && gone < testLimits.StopTimeout:
+				t.Fatalf("the task has moved %s after its worker's notice, a stop may take %s", gone, testLimits.StopTimeout)
+			case answers != "the stop" && (len(as) != 1 || as[0].Worker.Handle != a) && r.now.Before(leaseEnds):
+				t.Fatalf("answers %s: %s before its worker's lease is over, the task has attempts %+v", answers, leaseEnds.Sub(r.now), as)
 			}
 		}
 		if as := r.attempts(job1); len(as) != 1 || as[0].Worker.Handle != b {
-			t.Fatalf("answers %t: in the end the task has attempts %+v, want one on worker %d", answers, as, b)
+			t.Fatalf("answers %s: in the end the task has attempts %+v, want one on worker %d", answers, as, b)
 		}
 	}
 }
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -43,7 +43,7 @@
 	if ws.mayAcknowledge() && ws.ackCursor > ws.answeredCursor {
 		h.AckCursor, ws.sentCursor = ws.ackCursor, ws.ackCursor
 	}
-	if !ws.suspect && !ws.w.Left {
+	if !ws.suspect && !ws.leaves() {
 		// Calls to a worker that may be dead must not extend its lease, or a dead
 		// worker would keep its runs forever.
 		h.DeadlineMS = ws.nextDeadline(now, c.limits.LeaseMax)
@@ -154,9 +154,6 @@
 	}
 	ws.listSentAt = later(ws.listSentAt, sent)
 	ws.answeredCursor = max(ws.answeredCursor, hold.AckCursor)
-	if !ws.noticeAt.IsZero() && !sent.Before(ws.noticeAt) {
-		ws.reachedAfterNotice = true
-	}
 	ws.nextHold = now
 	if len(ws.runs) == 0 {
 		// No run can end meanwhile. The connection is free for the next start, so that a
--- a/core/dispatch/incarnation.go
+++ b/core/dispatch/incarnation.go
@@ -54,18 +54,6 @@
 	return a
 }
 
-// leaveNoticeArrived handles a worker's notice that it leaves. A worker that does not receive the
-// acknowledgement works on for some seconds, so it is asked at once for its lists.
-func (c *Core) leaveNoticeArrived(now time.Time, ws *workerState) {
-	if ws.noticeAt.IsZero() {
-		ws.noticeAt = now
-	}
-	if len(ws.runs) > 0 {
-		c.queuePoll(now, ws)
-		ws.pollAt = now
-	}
-}
-
 // successor returns the recorded incarnation that has replaced this one under its ID, or
 // nil.
 func (c *Core) successor(ws *workerState) *workerState {
@@ -110,10 +98,10 @@
 	switch {
 	case r.mayRunElsewhere():
 		return overAfter(now, c.anyLeaseEnd(ws, c.delayOf(r)), releaseAnyLeaseOver)
-	case ws.superseded && ws.suspect && now.After(ws.leftAt.Add(leaveGrace)):
+	case ws.superseded && ws.suspect && now.After(ws.leftAt.Add(supersededGrace)):
 		return releaseSuperseded
-	case ws.reachedAfterNotice && ws.suspect && now.After(ws.leftAt.Add(leaveGrace)):
-		return releaseLeft
+	case ws.suspect && c.isStopOver(now, r):
+		return releaseStopOver
 	}
 	return overAfter(now, ws.leaseEnd(), releaseLeaseOver)
 }
--- a/core/dispatch/incarnations_sim_test.go
+++ b/core/dispatch/incarnations_sim_test.go
@@ -86,7 +86,7 @@
 	case "failover":
 		e.down, e.flag = drawMillis(rt, 0, 1500, "gap"), rapid.Bool().Draw(rt, "committed")
 	case "drain":
-		e.lasts, e.by, e.flag = drawMillis(rt, 100, 3000, "drain"), drawMillis(rt, 0, 2000, "runs on"), rapid.Bool().Draw(rt, "notice lost")
+		e.lasts, e.by, e.flag = drawMillis(rt, 100, 3000, "drain"), drawMillis(rt, 0, 6000, "runs on"), rapid.Bool().Draw(rt, "notice lost")
 		e.down = drawMillis(rt, 0, 2000, "notice takes")
 	case "gone":
 	case "cut for good":
--- a/core/dispatch/limits.go
+++ b/core/dispatch/limits.go
@@ -51,9 +51,13 @@
 	// before it is marked as left. It spans several heartbeats.
 	heartbeatTimeout = 15 * time.Second
 
-	// leaveGrace is how long the runs of a worker that answers no more are kept after it has
-	// left and was reached after its notice, or after a later incarnation was recorded.
-	leaveGrace = 2500 * time.Millisecond
+	// supersededGrace is how long the runs of a worker that answers no more are kept after a
+	// later incarnation was recorded.
+	supersededGrace = 2500 * time.Millisecond
+	// leaveStopWait is the longest time between a worker's notice that it leaves and the record
+	// of that, in which its runs are stopped. A stop without an answer is repeated in it, and
+	// what is left of the second for which the worker waits suffices for the commit.
+	leaveStopWait = 700 * time.Millisecond
 	// transitMax is how long a call may be under way to a worker of which no later incarnation
 	// is known. The callers of orders give up sooner.
 	transitMax = 500 * time.Millisecond
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -68,6 +68,8 @@
 		return reasonAboveLimit
 	case r.isBesideTooMany() && (!r.a.Step.Gang || c.withdrawGang(r.a.Step, reasonBesideTooMany)):
 		return reasonBesideTooMany
+	case r.ws.leaves():
+		return reasonLeaves
 	case r.a.Step.Gang:
 		return "" // the other members wait for this one
 	case r.sends == 0 && !r.a.Step.Speculative && c.hasStray(now, r.a.Task()):
--- a/core/dispatch/release.go
+++ b/core/dispatch/release.go
@@ -10,7 +10,7 @@
 	releaseNotOnSuccessor = "a later incarnation has answered without it"
 	releaseLeaseOver      = "the worker's lease is over"
 	releaseAnyLeaseOver   = "the lease that any incarnation of the worker can have given it is over"
-	releaseLeft           = "the worker has announced that it left and does not answer"
+	releaseStopOver       = "the worker that leaves has answered a stop, and the time that a stop may take is over"
 	releaseSuperseded     = "only an incarnation that a later one has replaced can have had it"
 )
 
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -47,10 +47,8 @@
 	// earliest time at which a draining worker leaves.
 	leftAt   time.Time
 	leavesAt time.Time
-	// noticeAt is when the worker's notice that it leaves arrived. reachedAfterNotice is set
-	// once it has answered a call that was sent after that: the acknowledgement reaches it too.
-	noticeAt           time.Time
-	reachedAfterNotice bool
+	// noticeAt is when the worker's notice that it leaves arrived; see leave.go.
+	noticeAt time.Time
 
 	lastHeartbeat time.Time
 	heartbeatSeq  int64
--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -183,10 +183,16 @@
 	}))
 }
 
-// Leave handles a worker's notice that it has left.
+// Leave handles a worker's notice that it leaves. It returns once that is committed, for which
+// the worker's runs are stopped first.
 func (d *Dispatcher) Leave(ctx context.Context, id string) Answer {
 	return d.countAnswer("leave", d.withLeader(ctx, func(l *leadership) (Answer, bool) {
-		return Answer{Code: Done}, l.core.Leave(l.d.cfg.Now(), id)
+		record := l.core.Leave(l.d.cfg.Now(), id)
+		if record {
+			l.queued.awaitLeave(id)
+			d.cfg.Logger.Info().Str("worker", id).Int("runs", l.core.RunsOf(id)).Msg("worker gives notice that it leaves: its runs are stopped before that is acknowledged")
+		}
+		return Answer{Code: Done}, record
 	}))
 }
 
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -158,9 +158,9 @@
 	isolating := l.core.Isolating()
 	b := l.core.Plan(now, now.UnixMilli())
 	l.d.metrics.plan.Observe(l.d.cfg.Now().Sub(now).Seconds())
-	var waiters []*waiter
+	waiters := l.queued.takeLeaves(b, l.d.tables)
 	if !isolating {
-		waiters = l.queued.take(b, l.core.HasRecords())
+		waiters = append(waiters, l.queued.take(b, l.core.HasRecords())...)
 	}
 	if b.Empty() {
 		for _, w := range waiters {
--- a/host/dispatcher/queue.go
+++ b/host/dispatcher/queue.go
@@ -61,6 +61,10 @@
 	config *graph.Config
 	// waiters wait for the configuration or for records of the core.
 	waiters []*waiter
+	// leaves wait until a worker is recorded as left, by its ID.
+	leaves map[string][]*waiter
+	// leaving is the worker for which the waiter that is added next waits; empty if for none.
+	leaving string
 	// maxCalls is the largest number of calls in the next batch; 0 means that their size
 	// alone limits them.
 	maxCalls int
@@ -76,12 +80,45 @@
 	q.size += int64(c.bytes())
 }
 
+// awaitLeave makes the waiter that is added next wait until the worker is recorded as left.
+func (q *queuedChanges) awaitLeave(id string) { q.leaving = id }
+
 func (q *queuedChanges) addWaiter(w *waiter) {
-	if q.unattended {
+	switch {
+	case q.unattended:
 		q.calls[len(q.calls)-1].waiter, q.unattended = w, false
-		return
+	case q.leaving != "":
+		if q.leaves == nil {
+			q.leaves = map[string][]*waiter{}
+		}
+		q.leaves[q.leaving], q.leaving = append(q.leaves[q.leaving], w), ""
+	default:
+		q.waiters = append(q.waiters, w)
+	}
+}
+
+// takeLeaves returns who waits for the workers that the batch records as left, or that are
+// recorded so by now.
+func (q *queuedChanges) takeLeaves(b *graph.Batch, t *graph.Tables) []*waiter {
+	if len(q.leaves) == 0 {
+		return nil
 	}
-	q.waiters = append(q.waiters, w)
+	var waiters []*waiter
+	take := func(id string) {
+		waiters = append(waiters, q.leaves[id]...)
+		delete(q.leaves, id)
+	}
+	for i := range b.Workers {
+		if b.Workers[i].Left {
+			take(b.Workers[i].Report.ID)
+		}
+	}
+	for id := range q.leaves {
+		if w := t.WorkerByID(id); w == nil || w.Left {
+			take(id)
+		}
+	}
+	return waiters
 }
 
 // withdrawals returns the number of queued withdrawals.
@@ -96,6 +133,9 @@
 
 func (q *queuedChanges) allWaiters() []*waiter {
 	out := q.waiters
+	for _, waiters := range q.leaves {
+		out = append(out, waiters...)
+	}
 	for i := range q.calls {
 		out = append(out, q.calls[i].waiter)
 	}
