dispatcher, relay: an order for a failure domain names the state it is given for

Cause: a relayed order took effect whenever it arrived. The age of an order cannot be known: its sender stood still, and its bytes are fresh for the kernel of its receiver.

Evidence: "failure domain state committed" with out=false comes a third time as the cut ends, while the sender still stands still.

Change: an order names the leader's term and the number of orders that it had taken; the leader takes it on that state only. A host learns the state with a first exchange and gives the order for it while its caller still waits, on a clock that counts suspensions. So any order that was held up names a state from before the newer ones. A batch with such orders names its term, and they have no effect after those of a higher one, so that a replica that leads again cannot commit what was decided before.

--- a/core/graph/apply.go
+++ b/core/graph/apply.go
@@ -19,6 +19,9 @@
 	// CrashLoops lists the tasks whose jobs failed because of them.
 	Crashes, WeakCrashes int
 	CrashLoops           []CrashLoop
+	// DomainsOutdated is set if the changes of failure domains had no effect because of their
+	// term.
+	DomainsOutdated bool
 }
 
 // Apply applies the batch with the given log index.
@@ -31,9 +34,7 @@
 	if b.Config != nil {
 		t.applyConfig(b.Config)
 	}
-	for _, d := range b.Domains {
-		t.applyDomain(d)
-	}
+	t.applyDomains(b, r)
 	for i := range b.Submits {
 		t.submit(&b.Submits[i], r)
 	}
@@ -133,12 +134,19 @@
 	}
 }
 
-func (t *Tables) applyDomain(d DomainChange) {
-	if d.Out {
-		t.domains[d.Name] = true
+func (t *Tables) applyDomains(b *Batch, r *Result) {
+	if len(b.Domains) > 0 && b.DomainTerm != 0 && b.DomainTerm < t.domainTerm {
+		r.DomainsOutdated = true
 		return
 	}
-	delete(t.domains, d.Name)
+	for _, d := range b.Domains {
+		t.domainTerm = max(t.domainTerm, b.DomainTerm)
+		if d.Out {
+			t.domains[d.Name] = true
+		} else {
+			delete(t.domains, d.Name)
+		}
+	}
 }
 
 func (t *Tables) submit(s *Spec, r *Result) {
--- a/core/graph/batch.go
+++ b/core/graph/batch.go
@@ -49,6 +49,10 @@
 	ForgetWithdrawals uint64 `cbor:"19,keyasint,omitempty"`
 	// Expected replaces what is recorded of expected work unless it is empty.
 	Expected []Expected `cbor:"17,keyasint,omitempty"`
+	// DomainTerm is the term of the leader that took the orders in Domains; 0 in batches of
+	// former versions. They have no effect after those of a higher term: a replica that leads
+	// again may propose them late.
+	DomainTerm uint64 `cbor:"21,keyasint,omitempty"`
 }
 
 // Empty reports whether the batch changes nothing.
--- a/core/graph/snapshot.go
+++ b/core/graph/snapshot.go
@@ -32,6 +32,7 @@
 	ForgottenWithdrawals uint64       `cbor:"14,keyasint,omitempty"`
 	// WeakCrashes are apart from Crashes, because an earlier version would count them.
 	WeakCrashes []crashImage `cbor:"15,keyasint,omitempty"`
+	DomainTerm  uint64       `cbor:"16,keyasint,omitempty"`
 }
 
 type endedImage struct {
@@ -94,7 +95,7 @@
 	im := image{
 		Version: BatchVersion, Index: t.index, NowMS: t.nowMS,
 		Config: t.config, Domains: t.domains, LastHandle: t.lastHandle, Pressures: t.pressures, Expected: t.expected,
-		Withdrawals: t.withdrawn.ordered, ForgottenWithdrawals: t.withdrawn.first - 1,
+		Withdrawals: t.withdrawn.ordered, ForgottenWithdrawals: t.withdrawn.first - 1, DomainTerm: t.domainTerm,
 	}
 	for _, w := range t.workers {
 		im.Workers = append(im.Workers, workerImage{Report: w.WorkerReport, Handle: w.Handle, Left: w.Left, Current: t.byID[w.ID] == w})
@@ -198,7 +199,7 @@
 		return nil, errors.Newf("snapshot has format version %d, want %d", im.Version, BatchVersion)
 	}
 	t := New()
-	t.index, t.nowMS, t.lastHandle = im.Index, im.NowMS, im.LastHandle
+	t.index, t.nowMS, t.lastHandle, t.domainTerm = im.Index, im.NowMS, im.LastHandle, im.DomainTerm
 	if im.Config != nil {
 		im.Config.index()
 		t.config = im.Config
--- a/core/graph/tables.go
+++ b/core/graph/tables.go
@@ -10,6 +10,8 @@
 
 	config  *Config
 	domains map[string]bool // failure domains that are out of service
+	// domainTerm is the highest term of a leader whose orders for failure domains were applied.
+	domainTerm uint64
 
 	lastHandle Handle
 	workers    map[Handle]*Worker
--- a/host/dispatcher/calls.go
+++ b/host/dispatcher/calls.go
@@ -43,9 +43,12 @@
 	// Withdrawn means that the job was cancelled before its submission arrived. It was
 	// not accepted and never runs.
 	Withdrawn
+	// Outdated means that the order was given for a state of the failure domains that is no
+	// longer the current one. It has no effect; Answer.Domains names the current state.
+	Outdated
 )
 
-var codeNames = [...]string{"", "done", "not leader", "not taken", "unknown", "no config", "no queue", "no job", "invalid", "no key", "id in use", "withdrawn"}
+var codeNames = [...]string{"", "done", "not leader", "not taken", "unknown", "no config", "no queue", "no job", "invalid", "no key", "id in use", "withdrawn", "outdated"}
 
 // String returns the name of the code, as used in logs and metric labels. A host of a
 // later version may send a code that has none here.
@@ -73,6 +76,8 @@
 	Term uint64
 	// Limits are the size and time limits for requests from callers.
 	Limits graph.Limits
+	// Domains is the current state of the failure domains, if the code is Outdated.
+	Domains DomainVersion
 	// Settled is set in an answer other than Done that holds whatever the call did before.
 	Settled bool
 }
@@ -150,18 +155,6 @@
 	return Answer{Code: Done, Config: c.Document, Version: c.Version, Limits: c.Limits, Term: l.term}
 }
 
-// SetDomain takes a failure domain out of service or brings it back.
-func (d *Dispatcher) SetDomain(ctx context.Context, name string, out bool) Answer {
-	return d.countAnswer("setdomain", d.withLeader(ctx, func(l *leadership) (Answer, bool) {
-		change := graph.DomainChange{Name: name, Out: out}
-		if err := d.tables.CheckDomain(&change); err != nil {
-			return answer(Invalid, err.Error()), false
-		}
-		l.queued.add(queuedCall{domain: &change})
-		return Answer{}, true
-	}))
-}
-
 // Beat handles a worker's heartbeat report.
 func (d *Dispatcher) Beat(ctx context.Context, r graph.WorkerReport) Answer {
 	return d.Beats(ctx, []graph.WorkerReport{r})
@@ -247,6 +240,11 @@
 	case <-time.After(proposeTimeout):
 		err = errors.Mark(errors.New("no outcome in time"), ErrOutcomeUnknown)
 	}
+	return answerOf(err)
+}
+
+// answerOf returns the answer to a call whose proposal ended with the error.
+func answerOf(err error) Answer {
 	switch {
 	case err == nil:
 		return Answer{Code: Done}
--- a/host/dispatcher/dispatcher.go
+++ b/host/dispatcher/dispatcher.go
@@ -158,6 +158,9 @@
 	res := d.tables.Apply(index, b)
 	// The core learns of each entry here, not from its proposal, which may have ended
 	// without a known outcome.
+	if res.DomainsOutdated {
+		d.cfg.Logger.Warn().Uint64("index", index).Uint64("term", b.DomainTerm).Str("step", "apply").Msg("changes of failure domains have no effect: they were decided in a former term")
+	}
 	if l := d.lead; l != nil && l.core != nil {
 		l.core.Applied(d.cfg.Now(), b, res)
 		if l.holdsLease() { // otherwise the entry may be another leader's
--- a/host/dispatcher/dispatcher_test.go
+++ b/host/dispatcher/dispatcher_test.go
@@ -22,7 +22,9 @@
 	d     *Dispatcher
 	index uint64
 	lease bool
-	fail  error
+	// term is the term of the lease; 0 means 1.
+	term uint64
+	fail error
 	// rejects makes Propose refuse a batch for its content.
 	rejects func(*graph.Batch) bool
 	// unknown makes Propose report an unknown outcome of the batches for which it is
@@ -63,7 +65,7 @@
 func (l *singleReplicaLog) LeaseTerm() (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return 1, l.lease
+	return max(1, l.term), l.lease
 }
 
 func (l *singleReplicaLog) LeaderChanges() <-chan replica.LeaderChange { return l.changes }
--- a/host/dispatcher/leadership.go
+++ b/host/dispatcher/leadership.go
@@ -29,6 +29,8 @@
 	core *dispatch.Core
 	// queued are the changes of callers to propose.
 	queued queuedChanges
+	// domainOrders counts the orders for failure domains that were taken in this term.
+	domainOrders uint64
 	// buckets tell which jobs organisations send beyond their weight.
 	buckets *organisation.Buckets
 	// proposing is set while a proposal is in flight; there is at most one.
@@ -162,6 +164,9 @@
 	if !isolating {
 		waiters = append(waiters, l.queued.take(b, l.core.HasRecords())...)
 	}
+	if len(b.Domains) > 0 {
+		b.DomainTerm = l.term
+	}
 	if b.Empty() {
 		for _, w := range waiters {
 			w.done <- nil
@@ -219,8 +224,12 @@
 	case err != nil:
 		return errors.Mark(err, ErrNotApplied)
 	}
-	if _, ok := v.(*graph.Result); !ok { // each replica has skipped the entry
+	res, ok := v.(*graph.Result)
+	switch {
+	case !ok: // each replica has skipped the entry
 		return errors.Mark(errors.Mark(errors.Newf("apply failed: %v", v), ErrNotApplied), errRejected)
+	case res.DomainsOutdated: // the other parts were applied
+		return errors.Mark(errors.Newf("a later leader than that of term %d has changed failure domains", b.DomainTerm), ErrOutcomeUnknown)
 	}
 	return nil
 }
--- a/host/relay/client.go
+++ b/host/relay/client.go
@@ -17,6 +17,7 @@
 	"gooseberrypond/core/outage"
 	"gooseberrypond/host/arrival"
 	"gooseberrypond/host/dispatcher"
+	"gooseberrypond/store/clock"
 )
 
 const (
@@ -76,13 +77,15 @@
 	beats *beatBatch
 	// local is this host's own server; nil if it has none.
 	local atomic.Pointer[localHost]
+	// sinceBoot reads the clock that also counts suspensions of the machine.
+	sinceBoot func() time.Time
 }
 
 // NewClient returns a client; Run must be running for its calls to succeed.
 func NewClient(seeds func() []string, logger zerolog.Logger) *Client {
 	return &Client{
 		seeds: seeds, logger: logger, conns: map[string]*rpc.Client{}, asked: map[string]bool{},
-		changed: make(chan struct{}), searchNow: make(chan struct{}, 1),
+		changed: make(chan struct{}), searchNow: make(chan struct{}, 1), sinceBoot: clock.Now,
 	}
 }
 
@@ -518,11 +521,6 @@
 	return c.callLeader(ctx, "GetConfig", &None{})
 }
 
-// SetDomain takes a failure domain out of service or brings it back.
-func (c *Client) SetDomain(ctx context.Context, name string, out bool) (dispatcher.Answer, error) {
-	return c.callLeader(ctx, "SetDomain", &DomainArgs{Name: name, Out: out})
-}
-
 // Leave forwards a worker's notice that it has left.
 func (c *Client) Leave(ctx context.Context, id string) (dispatcher.Answer, error) {
 	return c.callLeader(ctx, "Leave", &LeaveArgs{ID: id})
--- a/host/relay/messages.go
+++ b/host/relay/messages.go
@@ -57,6 +57,9 @@
 type DomainArgs struct {
 	Name string
 	Out  bool
+	// Seen is the state of the failure domains for which the order is given. The leader refuses
+	// the order in any other.
+	Seen dispatcher.DomainVersion
 }
 
 // LeaveArgs names a worker that has left.
--- a/host/relay/server.go
+++ b/host/relay/server.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"gooseberrypond/core/graph"
 	"gooseberrypond/host/admission"
 	"gooseberrypond/host/arrival"
 	"gooseberrypond/host/dispatcher"
@@ -203,7 +204,7 @@
 	case *ConfigArgs:
 		return s.d.PutConfig(ctx, &a.Config), nil
 	case *DomainArgs:
-		return s.d.SetDomain(ctx, a.Name, a.Out), nil
+		return s.d.ChangeDomain(ctx, graph.DomainChange{Name: a.Name, Out: a.Out}, a.Seen), nil
 	case *LeaveArgs:
 		return s.d.Leave(ctx, a.ID), nil
 	case *BeatsArgs:
