dispatch: the next incarnation of a worker refuses late starts once a call reaches it

Cause: nothing on the wire binds an order to an incarnation; a higher token ends it, but the leader called an idle worker once a second, a silent one after 0.2 to 1 s, and with the token of the start itself until the next incarnation had reported.

Change: while a start without an answer may be under way, and for as long after an election, a call to the worker is always open, so its end tells of a crash at once. From the first call that arrives the incarnation refuses the start by its token, which is all that the protocol offers.

--- a/core/dispatch/core.go
+++ b/core/dispatch/core.go
@@ -29,6 +29,10 @@
 	// deadlineSentAt is when a call that carried a lease deadline was last sent to any
 	// incarnation, by worker ID.
 	deadlineSentAt map[string]time.Time
+	// lateStartAt is when a start without an answer was last sent, by worker ID, and lateSilent
+	// counts the silent workers to which one may be under way; see late.go.
+	lateStartAt map[string]time.Time
+	lateSilent  int
 	// pressure holds, by image of the serving tasks, a model of how much headroom
 	// fillers take from them.
 	pressure         map[string]*interference.Pressures
@@ -154,6 +158,7 @@
 		candidatePools:   map[string]*candidatePool{},
 		incarnations:     map[string]uint64{},
 		deadlineSentAt:   map[string]time.Time{},
+		lateStartAt:      map[string]time.Time{},
 		pressure:         map[string]*interference.Pressures{},
 		trends:           map[*graph.StepState]*loadTrend{},
 		changes:          map[string]graph.WorkerChange{},
@@ -177,6 +182,7 @@
 	c.work = expect.Restore(tables.Expected())
 	for _, ws := range c.addWorkers(now) {
 		ws.inheritedEnd, c.deadlineSentAt[ws.w.ID] = now.Add(longestLease(limits.LeaseMax)), now
+		c.noteLateStart(ws.w.ID, now)
 		for a := range ws.w.Attempts {
 			r := c.track(ws, a)
 			r.inherited, r.startUnanswered, r.sentAt = true, true, now
@@ -480,6 +486,7 @@
 	}
 	c.sweptAt = now
 	c.dropForgottenWorkers()
+	c.countLateSilent(now)
 	for _, ws := range c.byHandle {
 		if ws.w.Left && ws.leftAt.IsZero() {
 			ws.leftAt = now
--- a/core/dispatch/doc.go
+++ b/core/dispatch/doc.go
@@ -31,6 +31,10 @@
 //     answered this leader may carry it out, with a lease from then on. The attempt is
 //     released once a later incarnation has answered without the run, or when the longest
 //     lease that any of them can have given it is over (incarnation.go).
+//   - While a start may be under way without an answer, a call to its worker is always open,
+//     and once that fails the calls carry a higher token (late.go). A late start is refused by
+//     the next incarnation from the first such call on.
+//   - A worker that gives notice has its runs stopped before that is acknowledged (leave.go).
 //
 // No rule keeps a long-running task from free capacity for ever:
 //   - Batch work is entitled to a share of the pool, for which new long-running tasks
--- a/core/dispatch/hold.go
+++ b/core/dispatch/hold.go
@@ -25,7 +25,7 @@
 		return Hold{}, again.Sub(now), true // the worker would list the same ends at once
 	}
 	switch {
-	case len(ws.runs) == 0:
+	case len(ws.runs) == 0 && !c.mayStartLate(now, ws):
 		return c.hold(now, ws, 0), 0, true // HoldDone paces these calls
 	case ws.pacing:
 		return c.hold(now, ws, pacingHoldWait), 0, true
@@ -116,8 +116,9 @@
 	}
 	first = !ws.suspect
 	c.callFailed(now, ws)
+	c.raiseToken(now, ws)
 	ws.failedCalls++
-	ws.nextHold = now.Add(min(holdRetryMin<<min(ws.failedCalls-1, 8), holdRetryMax))
+	ws.nextHold = now.Add(c.holdRetryDelay(now, ws))
 	return first
 }
 
@@ -155,7 +156,11 @@
 	ws.listSentAt = later(ws.listSentAt, sent)
 	ws.answeredCursor = max(ws.answeredCursor, hold.AckCursor)
 	ws.nextHold = now
-	if len(ws.runs) == 0 {
+	switch {
+	case len(ws.runs) > 0:
+	case c.mayStartLate(now, ws):
+		ws.nextHold = later(now, ws.heldAt.Add(holdRetryMin)) // the call stays open
+	default:
 		// No run can end meanwhile. The connection is free for the next start, so that a
 		// worker without runs needs only one.
 		ws.nextHold = now.Add(HoldWait)
--- a/core/dispatch/order.go
+++ b/core/dispatch/order.go
@@ -122,6 +122,7 @@
 		o.Kind, o.DeadlineMS, o.Urgency = OrderStart, deadline, r.orderUrgency(UrgencyStart)
 		o.Payload, o.Checkpoint = r.a.Step.Occurrence.Job.Spec.Payload, r.a.Resumed
 		r.sends++
+		r.ws.tokenRaised = false
 		r.sentAt, c.deadlineSentAt[r.ws.w.ID] = now, now
 		if r.firstSentAt.IsZero() {
 			r.firstSentAt = now
@@ -192,6 +193,7 @@
 	r.nextAt = now.Add(orderRetryDelay)
 	if o.Kind == OrderStart {
 		r.startUnanswered = true
+		c.noteLateStart(r.ws.w.ID, r.sentAt)
 		r.giveUpAfterSends()
 	}
 }
--- a/core/dispatch/worker.go
+++ b/core/dispatch/worker.go
@@ -12,6 +12,8 @@
 type workerState struct {
 	w     *graph.Worker
 	token uint64
+	// tokenRaised is set while token is above that of all starts that were sent.
+	tokenRaised bool
 	// address is the key of the state in Core.byAddress.
 	address string
 	// inheritedEnd is when all leases granted by earlier leaders have expired.
@@ -222,6 +224,7 @@
 	c.unindex(c.byID, ws.w.ID, ws)
 	if len(c.byID[ws.w.ID]) == 0 {
 		delete(c.deadlineSentAt, ws.w.ID)
+		delete(c.lateStartAt, ws.w.ID)
 	}
 	c.unindex(c.byAddress, ws.address, ws)
 }
@@ -341,6 +344,7 @@
 		ws.rivalAt = now
 	}
 	ws.rival = &r
+	c.raiseToken(now, ws)
 	c.doubtIncarnation(now, ws)
 }
 
