dispatch: only the current incarnation's record is called often for late starts

Cause: the record of a replaced incarnation, which is called until its runs are released, counted as one to which a start may be under way: its calls, which the next incarnation refuses for their token, came every 50 ms and slowed those to other silent workers. Found while the diff was read.

--- a/core/dispatch/late.go
+++ b/core/dispatch/late.go
@@ -29,10 +29,11 @@
 	c.lateStartAt[id] = later(c.lateStartAt[id], sent)
 }
 
-// mayStartLate reports whether a start may be under way to the worker's ID without an answer.
+// mayStartLate reports whether a start may be under way to the worker without an answer. If its
+// incarnation was replaced, it would reach the next one.
 func (c *Core) mayStartLate(now time.Time, ws *workerState) bool {
 	sent, known := c.lateStartAt[ws.w.ID]
-	return ws.startsInFlight > 0 || known && now.Before(sent.Add(lateOrderMax))
+	return (ws.startsInFlight > 0 || known && now.Before(sent.Add(lateOrderMax))) && c.tables.WorkerByID(ws.w.ID) == ws.w
 }
 
 // countLateSilent counts the silent workers to which a start may be under way.
@@ -46,10 +47,10 @@
 }
 
 // raiseToken gives later calls to the worker a token above that of all starts that were sent to it,
-// unless none may be under way or this has been done since the worker last answered. The record of
-// an incarnation that was replaced keeps its token, which must stay below that of the next one.
+// unless none may be under way or the token is that high already. The record of an incarnation that
+// was replaced keeps its token, which must stay below that of the next one.
 func (c *Core) raiseToken(now time.Time, ws *workerState) {
-	if ws.tokenRaised || c.tables.WorkerByID(ws.w.ID) != ws.w || !c.mayStartLate(now, ws) || c.incarnations[ws.w.ID] >= maxRaisedTokens {
+	if ws.tokenRaised || !c.mayStartLate(now, ws) || c.incarnations[ws.w.ID] >= maxRaisedTokens {
 		return
 	}
 	ws.token, ws.tokenRaised = c.tokenFor(ws.w.ID), true
